--- /dev/null
+++ b/libs/bench/src/bergamotsail/bench/__init__.py
@@ -0,0 +1,9 @@
+"""Tools to try the product and to measure it."""
+
+from bergamotsail.bench import _client
+from bergamotsail.bench import _system
+
+Client = _client.Client
+Result = _client.Result
+System = _system.System
+SystemSettings = _system.SystemSettings
--- /dev/null
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -0,0 +1,44 @@
+"""What operators write and what the system remembers for good.
+
+Catalogue entries, the ownership of targets and the claims of
+non-idempotent calls live in one replicated state machine. Daemons that keep
+no disk follow its *effects*, in order, in a :class:`View`.
+"""
+
+from bergamotsail.catalogue import _commands
+from bergamotsail.catalogue import _entries
+from bergamotsail.catalogue import _machine
+from bergamotsail.catalogue import _view
+
+Adapter = _entries.Adapter
+Call = _entries.ServiceCall
+Entry = _entries.Entry
+EntryClass = _entries.EntryClass
+Kind = _entries.Kind
+Limits = _entries.Limits
+Member = _entries.Member
+Pool = _entries.Pool
+PoolKind = _entries.PoolKind
+Service = _entries.Service
+hash_token = _entries.hash_token
+parse_value = _entries.parse_value
+check_id = _entries.check_id
+
+Change = _commands.Change
+Claim = _commands.Claim
+ClaimReply = _commands.ClaimReply
+ClaimState = _commands.ClaimState
+Grant = _commands.Grant
+Outcome = _commands.Outcome
+Put = _commands.Put
+PutReply = _commands.PutReply
+RaiseFloor = _commands.RaiseFloor
+Command = _commands.Command
+Record = _commands.Record
+Release = _commands.Release
+
+CatalogueMachine = _machine.CatalogueMachine
+
+Effect = _view.Effect
+Ownership = _view.Ownership
+View = _view.View
--- /dev/null
+++ b/libs/catalogue/src/bergamotsail/catalogue/_commands.py
@@ -0,0 +1,154 @@
+"""Commands of the replicated state machine and their results."""
+
+import dataclasses
+import enum
+
+from bergamotsail.catalogue import _entries
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """Set an entry, or delete it when *value* is None.
+
+    Args:
+        value: the entry's JSON.
+        if_revision: the revision the writer saw, 0 for none, or None to
+            write whatever is there.
+        operation_id: names this change; a resend gets the first result.
+        operator: who asks, for the history.
+    """
+
+    kind: _entries.Kind
+    id: str
+    value: str | None
+    operation_id: str
+    operator: str
+    if_revision: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PutReply:
+    """What became of a change.
+
+    Args:
+        revision: of the entry as it now stands, 0 when there is none.
+        conflict: why it was not made, or None when it was.
+        current: the entry's JSON when it was not made.
+    """
+
+    revision: int
+    conflict: str | None = None
+    current: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A line of the history."""
+
+    revision: int
+    kind: _entries.Kind
+    id: str
+    deleted: bool
+    operation_id: str
+    operator: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Make a daemon's boot the owner of a target.
+
+    Args:
+        after_epoch: the epoch that the leader saw; a grant that raced
+            with another changes nothing.
+    """
+
+    target: str
+    owner: str
+    after_epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Give a target back, by the owner that holds this epoch."""
+
+    target: str
+    epoch: int
+
+
+class ClaimState(enum.StrEnum):
+    """The state of an idempotency key."""
+
+    WON = "won"
+    HELD = "held"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    EXPIRED = "expired"
+    OTHER_REQUEST = "other_request"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """The recorded answer of a call that may not be repeated."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Take an idempotency key before the call is sent.
+
+    Args:
+        member: the caller's member; keys of two members never meet.
+        key: the caller's key.
+        key_time_ms: the time that the key itself names.
+        digest: of the request, so that a key can't be used for another.
+        attempt: names this attempt; its repeated claim wins again.
+    """
+
+    member: str
+    key: str
+    key_time_ms: int
+    digest: str
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimReply:
+    """Who holds the key, and the outcome if it is known."""
+
+    state: ClaimState
+    attempt: str = ""
+    outcome: Outcome | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """Record how the attempt that holds a key ended."""
+
+    member: str
+    key: str
+    attempt: str
+    state: ClaimState
+    outcome: Outcome | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RaiseFloor:
+    """Forget claims whose key names an earlier time, and refuse them."""
+
+    floor_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Command:
+    """Exactly one of these."""
+
+    put: Put | None = None
+    grant: Grant | None = None
+    release: Release | None = None
+    claim: Claim | None = None
+    record: Record | None = None
+    raise_floor: RaiseFloor | None = None
--- /dev/null
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -0,0 +1,317 @@
+"""The replicated state machine: catalogue, ownership and claims."""
+
+import collections
+import collections.abc
+import dataclasses
+
+from bergamotsail import quorum
+from bergamotsail import wire
+from bergamotsail.catalogue import _commands
+from bergamotsail.catalogue import _entries
+from bergamotsail.catalogue import _view
+
+KEPT_OPERATIONS = 10_000
+KEPT_CHANGES = 2_000
+KEPT_EFFECTS = 4_000
+
+Command = _commands.Command
+State = _commands.ClaimState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Claimed:
+    member: str
+    key: str
+    key_time_ms: int
+    digest: str
+    attempt: str
+    state: State
+    outcome: _commands.Outcome | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Operation:
+    id: str
+    reply: _commands.PutReply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Line:
+    """One line of a snapshot."""
+
+    effect: _view.Effect | None = None
+    claimed: _Claimed | None = None
+    operation: _Operation | None = None
+    change: _commands.Change | None = None
+    floor_ms: int | None = None
+
+
+class CatalogueMachine(quorum.Machine):
+    """Applies commands to a view, the claims and the operation ids."""
+
+    def __init__(self) -> None:
+        self.view = _view.View()
+        self.floor_ms = 0
+        self.changes: collections.deque[_commands.Change] = collections.deque(
+            maxlen=KEPT_CHANGES
+        )
+        self._operation_by_id: collections.OrderedDict[
+            str, _commands.PutReply
+        ] = collections.OrderedDict()
+        self._claim_by_key: dict[tuple[str, str], _Claimed] = {}
+        self._effects: collections.deque[_view.Effect] = collections.deque()
+        self._effects_after = 0
+
+    @property
+    def claims(self) -> int:
+        """How many claims are kept."""
+        return len(self._claim_by_key)
+
+    def apply(self, index: int, command: bytes) -> object:
+        parsed = wire.decode(command, Command)
+        result: object = None
+        if parsed.put is not None:
+            result = self._put(index, parsed.put)
+        elif parsed.grant is not None:
+            result = self._grant(index, parsed.grant)
+        elif parsed.release is not None:
+            result = self._release(index, parsed.release)
+        elif parsed.claim is not None:
+            result = self._claim(parsed.claim)
+        elif parsed.record is not None:
+            result = self._record(parsed.record)
+        elif parsed.raise_floor is not None:
+            result = self._raise_floor(parsed.raise_floor)
+        self.view.index = index
+        return result
+
+    def effects_after(self, index: int) -> list[_view.Effect] | None:
+        """Return the effects after *index*, or None if some are gone."""
+        if index < self._effects_after:
+            return None
+        found = []
+        for effect in reversed(self._effects):
+            if effect.index <= index:
+                break
+            found.append(effect)
+        found.reverse()
+        return found
+
+    def find_claim(self, member: str, key: str) -> _commands.ClaimReply | None:
+        """Return what is recorded under a key."""
+        claimed = self._claim_by_key.get((member, key))
+        if claimed is None:
+            return None
+        return _reply_of(claimed)
+
+    # Commands.
+
+    def _put(self, index: int, put: _commands.Put) -> _commands.PutReply:
+        known = self._operation_by_id.get(put.operation_id)
+        if known is not None:
+            return known
+        reply = self._put_once(index, put)
+        self._operation_by_id[put.operation_id] = reply
+        while len(self._operation_by_id) > KEPT_OPERATIONS:
+            self._operation_by_id.popitem(last=False)
+        return reply
+
+    def _put_once(self, index: int, put: _commands.Put) -> _commands.PutReply:
+        current = self.view.by_kind[put.kind].get(put.id)
+        revision = current.revision if current is not None else 0
+        if put.if_revision is not None and put.if_revision != revision:
+            return self._refused(
+                current, f"The entry stands at revision {revision}."
+            )
+        problem = self._problem(put)
+        if problem is not None:
+            return self._refused(current, problem)
+        self._take_effect(_view.Effect(index, put.kind, put.id, put.value))
+        self.changes.append(
+            _commands.Change(
+                index,
+                put.kind,
+                put.id,
+                put.value is None,
+                put.operation_id,
+                put.operator,
+            )
+        )
+        return _commands.PutReply(index if put.value is not None else 0)
+
+    def _problem(self, put: _commands.Put) -> str | None:
+        """Check a change against the rest of the catalogue."""
+        if put.value is None:
+            return self._delete_problem(put)
+        try:
+            value = _entries.parse_value(put.kind, put.value.encode())
+        except wire.ServingError as error:
+            return error.message
+        if isinstance(value, _entries.Member):
+            holder = self.view.member_by_token.get(value.token_sha256)
+            if holder not in (None, put.id):
+                return "Another member has this token. Choose another."
+            return None
+        if isinstance(value, _entries.Pool):
+            return None
+        members = self.view.member_by_id
+        missing = [
+            name
+            for name in (value.owner, *value.callers)
+            if name not in members
+        ]
+        if missing:
+            return f"Create the members {', '.join(missing)} first."
+        if value.pool not in self.view.pool_by_id:
+            return f"Create the pool {value.pool} first."
+        return None
+
+    def _delete_problem(self, put: _commands.Put) -> str | None:
+        if put.id not in self.view.by_kind[put.kind]:
+            return "There is no such entry."
+        used_by = [
+            entry.id
+            for kind in (_entries.Kind.ADAPTER, _entries.Kind.SERVICE)
+            for entry in self.view.by_kind[kind].values()
+            if (put.kind is _entries.Kind.POOL and entry.value.pool == put.id)
+            or (
+                put.kind is _entries.Kind.MEMBER
+                and put.id in (entry.value.owner, *entry.value.callers)
+            )
+        ]
+        if used_by:
+            return f"Delete what uses it first: {', '.join(used_by[:5])}."
+        return None
+
+    def _refused(
+        self, current: _entries.Entry | None, why: str
+    ) -> _commands.PutReply:
+        if current is None:
+            return _commands.PutReply(0, why)
+        value = wire.encode(current.value).decode()
+        return _commands.PutReply(current.revision, why, value)
+
+    def _grant(self, index: int, grant: _commands.Grant) -> bool:
+        current = self.view.ownership_by_target.get(grant.target)
+        epoch = current.epoch if current is not None else 0
+        if epoch != grant.after_epoch:
+            return False
+        ownership = _view.Ownership(grant.target, grant.owner, index)
+        self._take_effect(_view.Effect(index, ownership=ownership))
+        return True
+
+    def _release(self, index: int, release: _commands.Release) -> bool:
+        current = self.view.ownership_by_target.get(release.target)
+        if current is None or current.epoch != release.epoch:
+            return False
+        ownership = _view.Ownership(release.target, None, index)
+        self._take_effect(_view.Effect(index, ownership=ownership))
+        return True
+
+    def _claim(self, claim: _commands.Claim) -> _commands.ClaimReply:
+        if claim.key_time_ms < self.floor_ms:
+            return _commands.ClaimReply(State.EXPIRED)
+        key = (claim.member, claim.key)
+        held = self._claim_by_key.get(key)
+        if held is not None and held.digest != claim.digest:
+            return _commands.ClaimReply(State.OTHER_REQUEST)
+        if held is not None and held.attempt == claim.attempt:
+            won = held.state is State.HELD
+            if won:
+                return _commands.ClaimReply(State.WON, held.attempt)
+        if held is not None and held.state is not State.NOT_RUN:
+            return _reply_of(held)
+        self._claim_by_key[key] = _Claimed(
+            claim.member,
+            claim.key,
+            claim.key_time_ms,
+            claim.digest,
+            claim.attempt,
+            State.HELD,
+        )
+        return _commands.ClaimReply(State.WON, claim.attempt)
+
+    def _record(self, record: _commands.Record) -> bool:
+        key = (record.member, record.key)
+        held = self._claim_by_key.get(key)
+        if held is None or held.attempt != record.attempt:
+            return False
+        if held.state is not State.HELD:
+            return held.state is record.state
+        self._claim_by_key[key] = dataclasses.replace(
+            held, state=record.state, outcome=record.outcome
+        )
+        return True
+
+    def _raise_floor(self, raised: _commands.RaiseFloor) -> int:
+        self.floor_ms = max(self.floor_ms, raised.floor_ms)
+        self._claim_by_key = {
+            key: claimed
+            for key, claimed in self._claim_by_key.items()
+            if claimed.key_time_ms >= self.floor_ms
+        }
+        return self.floor_ms
+
+    def _take_effect(self, effect: _view.Effect) -> None:
+        self.view.apply(effect)
+        self._effects.append(effect)
+        while len(self._effects) > KEPT_EFFECTS:
+            self._effects_after = self._effects.popleft().index
+
+    # Snapshots.
+
+    def snapshot(self) -> collections.abc.Iterator[bytes]:
+        effects = self.view.effects()
+        claims = list(self._claim_by_key.values())
+        operations = list(self._operation_by_id.items())
+        changes = list(self.changes)
+        return _snapshot_lines(
+            effects, claims, operations, changes, self.floor_ms
+        )
+
+    def restore(
+        self, index: int, lines: collections.abc.Iterable[bytes]
+    ) -> None:
+        self.__init__()
+        for data in lines:
+            line = wire.decode(data, _Line)
+            if line.effect is not None:
+                self.view.apply(line.effect)
+            elif line.claimed is not None:
+                claimed = line.claimed
+                key = (claimed.member, claimed.key)
+                self._claim_by_key[key] = claimed
+            elif line.operation is not None:
+                operation = line.operation
+                self._operation_by_id[operation.id] = operation.reply
+            elif line.change is not None:
+                self.changes.append(line.change)
+            elif line.floor_ms is not None:
+                self.floor_ms = line.floor_ms
+        self.view.index = index
+        self._effects_after = index
+
+
+def _snapshot_lines(
+    effects: collections.abc.Iterator[_view.Effect],
+    claims: list[_Claimed],
+    operations: list[tuple[str, _commands.PutReply]],
+    changes: list[_commands.Change],
+    floor_ms: int,
+) -> collections.abc.Iterator[bytes]:
+    yield wire.encode(_Line(floor_ms=floor_ms))
+    for effect in effects:
+        yield wire.encode(_Line(effect=effect))
+    for claimed in claims:
+        yield wire.encode(_Line(claimed=claimed))
+    for operation_id, reply in operations:
+        operation = _Operation(operation_id, reply)
+        yield wire.encode(_Line(operation=operation))
+    for change in changes:
+        yield wire.encode(_Line(change=change))
+
+
+def _reply_of(claimed: _Claimed) -> _commands.ClaimReply:
+    return _commands.ClaimReply(
+        claimed.state, claimed.attempt, claimed.outcome
+    )
--- /dev/null
+++ b/libs/catalogue/src/bergamotsail/catalogue/_view.py
@@ -0,0 +1,117 @@
+"""Catalogue and ownership as every daemon sees them."""
+
+import collections.abc
+import dataclasses
+
+from bergamotsail import wire
+from bergamotsail.catalogue import _entries
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ownership:
+    """Who owns a target; *owner* is None while nobody does.
+
+    The epoch only grows, and is the fencing number of every order.
+    """
+
+    target: str
+    owner: str | None
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Effect:
+    """One change of the view: an entry set or dropped, or an ownership.
+
+    Args:
+        index: of the log entry that made it.
+        value: the entry's JSON, None when it was dropped.
+    """
+
+    index: int
+    kind: _entries.Kind | None = None
+    id: str = ""
+    value: str | None = None
+    ownership: Ownership | None = None
+
+
+class View:
+    """Entries by kind and id, and ownership by target."""
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.by_kind: dict[_entries.Kind, dict[str, _entries.Entry]] = {
+            kind: {} for kind in _entries.Kind
+        }
+        self.ownership_by_target: dict[str, Ownership] = {}
+        self.member_by_token: dict[str, str] = {}
+
+    @property
+    def member_by_id(self) -> dict[str, _entries.Entry]:
+        """Members."""
+        return self.by_kind[_entries.Kind.MEMBER]
+
+    @property
+    def adapter_by_id(self) -> dict[str, _entries.Entry]:
+        """Adapters."""
+        return self.by_kind[_entries.Kind.ADAPTER]
+
+    @property
+    def service_by_id(self) -> dict[str, _entries.Entry]:
+        """Services."""
+        return self.by_kind[_entries.Kind.SERVICE]
+
+    @property
+    def pool_by_id(self) -> dict[str, _entries.Entry]:
+        """Pools."""
+        return self.by_kind[_entries.Kind.POOL]
+
+    def clear(self) -> None:
+        """Forget all."""
+        self.__init__()
+
+    def apply(self, effect: Effect) -> None:
+        """Apply an effect; effects come in order of their index."""
+        if effect.ownership is not None:
+            ownership = effect.ownership
+            self.ownership_by_target[ownership.target] = ownership
+        elif effect.kind is not None:
+            self._apply_entry(effect)
+        self.index = max(self.index, effect.index)
+
+    def effects(self) -> collections.abc.Iterator[Effect]:
+        """Return effects that rebuild this view as it stands now.
+
+        They are made while they are read, from a frozen copy.
+        """
+        entries = [
+            entry
+            for by_id in self.by_kind.values()
+            for entry in by_id.values()
+        ]
+        return _effects_of(entries, list(self.ownership_by_target.values()))
+
+    def _apply_entry(self, effect: Effect) -> None:
+        by_id = self.by_kind[effect.kind]
+        old = by_id.pop(effect.id, None)
+        if old is not None and effect.kind is _entries.Kind.MEMBER:
+            self.member_by_token.pop(old.value.token_sha256, None)
+        if effect.value is None:
+            return
+        kind = _entries.TYPE_BY_KIND[effect.kind]
+        value = wire.decode(effect.value, kind)
+        by_id[effect.id] = _entries.Entry(
+            effect.kind, effect.id, effect.index, value
+        )
+        if effect.kind is _entries.Kind.MEMBER:
+            self.member_by_token[value.token_sha256] = effect.id
+
+
+def _effects_of(
+    entries: list[_entries.Entry], ownerships: list[Ownership]
+) -> collections.abc.Iterator[Effect]:
+    for entry in entries:
+        value = wire.encode(entry.value).decode()
+        yield Effect(entry.revision, entry.kind, entry.id, value)
+    for ownership in ownerships:
+        yield Effect(ownership.epoch, ownership=ownership)
--- /dev/null
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -0,0 +1,46 @@
+"""Sessions of daemons with the leader.
+
+One heartbeat carries everything between a daemon and the leader: the lease,
+catalogue changes, ownership, shares of the limits, and what is known of
+daemons and targets. :class:`Session` is the daemon's side,
+:class:`Coordinator` the leader's.
+"""
+
+from bergamotsail.control import _coordinator
+from bergamotsail.control import _digest
+from bergamotsail.control import _fleet
+from bergamotsail.control import _floor
+from bergamotsail.control import _ledger
+from bergamotsail.control import _messages
+from bergamotsail.control import _session
+from bergamotsail.control import _turns
+
+Coordinator = _coordinator.Coordinator
+Digest = _digest.Digest
+DigestLog = _digest.DigestLog
+FloorRaiser = _floor.FloorRaiser
+Fleet = _fleet.Fleet
+Ledger = _ledger.Ledger
+StoreQueue = _turns.StoreQueue
+rendezvous = _fleet.rendezvous
+
+DaemonInfo = _messages.DaemonInfo
+TargetInfo = _messages.TargetInfo
+TargetStatus = _messages.TargetStatus
+TurnEnd = _messages.TurnEnd
+TurnRequest = _messages.TurnRequest
+LeaseTiming = _messages.LeaseTiming
+COMMAND = _messages.COMMAND
+CommandRequest = _messages.CommandRequest
+CommandReply = _messages.CommandReply
+FIND_CLAIM = _messages.FIND_CLAIM
+FindClaim = _messages.FindClaim
+TURN = _messages.TURN
+TURN_END = _messages.TURN_END
+STATUS = _messages.STATUS
+Status = _messages.Status
+StatusReply = _messages.StatusReply
+
+Leader = _session.Leader
+Session = _session.Session
+Participant = _session.Participant
--- /dev/null
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -0,0 +1,479 @@
+"""The leader's side of sessions: leases, shares, targets and turns.
+
+All of it is soft state of one term. What a new leader can't know, leases
+and shares given before its election, it waits out.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+
+from absl import logging
+
+from bergamotsail import catalogue
+from bergamotsail import quorum
+from bergamotsail import targets
+from bergamotsail import wire
+from bergamotsail.control import _digest
+from bergamotsail.control import _fleet
+from bergamotsail.control import _floor
+from bergamotsail.control import _ledger
+from bergamotsail.control import _messages
+from bergamotsail.control import _turns
+
+MAX_EFFECTS = 500
+STATE_BATCH = 500
+RELAY_TIMEOUT_S = 2.0
+ASSIGN_INTERVAL_S = 0.25
+MILLI = 1000
+
+
+class _Session:
+    """What the leader knows of one boot of a daemon."""
+
+    def __init__(self, daemon: _messages.DaemonInfo) -> None:
+        self.daemon = daemon
+        self.sequence = -1
+        self.seen_at = 0.0
+
+
+class _Term:
+    """The soft state of one term of leadership."""
+
+    def __init__(self, term: int, now: float) -> None:
+        self.term = term
+        self.started_at = now
+        self.digest = _digest.DigestLog(term)
+        self.ledger = _ledger.Ledger()
+        self.fleet = _fleet.Fleet()
+        self.session_by_boot: dict[str, _Session] = {}
+        self.store_by_name: dict[str, _turns.StoreQueue] = {}
+        self.hand_over_by_boot: dict[str, str] = {}
+        self.status_by_target: dict[str, _messages.TargetStatus] = {}
+
+
+class Coordinator:
+    """Answers daemons on a replica; an async context manager."""
+
+    def __init__(
+        self,
+        address: str,
+        node: quorum.Node,
+        machine: catalogue.CatalogueMachine,
+        instances: targets.InstanceList,
+        transport: wire.PeerTransport,
+        timing: _messages.LeaseTiming,
+        list_interval_s: float = 1.0,
+        floor: _floor.FloorRaiser | None = None,
+        clock: wire.Clock = wire.LoopClock(),
+        steps: wire.Steps = wire.NoSteps(),
+    ) -> None:
+        self._address = address
+        self._node = node
+        self._machine = machine
+        self._instances = instances
+        self._transport = transport
+        self._timing = timing
+        self._list_interval_s = list_interval_s
+        self._floor = floor
+        self._clock = clock
+        self._steps = steps
+        self._term = _Term(-1, 0.0)
+        self._tasks: list[asyncio.Task] = []
+
+    async def __aenter__(self) -> "Coordinator":
+        for work in (self._read_list, self._assign):
+            self._tasks.append(asyncio.create_task(work()))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def serve(self, server: wire.PeerServer) -> None:
+        """Answer the calls of daemons."""
+        server.serve(_messages.HEARTBEAT, self.on_heartbeat)
+        server.serve(_messages.STATE, self.on_state)
+        server.serve(_messages.COMMAND, self.on_command)
+        server.serve(_messages.FIND_CLAIM, self.on_find_claim)
+        server.serve(_messages.TURN, self.on_turn)
+        server.serve(_messages.TURN_END, self.on_turn_end)
+        server.serve(_messages.STATUS, self.on_status)
+
+    # Calls from daemons.
+
+    async def on_heartbeat(
+        self, request: _messages.Heartbeat
+    ) -> _messages.HeartbeatReply:
+        """Renew a session."""
+        if not self._node.holds_lease():
+            return await self._relay(_messages.HEARTBEAT, request)
+        term = self._current()
+        daemon = request.daemon
+        session = term.session_by_boot.setdefault(
+            daemon.boot, _Session(daemon)
+        )
+        if request.sequence <= session.sequence:
+            raise wire.ConflictError(
+                "This heartbeat is older than one already answered."
+            )
+        session.sequence = request.sequence
+        session.seen_at = self._clock.now()
+        session.daemon = daemon
+        term.digest.put_daemon(daemon)
+        self._take_statuses(term, request)
+        term.ledger.declare(
+            daemon.boot, request.held_by_key, request.wanted_by_key
+        )
+        # What was acknowledged was applied here first, so this index covers
+        # it; commit may be ahead of what the effects show.
+        commit = self._machine.view.index
+        effects, behind = self._effects(request.applied)
+        reply = _messages.HeartbeatReply(
+            self._address,
+            term.term,
+            commit,
+            effects,
+            behind,
+            self._shares(term, request),
+            term.digest.delta(request.digest_term, request.digest_version),
+            self._hand_over(term, daemon.boot),
+        )
+        await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.AFTER)
+        return reply
+
+    async def on_state(
+        self, _: _messages.StateRequest
+    ) -> collections.abc.AsyncIterator[_messages.StatePiece]:
+        """Stream the whole view."""
+        index = self._machine.view.index
+        batch: list[catalogue.Effect] = []
+        for effect in self._machine.view.effects():
+            batch.append(effect)
+            if len(batch) >= STATE_BATCH:
+                yield _messages.StatePiece(index, tuple(batch))
+                batch = []
+                await asyncio.sleep(0)
+        yield _messages.StatePiece(index, tuple(batch))
+
+    async def on_command(
+        self, request: _messages.CommandRequest
+    ) -> _messages.CommandReply:
+        """Commit a command."""
+        if not self._node.holds_lease():
+            return await self._relay(_messages.COMMAND, request)
+        data = wire.encode(request.command)
+        result = await self._node.propose(data)
+        if isinstance(result, catalogue.PutReply):
+            return _messages.CommandReply(put=result)
+        if isinstance(result, catalogue.ClaimReply):
+            return _messages.CommandReply(claim=result)
+        return _messages.CommandReply(done=bool(result))
+
+    async def on_find_claim(
+        self, request: _messages.FindClaim
+    ) -> _messages.CommandReply:
+        """Look a key up."""
+        if not self._node.holds_lease():
+            return await self._relay(_messages.FIND_CLAIM, request)
+        found = self._machine.find_claim(request.member, request.key)
+        return _messages.CommandReply(claim=found)
+
+    async def on_turn(
+        self, request: _messages.TurnRequest
+    ) -> _messages.TurnReply:
+        """Queue a load for its store."""
+        if not self._node.holds_lease():
+            return await self._relay(
+                _messages.TURN, request, request.wait_s + RELAY_TIMEOUT_S
+            )
+        queue = self._store(request.store)
+        turn = await queue.take(request, self._weights())
+        return _messages.TurnReply(turn)
+
+    async def on_turn_end(self, request: _messages.TurnEnd) -> _messages.Done:
+        """Let the next load start."""
+        if not self._node.holds_lease():
+            return await self._relay(_messages.TURN_END, request)
+        self._store(request.store).end(request.turn, self._weights())
+        return _messages.Done()
+
+    async def on_status(
+        self, request: _messages.Status
+    ) -> _messages.StatusReply:
+        """Describe the log and the sessions."""
+        if not self._node.holds_lease():
+            return await self._relay(_messages.STATUS, request)
+        config = self._node.config
+        view = self._machine.view
+        return _messages.StatusReply(
+            self._address,
+            self._node.term,
+            self._node.commit,
+            tuple(f"{m.id}={m.address}" for m in config.voters),
+            tuple(f"{m.id}={m.address}" for m in config.learners),
+            tuple(self._current().digest.daemon_by_boot.values()),
+            self._machine.claims,
+            sum(len(by_id) for by_id in view.by_kind.values()),
+        )
+
+    async def _relay(
+        self,
+        call: wire.Call,
+        request: object,
+        timeout_s: float = RELAY_TIMEOUT_S,
+    ) -> object:
+        """Pass a call on to the leader, once."""
+        leader = self._node.leader
+        mine = leader is None or leader.address == self._address
+        if mine or request.relayed:
+            raise self._node.not_leader()
+        relayed = _relayed(request)
+        return await self._transport.call(
+            leader.address, call, relayed, timeout_s
+        )
+
+    # Parts of a heartbeat.
+
+    def _current(self) -> _Term:
+        """Return the soft state of this term, new with each term."""
+        if self._term.term != self._node.term:
+            self._term = _Term(self._node.term, self._clock.now())
+        return self._term
+
+    def _settled(self, term: _Term) -> bool:
+        """Whether leases given by earlier leaders have surely ended."""
+        since_s = self._clock.now() - term.started_at
+        return since_s > self._timing.surely_ended_s
+
+    def _take_statuses(
+        self, term: _Term, request: _messages.Heartbeat
+    ) -> None:
+        owned = self._machine.view.ownership_by_target
+        for status in request.statuses:
+            ownership = owned.get(status.target)
+            if ownership is None or ownership.epoch != status.epoch:
+                continue
+            term.status_by_target[status.target] = status
+            info = term.digest.target_by_id.get(status.target)
+            if info is not None:
+                self._put_target(term, info, info.leaving)
+
+    def _put_target(
+        self,
+        term: _Term,
+        source: _messages.TargetInfo | targets.Instance,
+        leaving: bool,
+    ) -> None:
+        status = term.status_by_target.get(source.id)
+        said_so = status is not None and status.leaving
+        term.digest.put_target(
+            _messages.TargetInfo(
+                source.id,
+                source.pool,
+                source.address,
+                source.datacentre,
+                leaving or said_so,
+                status,
+            )
+        )
+
+    def _effects(
+        self, applied: int | None
+    ) -> tuple[tuple[catalogue.Effect, ...], bool]:
+        if applied is None:
+            return (), False
+        found = self._machine.effects_after(applied)
+        if found is None or len(found) > MAX_EFFECTS:
+            return (), True
+        return tuple(found), False
+
+    def _shares(
+        self, term: _Term, request: _messages.Heartbeat
+    ) -> dict[str, int]:
+        keys = request.held_by_key.keys() | request.wanted_by_key.keys()
+        settled = self._settled(term)
+        shares = {}
+        for key in keys:
+            limit = limit_of(self._machine.view, key)
+            if limit is not None:
+                shares[key] = term.ledger.grant(
+                    key, request.daemon.boot, limit, settled
+                )
+        return shares
+
+    def _hand_over(self, term: _Term, boot: str) -> tuple[str, ...]:
+        target = term.hand_over_by_boot.get(boot)
+        return (target,) if target is not None else ()
+
+    def _store(self, name: str) -> _turns.StoreQueue:
+        stores = self._current().store_by_name
+        if name not in stores:
+            stores[name] = _turns.StoreQueue(self._clock)
+        return stores[name]
+
+    def _weights(self) -> dict[str, float]:
+        members = self._machine.view.member_by_id
+        return {name: entry.value.weight for name, entry in members.items()}
+
+    # Tasks while leading.
+
+    async def _read_list(self) -> None:
+        while True:
+            if self._node.holds_lease():
+                term = self._current()
+                with contextlib.suppress(wire.ServingError):
+                    instances = await self._instances.read()
+                    term.fleet.update(instances, self._clock.now())
+                self._publish_fleet(term)
+            await self._clock.sleep(self._list_interval_s)
+
+    def _publish_fleet(self, term: _Term) -> None:
+        known = set()
+        for instance, leaving in term.fleet.all():
+            known.add(instance.id)
+            self._put_target(term, instance, leaving)
+        for target in set(term.digest.target_by_id) - known:
+            term.digest.drop_target(target)
+
+    async def _assign(self) -> None:
+        while True:
+            await self._clock.sleep(ASSIGN_INTERVAL_S)
+            if not self._node.holds_lease():
+                continue
+            term = self._current()
+            self._end_sessions(term)
+            try:
+                await self._assign_once(term)
+                await self._raise_floor()
+            except wire.ServingError as error:
+                logging.info("control: No assignment. %s", error.message)
+
+    async def _raise_floor(self) -> None:
+        if self._floor is None:
+            return
+        floor_ms = self._floor.next_floor_ms(
+            self._machine.floor_ms, self._clock.now()
+        )
+        if floor_ms is not None:
+            raised = catalogue.RaiseFloor(floor_ms)
+            await self._propose(catalogue.Command(raise_floor=raised))
+
+    def _end_sessions(self, term: _Term) -> None:
+        now = self._clock.now()
+        for boot, session in list(term.session_by_boot.items()):
+            if now - session.seen_at > self._timing.surely_ended_s:
+                del term.session_by_boot[boot]
+                term.ledger.drop(boot)
+                term.digest.drop_daemon(boot)
+                logging.info("control: Session of %s ended.", boot)
+
+    async def _assign_once(self, term: _Term) -> None:
+        """Give every unowned engine an owner; then even out by one."""
+        view = self._machine.view
+        owned_by_boot: dict[str, list[str]] = collections.defaultdict(list)
+        unowned = []
+        for info in list(term.digest.target_by_id.values()):
+            if not self._is_engine(info.pool):
+                continue
+            owner = self._live_owner(term, info.id)
+            if owner is not None:
+                owned_by_boot[owner].append(info.id)
+            elif not info.leaving:
+                unowned.append(info)
+        candidates = [
+            s.daemon
+            for s in term.session_by_boot.values()
+            if not s.daemon.leaving
+        ]
+        for info in unowned if candidates else ():
+            chosen = _choose_owner(info, candidates, owned_by_boot)
+            epoch = 0
+            if info.id in view.ownership_by_target:
+                epoch = view.ownership_by_target[info.id].epoch
+            grant = catalogue.Grant(info.id, chosen.boot, epoch)
+            await self._steps.reach(wire.Step.GRANT, wire.Phase.BEFORE)
+            await self._propose(catalogue.Command(grant=grant))
+            await self._steps.reach(wire.Step.GRANT, wire.Phase.AFTER)
+            owned_by_boot[chosen.boot].append(info.id)
+            logging.info(
+                "control: Target %s goes to %s.", info.id, chosen.boot
+            )
+        self._even_out(term, candidates, owned_by_boot)
+
+    def _is_engine(self, pool: str) -> bool:
+        entry = self._machine.view.pool_by_id.get(pool)
+        return (
+            entry is not None and entry.value.kind is catalogue.PoolKind.ENGINE
+        )
+
+    def _live_owner(self, term: _Term, target: str) -> str | None:
+        """Return the owner, unless it gave up or its lease surely ended."""
+        ownership = self._machine.view.ownership_by_target.get(target)
+        if ownership is None or ownership.owner is None:
+            return None
+        alive = ownership.owner in term.session_by_boot
+        if alive or not self._settled(term):
+            return ownership.owner
+        return None
+
+    def _even_out(
+        self,
+        term: _Term,
+        candidates: list[_messages.DaemonInfo],
+        owned_by_boot: dict[str, list[str]],
+    ) -> None:
+        """Ask the daemon with most targets to give one back."""
+        term.hand_over_by_boot.clear()
+        if not candidates or not self._settled(term):
+            return
+        boots = [daemon.boot for daemon in candidates]
+        most = max(boots, key=lambda boot: len(owned_by_boot[boot]))
+        least = min(boots, key=lambda boot: len(owned_by_boot[boot]))
+        if len(owned_by_boot[most]) - len(owned_by_boot[least]) >= 2:
+            order = _fleet.rendezvous(least, owned_by_boot[most])
+            term.hand_over_by_boot[most] = order[0]
+
+    async def _propose(self, command: catalogue.Command) -> object:
+        return await self._node.propose(wire.encode(command))
+
+
+def limit_of(view: catalogue.View, key: str) -> int | None:
+    """Return the catalogue's limit behind a share key, None for no limit.
+
+    Keys are ``concurrency/KIND/ID`` and ``rate/KIND/ID``; rates count in
+    thousandths of a request a second. An entry that is gone allows nothing.
+    """
+    what, kind, entry_id = key.split("/", 2)
+    entry = view.by_kind[catalogue.Kind(kind)].get(entry_id)
+    if entry is None:
+        return 0
+    limits = entry.value.limits
+    if what == "concurrency":
+        return limits.concurrency
+    return None if limits.rate is None else int(limits.rate * MILLI)
+
+
+def _choose_owner(
+    info: _messages.TargetInfo,
+    candidates: list[_messages.DaemonInfo],
+    owned_by_boot: dict[str, list[str]],
+) -> _messages.DaemonInfo:
+    """Choose the least loaded, then the nearest, then by hash."""
+    order = _fleet.rendezvous(info.id, [d.boot for d in candidates])
+    rank_by_boot = {boot: rank for rank, boot in enumerate(order)}
+    return min(
+        candidates,
+        key=lambda daemon: (
+            len(owned_by_boot[daemon.boot]),
+            daemon.datacentre != info.datacentre,
+            rank_by_boot[daemon.boot],
+        ),
+    )
+
+
+def _relayed(request: object) -> object:
+    return dataclasses.replace(request, relayed=True)
--- /dev/null
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -0,0 +1,252 @@
+"""What daemons and the leader say to each other."""
+
+import dataclasses
+
+from bergamotsail import catalogue
+from bergamotsail import wire
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseTiming:
+    """Timing of sessions, in seconds.
+
+    Args:
+        lease_s: how long a daemon may act after a heartbeat was sent.
+        heartbeat_s: how often it sends one.
+        drift: largest relative difference between two clocks.
+        order_flight_s: the longest that an order may stay on its way to a
+            target after its sender's lease ended.
+    """
+
+    lease_s: float = 3.0
+    heartbeat_s: float = 0.5
+    drift: float = 0.05
+    order_flight_s: float = 0.5
+
+    @property
+    def usable_s(self) -> float:
+        """How long the holder uses a lease, by its own clock."""
+        return self.lease_s * (1 - self.drift)
+
+    @property
+    def surely_ended_s(self) -> float:
+        """After this long on another clock the lease has surely ended."""
+        return self.lease_s * (1 + self.drift) + self.order_flight_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonInfo:
+    """A daemon with a session. *boot* is new with every start."""
+
+    id: str
+    boot: str
+    address: str
+    datacentre: str
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetStatus:
+    """What the owner of a target says of it.
+
+    Args:
+        residents: adapters confirmed in this incarnation.
+        queued: requests waiting at the owner.
+        running: requests running now.
+        batch_slots: how many can run at once.
+    """
+
+    target: str
+    epoch: int
+    reachable: bool = False
+    leaving: bool = False
+    residents: tuple[str, ...] = ()
+    queued: int = 0
+    running: int = 0
+    batch_slots: int = 0
+    adapter_slots: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetInfo:
+    """A target as the leader knows it."""
+
+    id: str
+    pool: str
+    address: str
+    datacentre: str
+    leaving: bool = False
+    status: TargetStatus | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DigestDelta:
+    """What changed in the soft state since a version.
+
+    Args:
+        term: versions of different terms can't be compared.
+        full: whether this replaces all that is known.
+    """
+
+    term: int
+    version: int
+    full: bool
+    daemons: tuple[DaemonInfo, ...] = ()
+    targets: tuple[TargetInfo, ...] = ()
+    gone_daemons: tuple[str, ...] = ()
+    gone_targets: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A daemon renews its session.
+
+    Args:
+        sequence: grows by one with each; an old one is refused.
+        applied: index up to which the daemon follows the catalogue, or
+            None when it follows by itself as a replica.
+        held_by_key: the share of each limit that it holds.
+        wanted_by_key: the share that it could use.
+        relayed: passed on by a replica that does not lead.
+    """
+
+    daemon: DaemonInfo
+    sequence: int
+    applied: int | None
+    held_by_key: dict[str, int]
+    wanted_by_key: dict[str, int]
+    statuses: tuple[TargetStatus, ...]
+    digest_term: int
+    digest_version: int
+    relayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatReply:
+    """The leader renews a session.
+
+    Args:
+        commit: index that the daemon must have applied to use the lease.
+        effects: catalogue changes after ``applied``, in order.
+        behind: the daemon must fetch the whole state first.
+        hand_over: targets that the daemon should give back.
+    """
+
+    leader: str
+    term: int
+    commit: int
+    effects: tuple[catalogue.Effect, ...]
+    behind: bool
+    share_by_key: dict[str, int]
+    digest: DigestDelta
+    hand_over: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateRequest:
+    """Ask a replica for its whole view."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatePiece:
+    """A part of a view that stood at *index*."""
+
+    index: int
+    effects: tuple[catalogue.Effect, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommandRequest:
+    """Ask the leader to commit a command."""
+
+    command: catalogue.Command
+    relayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommandReply:
+    """The result of a command: one of these, by the command's kind."""
+
+    put: catalogue.PutReply | None = None
+    claim: catalogue.ClaimReply | None = None
+    done: bool | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindClaim:
+    """Ask the leader what is recorded under a key."""
+
+    member: str
+    key: str
+    relayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TurnRequest:
+    """An owner asks for its turn at a weight store.
+
+    Args:
+        score: how urgent the load is; the highest goes first within a
+            member.
+        wait_s: how long the leader may hold the answer back.
+    """
+
+    boot: str
+    store: str
+    target: str
+    adapter: str
+    member: str
+    score: float
+    wait_s: float
+    relayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TurnReply:
+    """The turn's id, or None when it did not come in time."""
+
+    turn: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TurnEnd:
+    """The load is over, whichever way it went."""
+
+    store: str
+    turn: str
+    relayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """A reply without content."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """Ask a replica for the state of the replicated log."""
+
+    relayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusReply:
+    """The leader's view of the log and the sessions."""
+
+    leader: str
+    term: int
+    commit: int
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    daemons: tuple[DaemonInfo, ...]
+    claims: int
+    entries: int
+
+
+HEARTBEAT = wire.Call("heartbeat", Heartbeat, HeartbeatReply)
+STATE = wire.Call("state", StateRequest, StatePiece, streams=True)
+COMMAND = wire.Call("command", CommandRequest, CommandReply)
+FIND_CLAIM = wire.Call("find_claim", FindClaim, CommandReply)
+TURN = wire.Call("turn", TurnRequest, TurnReply)
+TURN_END = wire.Call("turn_end", TurnEnd, Done)
+STATUS = wire.Call("status", Status, StatusReply)
--- /dev/null
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -0,0 +1,316 @@
+"""The daemon's side of a session: lease, view, shares and digest."""
+
+import abc
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+
+from absl import logging
+
+from bergamotsail import catalogue
+from bergamotsail import quorum
+from bergamotsail import wire
+from bergamotsail.control import _digest
+from bergamotsail.control import _messages
+
+CALL_TIMEOUT_S = 1.0
+COMMAND_TIMEOUT_S = 3.0
+STATE_TIMEOUT_S = 30.0
+KICK_SPACING_S = 0.02
+CATCH_UP_POLL_S = 0.01
+
+
+class Participant(abc.ABC):
+    """What a session asks of the rest of its daemon at each heartbeat."""
+
+    @abc.abstractmethod
+    def held_by_key(self) -> dict[str, int]:
+        """Return the share of each limit that is held."""
+
+    @abc.abstractmethod
+    def wanted_by_key(self) -> dict[str, int]:
+        """Return the share of each limit that could be used."""
+
+    @abc.abstractmethod
+    def take_shares(self, share_by_key: dict[str, int]) -> None:
+        """Use these shares from now on."""
+
+    @abc.abstractmethod
+    def statuses(self) -> tuple[_messages.TargetStatus, ...]:
+        """Return what is known of owned targets."""
+
+    @abc.abstractmethod
+    def hand_over(self, targets: tuple[str, ...]) -> None:
+        """Start to give these targets back."""
+
+    @abc.abstractmethod
+    def view_changed(self) -> None:
+        """Look at the view and the digest again."""
+
+
+class Leader:
+    """Finds the leader and calls it, through any replica.
+
+    Args:
+        seeds: addresses of the replicas.
+    """
+
+    def __init__(
+        self,
+        transport: wire.PeerTransport,
+        seeds: collections.abc.Sequence[str],
+    ) -> None:
+        self._transport = transport
+        self._seeds = list(seeds)
+        self._leader = self._seeds[0]
+
+    @property
+    def address(self) -> str:
+        """Where the leader was last."""
+        return self._leader
+
+    def found(self, address: str) -> None:
+        """Remember where the leader is."""
+        self._leader = address
+
+    async def call(
+        self, call: wire.Call, request: object, timeout_s: float
+    ) -> object:
+        """Call the leader; each replica is tried once.
+
+        Raises:
+            PeerLostError: an answer was lost, so the call may have run.
+            ServingError: the last error, when no replica helped.
+        """
+        order = [self._leader]
+        order += [seed for seed in self._seeds if seed != self._leader]
+        tried: set[str] = set()
+        last: wire.ServingError | None = None
+        while order:
+            address = order.pop(0)
+            if address in tried:
+                continue
+            tried.add(address)
+            try:
+                reply = await self._transport.call(
+                    address, call, request, timeout_s
+                )
+                self._leader = address
+                return reply
+            except wire.NotLeaderError as error:
+                last = error
+                if error.use is not None:
+                    order.insert(0, error.use)
+            except (wire.NotSentError, wire.ReplicaFailedError) as error:
+                last = error
+            except wire.PeerLostError as error:
+                self._leader = order[0] if order else address
+                raise error
+        assert last is not None
+        raise last
+
+    async def command(self, command: catalogue.Command) -> object:
+        """Commit a command and return its typed result."""
+        request = _messages.CommandRequest(command)
+        reply = await self.call(_messages.COMMAND, request, COMMAND_TIMEOUT_S)
+        for result in (reply.put, reply.claim, reply.done):
+            if result is not None:
+                return result
+        return None
+
+
+class Session:
+    """Keeps a daemon's session alive; an async context manager.
+
+    While :meth:`fresh` is true, the daemon's view holds every change that
+    was acknowledged before the lease was given, it owns what the view says
+    it owns, and it may use its shares. Once the lease ends it does nothing
+    that another daemon might by then do.
+
+    Args:
+        node: the local replica, whose machine's view is then used.
+    """
+
+    def __init__(
+        self,
+        daemon: _messages.DaemonInfo,
+        leader: Leader,
+        transport: wire.PeerTransport,
+        timing: _messages.LeaseTiming,
+        node: quorum.Node | None = None,
+        machine: catalogue.CatalogueMachine | None = None,
+        clock: wire.Clock = wire.LoopClock(),
+        steps: wire.Steps = wire.NoSteps(),
+    ) -> None:
+        self.daemon = daemon
+        self.digest = _digest.Digest()
+        self.leader = leader
+        self._transport = transport
+        self._timing = timing
+        self._node = node
+        self._machine = machine
+        self._own_view = catalogue.View()
+        self._clock = clock
+        self._steps = steps
+        self._participant: Participant | None = None
+        self._lease_until = float("-inf")
+        self._sequence = 0
+        self._kicked = asyncio.Event()
+        self._task: asyncio.Task | None = None
+        self._was_fresh = False
+
+    @property
+    def view(self) -> catalogue.View:
+        """Catalogue and ownership as this daemon knows them."""
+        if self._machine is not None:
+            return self._machine.view
+        return self._own_view
+
+    @property
+    def boot(self) -> str:
+        """The id of this start of the daemon."""
+        return self.daemon.boot
+
+    @property
+    def lease_until(self) -> float:
+        """When the lease ends, on this daemon's clock."""
+        return self._lease_until
+
+    def attach(self, participant: Participant) -> None:
+        """Connect the rest of the daemon before the session starts."""
+        self._participant = participant
+
+    async def __aenter__(self) -> "Session":
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def fresh(self) -> bool:
+        """Whether the lease holds at this moment."""
+        return self._clock.now() < self._lease_until
+
+    def check_fresh(self) -> None:
+        """Raise the typed refusal when the lease has ended."""
+        if self.fresh():
+            return
+        others = [
+            info.address
+            for info in self.digest.daemon_by_boot.values()
+            if info.boot != self.boot and not info.leaving
+        ]
+        raise wire.CutOffError(
+            "This instance can't reach the leader, so it takes no work. "
+            "Use another address.",
+            retry_after_s=self._timing.lease_s,
+            use=others[0] if others else None,
+        )
+
+    def owns(self, target: str, epoch: int) -> bool:
+        """Whether this daemon owns the target, right now."""
+        ownership = self.view.ownership_by_target.get(target)
+        return (
+            ownership is not None
+            and ownership.owner == self.boot
+            and ownership.epoch == epoch
+            and self.fresh()
+        )
+
+    def kick(self) -> None:
+        """Send a heartbeat soon, without waiting for its time."""
+        self._kicked.set()
+
+    def set_leaving(self) -> None:
+        """Say with the next heartbeat that this daemon is leaving."""
+        self.daemon = dataclasses.replace(self.daemon, leaving=True)
+        self.kick()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._beat()
+            except wire.ServingError as error:
+                logging.debug("session: No heartbeat. %s", error.message)
+            except Exception:
+                logging.exception("session: A heartbeat broke.")
+            self._log_freshness()
+            await self._clock.sleep(KICK_SPACING_S)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._kicked.wait(), self._timing.heartbeat_s
+                )
+            self._kicked.clear()
+
+    def _log_freshness(self) -> None:
+        fresh = self.fresh()
+        if fresh != self._was_fresh:
+            logging.info("session: Lease %s.", "held" if fresh else "lost")
+            self._was_fresh = fresh
+
+    async def _beat(self) -> None:
+        assert self._participant is not None
+        self._sequence += 1
+        request = _messages.Heartbeat(
+            self.daemon,
+            self._sequence,
+            None if self._machine is not None else self._own_view.index,
+            self._participant.held_by_key(),
+            self._participant.wanted_by_key(),
+            self._participant.statuses(),
+            self.digest.term,
+            self.digest.version,
+        )
+        sent_at = self._clock.now()
+        await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.BEFORE)
+        reply = await self.leader.call(
+            _messages.HEARTBEAT, request, CALL_TIMEOUT_S
+        )
+        self.leader.found(reply.leader)
+        await self._catch_up(reply)
+        self._lease_until = max(
+            self._lease_until, sent_at + self._timing.usable_s
+        )
+        self.digest.apply(reply.digest)
+        self._participant.take_shares(reply.share_by_key)
+        if reply.hand_over:
+            self._participant.hand_over(reply.hand_over)
+        self._participant.view_changed()
+
+    async def _catch_up(self, reply: _messages.HeartbeatReply) -> None:
+        """Bring the view up to the commit index of the reply."""
+        if self._node is not None:
+            deadline = self._clock.now() + CALL_TIMEOUT_S
+            while self._node.applied < reply.commit:
+                if self._clock.now() > deadline:
+                    raise wire.PeerLostError("The local replica lags.")
+                await self._clock.sleep(CATCH_UP_POLL_S)
+            return
+        if reply.behind:
+            await self._fetch_state(reply.leader)
+            self.kick()
+            raise wire.PeerLostError("The state was fetched; beat again.")
+        for effect in reply.effects:
+            self._own_view.apply(effect)
+        self._own_view.index = max(self._own_view.index, reply.commit)
+
+    async def _fetch_state(self, address: str) -> None:
+        fresh_view = catalogue.View()
+        index = 0
+        pieces = self._transport.stream(
+            address,
+            _messages.STATE,
+            _messages.StateRequest(),
+            STATE_TIMEOUT_S,
+        )
+        async for piece in pieces:
+            index = piece.index
+            for effect in piece.effects:
+                fresh_view.apply(effect)
+        if index >= self._own_view.index:
+            fresh_view.index = index
+            self._own_view = fresh_view
+            logging.info("session: State fetched at index %d.", index)
--- /dev/null
+++ b/libs/control/src/bergamotsail/control/_turns.py
@@ -0,0 +1,111 @@
+"""Turns at a weight store, one load at a time.
+
+A store loads at full speed only one adapter at a time, and loads are what
+the system has least of. The member that used least of the store for its
+weight goes first; within a member the most urgent load.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+
+from bergamotsail import wire
+from bergamotsail.control import _messages
+
+TURN_LEASE_S = 15.0
+USE_HALF_LIFE_S = 30.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiting:
+    request: _messages.TurnRequest
+    ready: asyncio.Future
+
+
+class StoreQueue:
+    """The turns of one store, on the leader only and in memory only.
+
+    A new leader starts with an empty queue. At worst one load then overlaps
+    with another, which is slow but not wrong.
+    """
+
+    def __init__(self, clock: wire.Clock) -> None:
+        self._clock = clock
+        self._waiting: list[_Waiting] = []
+        self._turn: str | None = None
+        self._turn_member = ""
+        self._turn_since = 0.0
+        self._used_by_member: dict[str, float] = {}
+        self._used_at = 0.0
+        self._numbers = itertools.count(1)
+
+    async def take(
+        self,
+        request: _messages.TurnRequest,
+        weight_by_member: dict[str, float],
+    ) -> str | None:
+        """Wait for a turn; None when it does not come within ``wait_s``."""
+        ready = asyncio.get_running_loop().create_future()
+        waiting = _Waiting(request, ready)
+        self._waiting.append(waiting)
+        self._start_next(weight_by_member)
+        try:
+            with contextlib.suppress(TimeoutError):
+                return await asyncio.wait_for(ready, request.wait_s)
+            return None
+        except asyncio.CancelledError:
+            if ready.done() and not ready.cancelled():
+                self.end(ready.result(), weight_by_member)
+            raise
+        finally:
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+
+    def end(self, turn: str, weight_by_member: dict[str, float]) -> None:
+        """End a turn and start the next; an old turn's end does nothing."""
+        if turn != self._turn:
+            return
+        self._charge()
+        self._turn = None
+        self._start_next(weight_by_member)
+
+    def _start_next(self, weight_by_member: dict[str, float]) -> None:
+        now = self._clock.now()
+        if self._turn is not None:
+            if now - self._turn_since < TURN_LEASE_S:
+                return
+            self._charge()
+            self._turn = None
+        live = [w for w in self._waiting if not w.ready.done()]
+        if not live:
+            return
+        self._decay(now)
+        chosen = min(live, key=lambda w: self._rank(w, weight_by_member))
+        self._turn = f"{chosen.request.boot}/{next(self._numbers)}"
+        self._turn_member = chosen.request.member
+        self._turn_since = now
+        self._waiting.remove(chosen)
+        chosen.ready.set_result(self._turn)
+
+    def _rank(
+        self, waiting: _Waiting, weight_by_member: dict[str, float]
+    ) -> tuple[float, float]:
+        member = waiting.request.member
+        used_s = self._used_by_member.get(member, 0.0)
+        # Rounding lets urgency decide between members that are about even.
+        use = round(used_s / weight_by_member.get(member, 1.0))
+        return (use, -waiting.request.score)
+
+    def _charge(self) -> None:
+        held_s = self._clock.now() - self._turn_since
+        used_s = self._used_by_member.get(self._turn_member, 0.0)
+        self._used_by_member[self._turn_member] = used_s + held_s
+
+    def _decay(self, now: float) -> None:
+        kept = 0.5 ** ((now - self._used_at) / USE_HALF_LIFE_S)
+        self._used_at = now
+        self._used_by_member = {
+            member: used_s * kept
+            for member, used_s in self._used_by_member.items()
+        }
--- /dev/null
+++ b/libs/daemon/src/bergamotsail/daemon/_admin_handlers.py
@@ -0,0 +1,313 @@
+"""What operators use: catalogue, history, status, metrics."""
+
+import asyncio
+import dataclasses
+import hmac
+import uuid
+
+from absl import logging
+
+from bergamotsail import catalogue
+from bergamotsail import control
+from bergamotsail import observe
+from bergamotsail import wire
+from bergamotsail.daemon import _base_handler
+
+WATCH_POLL_S = 0.1
+WATCH_FOR_S = 30.0
+STATUS_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryView:
+    """An entry as operators see it."""
+
+    kind: str
+    id: str
+    revision: int
+    value: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetView:
+    """A target, its owner and its state."""
+
+    info: control.TargetInfo
+    owner: str | None
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusView:
+    """The state of the system as one daemon sees it."""
+
+    daemon: str
+    fresh: bool
+    applied: int
+    stopping: bool
+    replicas: control.StatusReply | None
+    targets: tuple[TargetView, ...]
+
+
+class AdminHandler(_base_handler.BaseHandler):
+    """A handler that knows its operator."""
+
+    prefix = "admin"
+
+    def operator(self) -> str:
+        """Authenticate the operator, in constant time.
+
+        Raises:
+            UnauthenticatedError: no token, or one of no operator.
+        """
+        header = self.request.headers.get("Authorization", "")
+        digest = catalogue.hash_token(header.removeprefix("Bearer "))
+        found = None
+        tokens = self.daemon.settings.operator_tokens
+        for operator, stored in tokens.items():
+            if hmac.compare_digest(stored, digest):
+                found = operator
+        if found is None:
+            raise wire.UnauthenticatedError(
+                "Send an operator's token as Authorization: Bearer TOKEN."
+            )
+        return found
+
+    def kind(self, name: str) -> catalogue.Kind:
+        """Return the kind of a path."""
+        try:
+            return catalogue.Kind(name)
+        except ValueError:
+            kinds = ", ".join(catalogue.Kind)
+            raise wire.NotFoundError(f"Use one of {kinds}.") from None
+
+    def view(self) -> catalogue.View:
+        """Return the view, if it is surely in force."""
+        self.daemon.session.check_fresh()
+        return self.daemon.session.view
+
+
+def _entry_view(entry: catalogue.Entry) -> EntryView:
+    return EntryView(str(entry.kind), entry.id, entry.revision, entry.value)
+
+
+class EntriesHandler(AdminHandler):
+    """Lists the entries of a kind."""
+
+    async def get(self, kind: str) -> None:
+        await self.serve(self._answer(kind))
+
+    async def _answer(self, kind: str) -> None:
+        self.operator()
+        by_id = self.view().by_kind[self.kind(kind)]
+        self.send_json([_entry_view(by_id[name]) for name in sorted(by_id)])
+
+
+class EntryHandler(AdminHandler):
+    """Gets, sets and deletes an entry."""
+
+    async def get(self, kind: str, entry_id: str) -> None:
+        await self.serve(self._get(kind, entry_id))
+
+    async def put(self, kind: str, entry_id: str) -> None:
+        await self.serve(self._change(kind, entry_id, False))
+
+    async def delete(self, kind: str, entry_id: str) -> None:
+        await self.serve(self._change(kind, entry_id, True))
+
+    async def _get(self, kind: str, entry_id: str) -> None:
+        self.operator()
+        entry = self.view().by_kind[self.kind(kind)].get(entry_id)
+        if entry is None:
+            raise wire.NotFoundError(f"There is no {kind} {entry_id}.")
+        self.set_header("ETag", f'"{entry.revision}"')
+        self.send_json(_entry_view(entry))
+
+    async def _change(
+        self, kind_name: str, entry_id: str, delete: bool
+    ) -> None:
+        operator = self.operator()
+        kind = self.kind(kind_name)
+        catalogue.check_id(entry_id)
+        value = None
+        if not delete:
+            parsed = catalogue.parse_value(kind, self.body)
+            value = wire.encode(parsed).decode()
+        operation_id = self.request.headers.get("X-Operation-Id")
+        put = catalogue.Put(
+            kind,
+            entry_id,
+            value,
+            operation_id or uuid.uuid4().hex,
+            operator,
+            self._if_revision(),
+        )
+        leader = self.daemon.leader
+        reply = await leader.command(catalogue.Command(put=put))
+        self._send_reply(put, reply)
+
+    def _if_revision(self) -> int | None:
+        match = self.request.headers.get("If-Match")
+        if self.request.headers.get("If-None-Match") == "*":
+            return 0
+        if match is None or match == "*":
+            return None
+        text = match.strip('"')
+        if not text.isdigit():
+            raise wire.BadRequestError(
+                "Send If-Match with the revision that you read."
+            )
+        return int(text)
+
+    def _send_reply(
+        self, put: catalogue.Put, reply: catalogue.PutReply
+    ) -> None:
+        logging.info(
+            "admin: Change. operator=%s kind=%s id=%s operation=%s "
+            "revision=%d refused=%s",
+            put.operator,
+            put.kind,
+            put.id,
+            put.operation_id,
+            reply.revision,
+            reply.conflict or "no",
+        )
+        if reply.conflict is not None:
+            self.set_status(409)
+            error = wire.ConflictError(
+                f"{reply.conflict} Read it again and decide anew."
+            )
+            current = None
+            if reply.current is not None:
+                current = wire.decode(reply.current, dict)
+            self.send_json(
+                {
+                    "error": error.body(),
+                    "revision": reply.revision,
+                    "current": current,
+                }
+            )
+            return
+        self.set_header("ETag", f'"{reply.revision}"')
+        self.send_json({"revision": reply.revision})
+
+
+class HistoryHandler(AdminHandler):
+    """Lists the latest changes, from a replica."""
+
+    async def get(self) -> None:
+        await self.serve(self._answer())
+
+    async def _answer(self) -> None:
+        self.operator()
+        machine = self.daemon.machine
+        if machine is None:
+            raise wire.NotFoundError(
+                "Ask a replica for the history.",
+                use=self.daemon.leader.address,
+            )
+        self.send_json(list(machine.changes))
+
+
+class WatchHandler(AdminHandler):
+    """Waits for a change after a revision."""
+
+    async def get(self) -> None:
+        await self.serve(self._answer())
+
+    async def _answer(self) -> None:
+        self.operator()
+        after = self.get_query_argument("after", "0")
+        if not after.isdigit():
+            raise wire.BadRequestError("Send after=REVISION.")
+        waited_s = 0.0
+        while waited_s < WATCH_FOR_S:
+            found = [
+                _entry_view(entry)
+                for by_id in self.view().by_kind.values()
+                for entry in by_id.values()
+                if entry.revision > int(after)
+            ]
+            if found:
+                found.sort(key=lambda entry: entry.revision)
+                self.send_json(found)
+                return
+            await asyncio.sleep(WATCH_POLL_S)
+            waited_s += WATCH_POLL_S
+        self.send_json([])
+
+
+class StatusHandler(AdminHandler):
+    """Describes replicas, daemons, targets and ownership."""
+
+    async def get(self) -> None:
+        await self.serve(self._answer())
+
+    async def _answer(self) -> None:
+        self.operator()
+        session = self.daemon.session
+        replicas = None
+        try:
+            replicas = await self.daemon.leader.call(
+                control.STATUS, control.Status(), STATUS_TIMEOUT_S
+            )
+        except wire.ServingError as error:
+            logging.info("admin: No leader. %s", error.message)
+        owned = session.view.ownership_by_target
+        shown = []
+        for info in session.digest.target_by_id.values():
+            ownership = owned.get(info.id)
+            owner = ownership.owner if ownership is not None else None
+            epoch = ownership.epoch if ownership is not None else 0
+            shown.append(TargetView(info, owner, epoch))
+        self.send_json(
+            StatusView(
+                self.daemon.settings.name,
+                session.fresh(),
+                session.view.index,
+                self.daemon.stopping,
+                replicas,
+                tuple(sorted(shown, key=lambda view: view.info.id)),
+            )
+        )
+
+
+class MetricsHandler(AdminHandler):
+    """Gives the metrics, encoded for merging or readable."""
+
+    async def get(self) -> None:
+        await self.serve(self._answer())
+
+    async def _answer(self) -> None:
+        self.operator()
+        snapshot = self.daemon.metrics.snapshot()
+        if self.get_query_argument("form", "encoded") == "readable":
+            self.send_json(observe.readable(snapshot))
+            return
+        self.send_json(snapshot)
+
+
+class FormHandler(AdminHandler):
+    """Forms the replicated log of a new system, once."""
+
+    async def post(self) -> None:
+        await self.serve(self._answer())
+
+    async def _answer(self) -> None:
+        self.operator()
+        if self.daemon.node is None:
+            raise wire.BadRequestError("Ask a replica to form the log.")
+        await self.daemon.node.form()
+        self.send_json({"formed": True})
+
+
+class DrainHandler(AdminHandler):
+    """Stops this daemon as planned, as SIGTERM does."""
+
+    async def post(self) -> None:
+        await self.serve(self._answer())
+
+    async def _answer(self) -> None:
+        self.operator()
+        self.daemon.request_stop()
+        self.send_json({"stopping": True})
--- /dev/null
+++ b/libs/daemon/src/bergamotsail/daemon/_assembly.py
@@ -0,0 +1,260 @@
+"""One daemon: its roles, wired together."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import random
+import time
+import uuid
+
+from absl import logging
+
+from bergamotsail import catalogue
+from bergamotsail import control
+from bergamotsail import observe
+from bergamotsail import placement
+from bergamotsail import quorum
+from bergamotsail import routing
+from bergamotsail import settings as settings_lib
+from bergamotsail import targets
+from bergamotsail import wire
+
+STOP_POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outside:
+    """All that a daemon reaches outside itself.
+
+    Args:
+        make_engine: gives the engine at an address.
+        make_service: gives the plain service at an address.
+        disk: the data folder, None on a daemon without one.
+        wall_s: wall clock, used only to age idempotency keys.
+    """
+
+    transport: wire.PeerTransport
+    make_engine: collections.abc.Callable[[str], targets.Engine]
+    make_service: collections.abc.Callable[[str], targets.Service]
+    instances: targets.InstanceList
+    disk: quorum.Disk | None
+    rng: random.Random = dataclasses.field(default_factory=random.Random)
+    clock: wire.Clock = dataclasses.field(default_factory=wire.LoopClock)
+    steps: wire.Steps = dataclasses.field(default_factory=wire.NoSteps)
+    wall_s: collections.abc.Callable[[], float] = time.time
+
+
+class _Participant(control.Participant):
+    """Connects the session with admission and owners."""
+
+    def __init__(
+        self, admission: routing.Admission, owners: placement.Owners
+    ) -> None:
+        self._admission = admission
+        self._owners = owners
+
+    def held_by_key(self) -> dict[str, int]:
+        return self._admission.held_by_key()
+
+    def wanted_by_key(self) -> dict[str, int]:
+        return self._admission.wanted_by_key()
+
+    def take_shares(self, share_by_key: dict[str, int]) -> None:
+        self._admission.take_shares(share_by_key)
+
+    def statuses(self) -> tuple[control.TargetStatus, ...]:
+        return self._owners.statuses()
+
+    def hand_over(self, names: tuple[str, ...]) -> None:
+        self._owners.hand_over(names)
+
+    def view_changed(self) -> None:
+        self._owners.view_changed()
+
+
+class Daemon:
+    """One ``bergamotsaild``; an async context manager that runs it."""
+
+    def __init__(
+        self, settings: settings_lib.DaemonSettings, outside: Outside
+    ) -> None:
+        self.settings = settings
+        self.server = wire.PeerServer()
+        self.metrics = observe.Metrics()
+        self.stopping = False
+        self.accepting = True
+        self._outside = outside
+        self._stack = contextlib.AsyncExitStack()
+        self._stopped: asyncio.Task | None = None
+        self._stop_requested = asyncio.Event()
+        self.node: quorum.Node | None = None
+        self.machine: catalogue.CatalogueMachine | None = None
+        self._coordinator: control.Coordinator | None = None
+        lease = control.LeaseTiming(
+            **dataclasses.asdict(settings.lease),
+        )
+        if outside.disk is not None:
+            self._make_replica(outside.disk, lease)
+        self._make_entry(lease)
+
+    def _make_replica(
+        self, disk: quorum.Disk, lease: control.LeaseTiming
+    ) -> None:
+        settings = self.settings
+        outside = self._outside
+        self.machine = catalogue.CatalogueMachine()
+        consensus = settings.consensus
+        timing = quorum.Timing(
+            consensus.election_s,
+            consensus.heartbeat_s,
+            consensus.call_s,
+            settings.lease.drift,
+            consensus.snapshot_entries,
+        )
+        self.node = quorum.Node(
+            settings.name,
+            settings.address,
+            settings.replicas,
+            quorum.Storage(disk),
+            outside.transport,
+            self.machine,
+            outside.rng,
+            timing,
+            outside.clock,
+            outside.steps,
+        )
+        self._coordinator = control.Coordinator(
+            settings.address,
+            self.node,
+            self.machine,
+            outside.instances,
+            outside.transport,
+            lease,
+            settings.list_interval_s,
+            control.FloorRaiser(settings.claim_retention_s, outside.wall_s),
+            outside.clock,
+            outside.steps,
+        )
+        self.node.serve(self.server)
+        self._coordinator.serve(self.server)
+
+    def _make_entry(self, lease: control.LeaseTiming) -> None:
+        settings = self.settings
+        outside = self._outside
+        self.leader = control.Leader(outside.transport, settings.replicas)
+        boot = f"{settings.name}#{uuid.UUID(int=outside.rng.getrandbits(128))}"
+        info = control.DaemonInfo(
+            settings.name, boot, settings.address, settings.datacentre
+        )
+        self.session = control.Session(
+            info,
+            self.leader,
+            outside.transport,
+            lease,
+            self.node,
+            self.machine,
+            outside.clock,
+            outside.steps,
+        )
+        self.admission = routing.Admission(
+            lambda: self.session.view,
+            self.session.kick,
+            routing.AdmissionSettings(
+                **dataclasses.asdict(settings.admission)
+            ),
+            outside.clock,
+        )
+        self.owners = placement.Owners(
+            self.session,
+            outside.make_engine,
+            placement.PlacementSettings(
+                **dataclasses.asdict(settings.placement)
+            ),
+            self.metrics,
+            outside.clock,
+            outside.steps,
+        )
+        self.owners.serve(self.server)
+        self.session.attach(_Participant(self.admission, self.owners))
+        self.entry = routing.Entry(
+            self.session,
+            self.admission,
+            self.owners,
+            outside.transport,
+            routing.routing_named(settings.routing),
+            self.metrics,
+            outside.clock,
+        )
+        self.services = routing.ServiceRouter(
+            self.session,
+            self.admission,
+            outside.make_service,
+            self.metrics,
+            outside.clock,
+            outside.steps,
+        )
+        self.where = routing.Where(self.session, settings.answer_keep_s)
+
+    async def __aenter__(self) -> "Daemon":
+        parts = (self.node, self._coordinator, self.owners, self.session)
+        for part in parts:
+            if part is not None:
+                await self._stack.enter_async_context(part)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._stack.aclose()
+
+    def check_accepting(self) -> None:
+        """Refuse a new request late in a planned stop."""
+        if self.accepting:
+            return
+        answer = self.where.look_up(self.settings.name)
+        raise wire.StoppingError(
+            "This instance is stopping. Use another address.",
+            retry_after_s=0.5,
+            use=answer.addresses[0] if answer.addresses else None,
+        )
+
+    async def stop(self) -> None:
+        """Stop as planned and cut nothing off; a second call joins in."""
+        self.request_stop()
+        await asyncio.shield(self._stopped)
+
+    def request_stop(self) -> None:
+        """Start a planned stop, if none has started."""
+        if self._stopped is None:
+            self._stopped = asyncio.create_task(self._stop())
+        self._stop_requested.set()
+
+    async def wait_stopped(self) -> None:
+        """Wait until a planned stop was asked for and is done."""
+        await self._stop_requested.wait()
+        await self.stop()
+
+    async def _stop(self) -> None:
+        """Leave the look-ups, hand over, serve on, finish, sync."""
+        clock = self._outside.clock
+        logging.info("stop: Leaving the look-ups, handing targets over.")
+        self.stopping = True
+        self.session.set_leaving()
+        started_at = clock.now()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.stop.finish_s):
+                await self.owners.hand_over_all()
+        # Callers may hold an old answer for this long and still come here.
+        kept_s = self.settings.answer_keep_s + self.settings.lease.heartbeat_s
+        await clock.sleep(max(0.0, started_at + kept_s - clock.now()))
+        self.accepting = False
+        logging.info("stop: Taking no more requests, finishing the rest.")
+        deadline = clock.now() + self.settings.stop.finish_s
+        while self._busy() and clock.now() < deadline:
+            await clock.sleep(STOP_POLL_S)
+        await self.services.settled()
+        if self.node is not None:
+            await self.node.transfer()
+        logging.info("stop: Done.")
+
+    def _busy(self) -> bool:
+        return self.admission.active > 0 or self.owners.active() > 0
--- /dev/null
+++ b/libs/daemon/src/bergamotsail/daemon/_caller_handlers.py
@@ -0,0 +1,308 @@
+"""What callers use: look-ups, models and plain services."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hmac
+import time
+import typing
+import uuid
+
+from absl import logging
+
+from bergamotsail import catalogue
+from bergamotsail import routing
+from bergamotsail import targets
+from bergamotsail import wire
+from bergamotsail.daemon import _base_handler
+
+MAX_TOKENS = 100_000
+OWN_HEADERS = frozenset(
+    {
+        "authorization",
+        "host",
+        "x-deadline-ms",
+        "x-priority",
+        "x-non-idempotent",
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompletionBody:
+    """Body of the completion and chat API, as far as it is used.
+
+    Fields that are not named here are left alone.
+    """
+
+    model: str
+    prompt: str | None = None
+    messages: list[dict[str, typing.Any]] | None = None
+    max_tokens: int = 16
+    stream: bool = False
+
+
+class CallerHandler(_base_handler.BaseHandler):
+    """A handler that knows its caller's member."""
+
+    prefix = "entry"
+
+    def caller(self) -> routing.Caller:
+        """Authenticate the caller.
+
+        Raises:
+            UnauthenticatedError: no token, or one of no member.
+        """
+        header = self.request.headers.get("Authorization", "")
+        scheme, _, token = header.partition(" ")
+        digest = catalogue.hash_token(token)
+        view = self.daemon.session.view
+        member = view.member_by_token.get(digest)
+        if scheme != "Bearer" or member is None:
+            self.daemon.session.check_fresh()
+            raise wire.UnauthenticatedError(
+                "Send your member's token as Authorization: Bearer TOKEN."
+            )
+        stored = view.member_by_id[member].value.token_sha256
+        if not hmac.compare_digest(stored, digest):
+            raise wire.UnauthenticatedError("Send your member's token.")
+        return routing.Caller(member)
+
+    def request_id(self) -> str:
+        """Return the caller's request id, or a new one."""
+        given = self.request.headers.get("X-Request-Id", "")
+        safe = given.isascii() and given.isprintable() and len(given) <= 128
+        return given if given and safe else uuid.uuid4().hex
+
+    def deadline_s(self) -> float:
+        """Return how long the caller waits at most."""
+        limits = self.daemon.settings.http
+        text = self.request.headers.get("X-Deadline-Ms")
+        if text is None:
+            return limits.default_deadline_s
+        if not text.isdigit() or int(text) == 0:
+            raise wire.BadRequestError(
+                "Send X-Deadline-Ms as a whole number of milliseconds."
+            )
+        return min(int(text) / 1000, limits.max_deadline_s)
+
+    def entry_class(self) -> str | None:
+        """Return the class that the caller asks for."""
+        text = self.request.headers.get("X-Priority")
+        if text is None:
+            return None
+        allowed = [str(kind) for kind in catalogue.EntryClass]
+        if text not in allowed:
+            raise wire.BadRequestError(
+                f"Send X-Priority as one of {', '.join(allowed)}."
+            )
+        return text
+
+
+class HealthHandler(CallerHandler):
+    """Says whether this instance takes work."""
+
+    async def get(self) -> None:
+        await self.serve(self._answer())
+
+    async def _answer(self) -> None:
+        self.daemon.check_accepting()
+        self.daemon.session.check_fresh()
+        self.send_json({"ok": True})
+
+
+class WhereHandler(CallerHandler):
+    """Says which addresses to use for a model or a service."""
+
+    async def get(self) -> None:
+        await self.serve(self._answer())
+
+    async def _answer(self) -> None:
+        caller = self.caller()
+        self.daemon.session.check_fresh()
+        model = self.get_query_argument("model", "")
+        service = self.get_query_argument("service", "")
+        if bool(model) == bool(service):
+            raise wire.BadRequestError("Send one of model and service.")
+        adapter = ""
+        if model:
+            adapter = self.daemon.entry.resolve(caller, model)
+        where = self.daemon.where
+        self.send_json(where.look_up(model or service, adapter))
+
+
+class ModelsHandler(CallerHandler):
+    """Lists what the caller's member may use."""
+
+    async def get(self) -> None:
+        await self.serve(self._answer())
+
+    async def _answer(self) -> None:
+        member = self.caller().member
+        entries = self.daemon.session.view.adapter_by_id.values()
+        data = [
+            {"id": f"{entry.id}@{version}", "object": "model"}
+            for entry in entries
+            if member in (entry.value.owner, *entry.value.callers)
+            for version in entry.value.versions
+        ]
+        self.send_json({"object": "list", "data": data})
+
+
+class RunHandler(CallerHandler):
+    """The completion and chat API."""
+
+    async def post(self, kind: str) -> None:
+        await self.serve(self._answer(kind == "chat/completions"))
+
+    async def _answer(self, chat: bool) -> None:
+        caller = self.caller()
+        self.daemon.check_accepting()
+        body = wire.decode(self.body, CompletionBody)
+        completion = self._completion(caller, body, chat)
+        self.set_header("X-Request-Id", completion.request)
+        parts = self.daemon.entry.complete(caller, completion)
+        async with contextlib.aclosing(parts):
+            if body.stream:
+                await self._stream(parts, completion.request, chat)
+            else:
+                await self._whole(parts, completion.request, chat)
+
+    def _completion(
+        self, caller: routing.Caller, body: CompletionBody, chat: bool
+    ) -> routing.Completion:
+        if not 1 <= body.max_tokens <= MAX_TOKENS:
+            raise wire.BadRequestError(
+                f"Send max_tokens from 1 to {MAX_TOKENS}."
+            )
+        if chat and not body.messages:
+            raise wire.BadRequestError("Send messages, as a list.")
+        if not chat and body.prompt is None:
+            raise wire.BadRequestError("Send a prompt, as text.")
+        text = wire.encode(body.messages).decode() if chat else body.prompt
+        token = self.request.headers.get("Last-Event-ID")
+        resume = None
+        if token is not None:
+            resume = routing.parse_resume(token, caller.member)
+        return routing.Completion(
+            self.request_id(),
+            body.model,
+            targets.Prompt(text or "", body.max_tokens, chat),
+            self.deadline_s(),
+            self.entry_class(),
+            resume,
+        )
+
+    async def _whole(self, parts, request: str, chat: bool) -> None:
+        texts = []
+        model = ""
+        async for part in parts:
+            texts.append(part.text)
+            model = part.adapter
+        text = "".join(texts)
+        content = (
+            {"message": {"role": "assistant", "content": text}}
+            if chat
+            else {"text": text}
+        )
+        choice = {"index": 0, "finish_reason": "stop", **content}
+        self.send_json(self._envelope(request, model, choice, chat, ""))
+
+    async def _stream(self, parts, request: str, chat: bool) -> None:
+        """Send server-sent events; only a whole answer ends in [DONE]."""
+        started = False
+        try:
+            async for part in parts:
+                if not started:
+                    self.set_header("Content-Type", "text/event-stream")
+                    self.set_header("Cache-Control", "no-store")
+                    started = True
+                self.write(self._event(part, request, chat))
+                await self._flush_in_time()
+            self.write(b"data: [DONE]\n\n")
+        except wire.ServingError as error:
+            if not started:
+                raise
+            logging.info("entry: Broke off. request=%s %s", request, error)
+            data = self.error_json(error)
+            self.write(b"event: error\ndata: " + data + b"\n\n")
+        self.finish()
+
+    async def _flush_in_time(self) -> None:
+        """Send what was written, or give a caller up that does not read."""
+        async with asyncio.timeout(self.daemon.settings.http.write_s):
+            await self.flush()
+
+    def _event(self, part: routing.Part, request: str, chat: bool) -> bytes:
+        reason = "stop" if part.end else None
+        content = (
+            {"delta": {"content": part.text}} if chat else {"text": part.text}
+        )
+        choice = {"index": 0, "finish_reason": reason, **content}
+        data = wire.encode(
+            self._envelope(request, part.adapter, choice, chat, ".chunk")
+        )
+        token = part.resume.token().encode()
+        return b"id: " + token + b"\ndata: " + data + b"\n\n"
+
+    def _envelope(
+        self, request: str, model: str, choice: dict, chat: bool, suffix: str
+    ) -> dict:
+        kind = f"chat.completion{suffix}" if chat else "text_completion"
+        return {
+            "id": request,
+            "object": kind,
+            "created": int(time.time()),
+            "model": model,
+            "choices": [choice],
+        }
+
+
+class ServiceHandler(CallerHandler):
+    """Passes HTTP calls on to a plain service."""
+
+    async def _any(self, service: str, path: str | None) -> None:
+        await self.serve(self._answer(service, path or "/"))
+
+    get = post = put = patch = delete = head = options = _any
+
+    async def _answer(self, service: str, path: str) -> None:
+        caller = self.caller()
+        self.daemon.check_accepting()
+        query = f"?{self.request.query}" if self.request.query else ""
+        headers = {
+            name: value
+            for name, value in self.request.headers.get_all()
+            if name.lower() not in OWN_HEADERS
+        }
+        marked = self.request.headers.get("X-Non-Idempotent", "false")
+        call = routing.ServiceCall(
+            self.request_id(),
+            service,
+            self.request.method or "GET",
+            path + query,
+            headers,
+            self.body,
+            self.deadline_s(),
+            self.request.headers.get("Idempotency-Key"),
+            marked.lower() == "true",
+        )
+        result = await self.daemon.services.call(caller, call)
+        self.set_status(result.status)
+        for name, value in result.headers.items():
+            self.set_header(name, value)
+        if result.replayed:
+            self.set_header("Idempotency-Replayed", "true")
+        self.finish(result.body)
+
+
+class UnknownHandler(CallerHandler):
+    """Answers routes that do not exist."""
+
+    async def _any(self) -> None:
+        await self.serve(self._answer())
+
+    get = post = put = patch = delete = head = options = _any
+
+    async def _answer(self) -> None:
+        raise wire.NotFoundError("There is no such route. See the README.")
--- /dev/null
+++ b/libs/daemon/src/bergamotsail/daemon/_peer_handlers.py
@@ -0,0 +1,47 @@
+"""Calls from other daemons."""
+
+import contextlib
+import hmac
+
+from bergamotsail import wire
+from bergamotsail.daemon import _base_handler
+
+TOKEN_HEADER = "X-Peer-Token"
+
+
+class PeerHandler(_base_handler.BaseHandler):
+    """Answers a call of a peer."""
+
+    prefix = "peer"
+
+    async def post(self, name: str) -> None:
+        await self.serve(self._answer(name))
+
+    async def _answer(self, name: str) -> None:
+        token = self.request.headers.get(TOKEN_HEADER, "")
+        secret = self.daemon.settings.peer_token
+        if not hmac.compare_digest(token.encode(), secret.encode()):
+            raise wire.UnauthenticatedError("This route is for daemons only.")
+        call, handler = self.daemon.server.find(name)
+        message = wire.decode(self.body, call.request)
+        if call.streams:
+            await self._stream(handler(message))
+            return
+        self.send_json(await handler(message))
+
+    async def _stream(self, replies) -> None:
+        """Send one line for each reply, then the end or a typed error."""
+        async with contextlib.aclosing(replies):
+            try:
+                async for reply in replies:
+                    self.write(wire.encode({"reply": reply}) + b"\n")
+                    await self.flush()
+                last: dict = {"end": True}
+            except wire.ServingError as error:
+                last = {"error": error.body()}
+        self.finish(wire.encode(last) + b"\n")
+
+    def send_typed(self, error: wire.ServingError) -> None:
+        if not self._finished:
+            self.set_status(error.status)
+            self.finish(wire.encode(error.body()))
--- /dev/null
+++ b/libs/observe/src/bergamotsail/observe/__init__.py
@@ -0,0 +1,12 @@
+"""Decision logs and metrics that can be merged over daemons."""
+
+from bergamotsail.observe import _decisions
+from bergamotsail.observe import _metrics
+
+Decision = _decisions.Decision
+log_decision = _decisions.log_decision
+
+Metrics = _metrics.Metrics
+MetricsSnapshot = _metrics.MetricsSnapshot
+merge = _metrics.merge
+readable = _metrics.readable
--- /dev/null
+++ b/libs/placement/src/bergamotsail/placement/_engine_owner.py
@@ -0,0 +1,705 @@
+"""The owner of one engine."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+
+from absl import logging
+
+from bergamotsail import control
+from bergamotsail import observe
+from bergamotsail import targets
+from bergamotsail import wire
+from bergamotsail.placement import _counter
+from bergamotsail.placement import _fair_queue
+from bergamotsail.placement import _jobs
+from bergamotsail.placement import _policy
+from bergamotsail.placement import _residents
+
+TURN_WAIT_S = 1.0
+LOAD_BACKOFF_S = 0.5
+UNREACHABLE_AFTER_S = 2.0
+DEFAULT_LOAD_S = 0.3
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Stream:
+    """A run that was sent to the engine."""
+
+    job: _jobs.Job
+    incarnation: str | None
+    sent: bool = False
+    ended: bool = False
+    last_number: int = -1
+
+
+class EngineOwner:
+    """Runs, loads and evicts on one engine, in the name of one epoch.
+
+    It is an async context manager. Every order is sent only while the
+    session says that this epoch owns the engine, asked at the moment of
+    sending.
+    """
+
+    def __init__(
+        self,
+        info: control.TargetInfo,
+        epoch: int,
+        engine: targets.Engine,
+        session: control.Session,
+        settings: _jobs.PlacementSettings,
+        metrics: observe.Metrics,
+        clock: wire.Clock = wire.LoopClock(),
+        steps: wire.Steps = wire.NoSteps(),
+    ) -> None:
+        self.info = info
+        self.epoch = epoch
+        self.handing_over = False
+        self._engine = engine
+        self._session = session
+        self._settings = settings
+        self._metrics = metrics
+        self._clock = clock
+        self._steps = steps
+        self._policy = _policy.policy_named(
+            settings.policy, settings.stall_weight
+        )
+        self._queue = _fair_queue.FairQueue()
+        self._residents = _residents.Residents(clock.now())
+        self._uses = _counter.AgedCounter(settings.half_life_s)
+        self._used_at_by_name: dict[str, float] = {}
+        self._failures_by_name: dict[str, int] = {}
+        self._retry_at_by_name: dict[str, float] = {}
+        self._report: targets.EngineReport | None = None
+        self._report_at = float("-inf")
+        self._load_s = DEFAULT_LOAD_S
+        self._running = 0
+        self._work = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        self._parked_by_stream: dict[str, asyncio.Task] = {}
+        self._ordering = asyncio.Lock()
+
+    async def __aenter__(self) -> "EngineOwner":
+        for work in (self._read_reports, self._load_loop):
+            self._tasks.append(asyncio.create_task(work()))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.handing_over = True
+        self._refuse_waiting(self._not_owner())
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @property
+    def active(self) -> int:
+        """Runs that go on."""
+        return self._running
+
+    def status(self) -> control.TargetStatus:
+        """Describe the target for the leader."""
+        report = self._report
+        return control.TargetStatus(
+            self.info.id,
+            self.epoch,
+            self._reachable(),
+            report is not None and report.leaving,
+            self._residents.confirmed(),
+            len(self._queue),
+            self._running,
+            report.batch_slots if report is not None else 0,
+            report.adapter_slots if report is not None else 0,
+        )
+
+    async def hand_over(self) -> None:
+        """Send no more orders; running streams go on.
+
+        Returns once the last order's outcome is known, so that the next
+        owner may order at once.
+        """
+        self.handing_over = True
+        self._refuse_waiting(self._not_owner())
+        async with self._ordering:
+            await self._steps.reach(wire.Step.HAND_OVER, wire.Phase.AFTER)
+
+    # Running.
+
+    async def run(
+        self, request: _jobs.RunRequest
+    ) -> collections.abc.AsyncIterator[targets.Chunk]:
+        """Run a request, or resume its stream, and yield its chunks.
+
+        Raises:
+            ServingError: typed, saying whether it ran.
+        """
+        stream = await self._admit(request)
+        try:
+            async for chunk in self._chunks(stream):
+                yield chunk
+        finally:
+            self._settle(stream)
+
+    async def cancel(self, stream_id: str) -> None:
+        """End a run whose caller went away."""
+        parked = self._parked_by_stream.pop(stream_id, None)
+        if parked is not None:
+            parked.cancel()
+        await self._steps.reach(wire.Step.CANCEL, wire.Phase.BEFORE)
+        await self._engine.cancel(self._order(), stream_id)
+        await self._steps.reach(wire.Step.CANCEL, wire.Phase.AFTER)
+
+    async def _admit(self, request: _jobs.RunRequest) -> _Stream:
+        if self.handing_over or not self._owns():
+            raise self._not_owner()
+        job = self._job(request)
+        if request.resume_after is not None:
+            return self._resume(job)
+        self._check_room(job)
+        self._uses.add(job.adapter, self._clock.now())
+        self._queue.put(job)
+        self._dispatch()
+        self._work.set()
+        try:
+            async with asyncio.timeout_at(job.deadline):
+                return await job.ready
+        except TimeoutError:
+            raise wire.DeadlineError(
+                "The deadline passed while the request waited for "
+                f"{job.adapter}. Try again later.",
+                retry_after_s=self._expected_wait_s(job),
+            ) from None
+        finally:
+            self._queue.remove(job)
+            self._give_back(job)
+
+    def _job(self, request: _jobs.RunRequest) -> _jobs.Job:
+        adapter, version = targets.split_name(request.adapter)
+        entry = self._session.view.adapter_by_id.get(adapter)
+        if entry is None or version not in entry.value.versions:
+            raise wire.WithdrawnError(
+                f"{request.adapter} was withdrawn. Ask for a version that "
+                "stands."
+            )
+        now = self._clock.now()
+        return _jobs.Job(
+            request,
+            entry.value.owner,
+            entry.value.versions[version],
+            now,
+            now + request.left_s,
+            self._residents.usable(request.adapter),
+            asyncio.get_running_loop().create_future(),
+        )
+
+    def _resume(self, job: _jobs.Job) -> _Stream:
+        """Attach to a stream that the engine still holds."""
+        request = job.request
+        if request.incarnation != self._residents.incarnation:
+            raise wire.TruncatedError(
+                "The engine restarted, so this answer can't be resumed. "
+                "Send the request again."
+            )
+        parked = self._parked_by_stream.pop(request.stream_id, None)
+        if parked is not None:
+            parked.cancel()
+        if job.adapter in self._residents.by_name:
+            self._residents.pin(job.adapter)
+        self._running += 1
+        stream = _Stream(job, self._residents.incarnation)
+        stream.last_number = request.resume_after
+        return stream
+
+    def _check_room(self, job: _jobs.Job) -> None:
+        waiting = len(self._queue)
+        if waiting >= self._settings.max_queue:
+            raise wire.OverloadError(
+                f"Engine {self.info.id} has {waiting} requests waiting.",
+                retry_after_s=self._expected_wait_s(job),
+            )
+        expected_s = self._expected_wait_s(job)
+        if expected_s > job.request.left_s:
+            raise wire.DeadlineError(
+                "The request can't be met in time. Try again later or "
+                "with a later deadline.",
+                retry_after_s=expected_s,
+            )
+
+    def _expected_wait_s(self, job: _jobs.Job) -> float:
+        """Estimate the wait from the loads that go before."""
+        if self._residents.usable(job.adapter):
+            return 0.0
+        names = {
+            waiting.adapter
+            for waiting in self._queue
+            if not self._residents.usable(waiting.adapter)
+        }
+        names.add(job.adapter)
+        return self._load_s * len(names)
+
+    def _give_back(self, job: _jobs.Job) -> None:
+        """Undo a dispatch that its waiter did not take."""
+        ready = job.ready
+        if not ready.done():
+            ready.cancel()
+
+    def _dispatch(self) -> None:
+        """Start waiting jobs for which there is room, in fair order."""
+        if self.handing_over or not self._owns():
+            return
+        weights = {
+            name: entry.value.weight
+            for name, entry in self._session.view.member_by_id.items()
+        }
+        while self._room() > 0:
+            job = self._queue.take(self._can_run, weights)
+            if job is None:
+                return
+            self._residents.pin(job.adapter)
+            self._running += 1
+            stream = _Stream(job, self._residents.incarnation)
+            if job.ready.done():
+                self._settle(stream)
+            else:
+                job.ready.set_result(stream)
+
+    def _can_run(self, job: _jobs.Job) -> bool:
+        return not job.ready.done() and self._residents.usable(job.adapter)
+
+    def _room(self) -> int:
+        if self._report is None:
+            return 0
+        return self._report.batch_slots - self._running
+
+    async def _chunks(
+        self, stream: _Stream
+    ) -> collections.abc.AsyncIterator[targets.Chunk]:
+        job = stream.job
+        request = job.request
+        self._record_wait(job)
+        self._check_still_stands(job)
+        run = targets.Run(
+            request.stream_id,
+            stream.incarnation or "",
+            job.adapter,
+            request.prompt,
+            _jobs.PRIORITY.get(request.entry_class, 0),
+            request.resume_after,
+        )
+        await self._steps.reach(wire.Step.RUN, wire.Phase.BEFORE)
+        stream.sent = True
+        chunks = self._engine.run(self._order(), run)
+        try:
+            async for chunk in chunks:
+                await self._reach_chunk(stream, chunk)
+                if self._accept(stream, chunk):
+                    stream.ended = chunk.end
+                    yield chunk
+        except (wire.NotSentError, wire.StaleOrderError):
+            stream.sent = False
+            raise
+        except wire.ServingError as error:
+            stream.ended = error.ran is not wire.Ran.UNKNOWN
+            raise
+        finally:
+            await chunks.aclose()
+        if not stream.ended:
+            raise wire.TruncatedError(
+                "The engine's answer ended without its end mark."
+            )
+
+    async def _reach_chunk(
+        self, stream: _Stream, chunk: targets.Chunk
+    ) -> None:
+        step = wire.Step.MID_STREAM
+        if stream.last_number < 0:
+            step = wire.Step.FIRST_CHUNK
+        elif chunk.end:
+            step = wire.Step.LAST_CHUNK
+        await self._steps.reach(step, wire.Phase.BEFORE)
+
+    def _accept(self, stream: _Stream, chunk: targets.Chunk) -> bool:
+        """Check a chunk's stamp and number; False drops a repeated one."""
+        request = stream.job.request
+        if chunk.stream_id != request.stream_id:
+            self._metrics.count("chunks_dropped", reason="other_stream")
+            return False
+        wrong = (
+            chunk.adapter != request.adapter
+            or chunk.incarnation != stream.incarnation
+        )
+        if wrong:
+            raise wire.WrongAdapterError(
+                f"Asked for {request.adapter}, the engine answered from "
+                f"{chunk.adapter}. The answer was dropped."
+            )
+        if chunk.number <= stream.last_number:
+            self._metrics.count("chunks_dropped", reason="repeated")
+            return False
+        if chunk.number != stream.last_number + 1:
+            raise wire.TruncatedError(
+                f"Chunk {stream.last_number + 1} of the answer is missing."
+            )
+        stream.last_number = chunk.number
+        return True
+
+    def _check_still_stands(self, job: _jobs.Job) -> None:
+        adapter, version = targets.split_name(job.adapter)
+        entry = self._session.view.adapter_by_id.get(adapter)
+        if entry is None or version not in entry.value.versions:
+            raise wire.WithdrawnError(
+                f"{job.adapter} was withdrawn while the request waited. "
+                "Ask for a version that stands."
+            )
+
+    def _settle(self, stream: _Stream) -> None:
+        """Unpin what surely ended; park or doubt what may go on."""
+        self._running -= 1
+        name = stream.job.adapter
+        now = self._clock.now()
+        self._used_at_by_name[name] = now
+        if stream.sent and not stream.ended:
+            # The run may go on: its reader may be back to resume it.
+            self._residents.doubt(name, stream.incarnation, now)
+            stream_id = stream.job.request.stream_id
+            self._parked_by_stream[stream_id] = asyncio.create_task(
+                self._cancel_later(stream_id)
+            )
+        self._residents.unpin(name, stream.incarnation)
+        self._dispatch()
+        self._work.set()
+
+    async def _cancel_later(self, stream_id: str) -> None:
+        await self._clock.sleep(self._settings.orphan_grace_s)
+        self._parked_by_stream.pop(stream_id, None)
+        with contextlib.suppress(wire.ServingError):
+            await self._engine.cancel(self._order(), stream_id)
+
+    def _record_wait(self, job: _jobs.Job) -> None:
+        waited_s = self._clock.now() - job.queued_at
+        member = job.request.payer
+        entry_class = job.request.entry_class
+        stall_s = 0.0 if job.was_resident else waited_s
+        labels = {"member": member, "entry_class": entry_class}
+        self._metrics.record_s("load_stall", stall_s, **labels)
+        self._metrics.record_s("queue_wait", waited_s, **labels)
+
+    # Orders.
+
+    def _owns(self) -> bool:
+        return self._session.owns(self.info.id, self.epoch)
+
+    def _order(self) -> targets.Order:
+        return targets.Order(self.epoch, self._owns)
+
+    def _not_owner(self) -> wire.NotOwnerError:
+        return wire.NotOwnerError(
+            f"This instance does not own {self.info.id} now. Look up the "
+            "owner and ask there.",
+            retry_after_s=0.5,
+        )
+
+    def _refuse_waiting(self, error: wire.ServingError) -> None:
+        for job in self._queue:
+            self._queue.remove(job)
+            if not job.ready.done():
+                job.ready.set_exception(error)
+
+    # Reports.
+
+    async def _read_reports(self) -> None:
+        while True:
+            asked_at = self._clock.now()
+            try:
+                report = await self._engine.report()
+            except wire.ServingError as error:
+                logging.debug("place: No report. %s", error.message)
+            else:
+                self._take_report(report, asked_at)
+            await self._clock.sleep(self._settings.report_interval_s)
+
+    def _take_report(
+        self, report: targets.EngineReport, asked_at: float
+    ) -> None:
+        now = self._clock.now()
+        as_of = asked_at - report.age_s
+        if self._residents.believe(report, as_of, now):
+            logging.info(
+                "place: Engine %s is incarnation %s.",
+                self.info.id,
+                report.incarnation,
+            )
+        self._report = report
+        self._report_at = now
+        self._expire_doubts(now)
+        self._dispatch()
+        self._work.set()
+
+    def _expire_doubts(self, now: float) -> None:
+        for job in list(self._queue):
+            if job.deadline <= now:
+                self._queue.remove(job)
+
+    def _reachable(self) -> bool:
+        silent_s = self._clock.now() - self._report_at
+        return silent_s < UNREACHABLE_AFTER_S
+
+    # Loading and evicting.
+
+    async def _load_loop(self) -> None:
+        while True:
+            self._work.clear()
+            try:
+                loaded = await self._load_next()
+            except wire.ServingError as error:
+                logging.info("place: No load. %s", error.message)
+                loaded = False
+            except Exception:
+                logging.exception("place: A load broke.")
+                loaded = False
+            if loaded:
+                continue
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._work.wait(), LOAD_BACKOFF_S)
+
+    def _candidates(self) -> list[_policy.Candidate]:
+        now = self._clock.now()
+        jobs_by_name: dict[str, list[_jobs.Job]] = {}
+        for job in self._queue:
+            known = self._residents.by_name.get(job.adapter)
+            held_back = self._retry_at_by_name.get(job.adapter, 0.0) > now
+            if known is None and not held_back:
+                jobs_by_name.setdefault(job.adapter, []).append(job)
+        return [
+            self._candidate(name, jobs[0].owner, jobs)
+            for name, jobs in jobs_by_name.items()
+        ]
+
+    def _candidate(
+        self, name: str, owner: str, jobs: list[_jobs.Job]
+    ) -> _policy.Candidate:
+        now = self._clock.now()
+        oldest = min((job.queued_at for job in jobs), default=now)
+        return _policy.Candidate(
+            name,
+            owner,
+            len(jobs),
+            sum(job.class_weight for job in jobs),
+            now - oldest,
+            self._uses.value(name, now),
+            now - self._used_at_by_name.get(name, 0.0),
+        )
+
+    async def _load_next(self) -> bool:
+        """Load the adapter most worth it; False when there is nothing."""
+        if self.handing_over or not self._owns() or self._report is None:
+            return False
+        candidates = self._candidates()
+        if not candidates:
+            self._residents.stop_draining()
+            self._dispatch()
+            return False
+        wanted = self._policy.next_load(candidates)
+        if self._slot_for(wanted) is None:
+            self._make_room(wanted)
+            return False
+        turn = await self._take_turn(wanted)
+        if turn is None:
+            return False
+        try:
+            return await self._load_on_turn(wanted.owner)
+        finally:
+            await self._end_turn(turn)
+
+    async def _load_on_turn(self, owner: str) -> bool:
+        """Choose again, as the queue moved on, and load."""
+        candidates = [c for c in self._candidates() if c.owner == owner]
+        if not candidates:
+            return False
+        wanted = self._policy.next_load(candidates)
+        victim = self._slot_for(wanted)
+        if victim is None:
+            return False
+        async with self._ordering:
+            if self.handing_over:
+                return False
+            if victim and not await self._evict(victim, wanted):
+                return False
+            return await self._load(wanted)
+
+    def _slot_for(self, wanted: _policy.Candidate) -> str | None:
+        """Return the adapter to evict, "" for a free slot, None for none."""
+        assert self._report is not None
+        if len(self._residents.by_name) < self._report.adapter_slots:
+            return ""
+        evictable = self._evictable(wanted)
+        if not evictable:
+            return None
+        return self._policy.victim(evictable).name
+
+    def _evictable(self, wanted: _policy.Candidate) -> list[_policy.Candidate]:
+        now = self._clock.now()
+        free = [
+            resident.name
+            for resident in self._residents.by_name.values()
+            if resident.confirmed
+            and not resident.pinned
+            and now - resident.changed_at >= self._settings.min_residence_s
+        ]
+        drained = [n for n in free if self._residents.by_name[n].draining]
+        found = [self._resident_candidate(name) for name in drained or free]
+        return [c for c in found if self._may_displace(wanted, c)]
+
+    def _resident_candidate(self, name: str) -> _policy.Candidate:
+        jobs = [job for job in self._queue if job.adapter == name]
+        return self._candidate(name, self._owner_of(name), jobs)
+
+    def _owner_of(self, name: str) -> str:
+        adapter, _ = targets.split_name(name)
+        entry = self._session.view.adapter_by_id.get(adapter)
+        return entry.value.owner if entry is not None else ""
+
+    def _may_displace(
+        self, wanted: _policy.Candidate, victim: _policy.Candidate
+    ) -> bool:
+        """Whether the slot shares let one member's adapter go for another.
+
+        A member at its share of the slots makes room among its own.
+        """
+        if wanted.owner == victim.owner or not victim.owner:
+            return True
+        entry = self._session.view.member_by_id.get(wanted.owner)
+        if entry is None or entry.value.limits.slot_share is None:
+            return True
+        assert self._report is not None
+        slots = self._report.adapter_slots
+        allowed = max(1, int(entry.value.limits.slot_share * slots))
+        held = [
+            name
+            for name in self._residents.by_name
+            if self._owner_of(name) == wanted.owner
+        ]
+        return len(held) < allowed
+
+    def _make_room(self, wanted: _policy.Candidate) -> None:
+        """Let the least valuable busy adapter run dry for an old wait."""
+        draining = [r for r in self._residents.by_name.values() if r.draining]
+        if draining or wanted.oldest_wait_s < self._settings.drain_after_s:
+            return
+        busy = [
+            self._resident_candidate(r.name)
+            for r in self._residents.by_name.values()
+            if r.confirmed
+        ]
+        busy = [c for c in busy if self._may_displace(wanted, c)]
+        if busy:
+            victim = self._policy.victim(busy)
+            self._residents.by_name[victim.name].draining = True
+            self._decide("Drain", victim.name, f"room for {wanted.name}")
+
+    async def _take_turn(self, wanted: _policy.Candidate) -> str | None:
+        pool = self._session.view.pool_by_id.get(self.info.pool)
+        request = control.TurnRequest(
+            self._session.boot,
+            pool.value.store if pool is not None else "default",
+            self.info.id,
+            wanted.name,
+            wanted.owner,
+            self._policy.load_score(wanted),
+            TURN_WAIT_S,
+        )
+        reply = await self._session.leader.call(
+            control.TURN, request, TURN_WAIT_S * 2
+        )
+        return reply.turn
+
+    async def _end_turn(self, turn: str) -> None:
+        pool = self._session.view.pool_by_id.get(self.info.pool)
+        store = pool.value.store if pool is not None else "default"
+        with contextlib.suppress(wire.ServingError):
+            await self._session.leader.call(
+                control.TURN_END, control.TurnEnd(store, turn), 1.0
+            )
+
+    async def _evict(self, name: str, wanted: _policy.Candidate) -> bool:
+        resident = self._residents.by_name.get(name)
+        if resident is None or resident.pinned:
+            return False
+        # From here on no run may be dispatched to it.
+        resident.confirmed = False
+        self._decide("Evict", name, f"least worth, for {wanted.name}")
+        await self._steps.reach(wire.Step.EVICT, wire.Phase.BEFORE)
+        try:
+            await self._engine.unload(self._order(), name)
+        except (wire.NotSentError, wire.StaleOrderError):
+            resident.confirmed = True
+            raise
+        except wire.ServingError:
+            self._residents.uncertain(name, self._clock.now())
+            raise
+        await self._steps.reach(wire.Step.EVICT, wire.Phase.AFTER)
+        self._residents.unloaded(name, self._clock.now())
+        self._metrics.count("evictions")
+        return True
+
+    async def _load(self, wanted: _policy.Candidate) -> bool:
+        name = wanted.name
+        weights = self._weights_of(name)
+        if weights is None:
+            return False
+        started_at = self._clock.now()
+        self._decide("Load", name, f"{wanted.waiting} waiting")
+        self._residents.loading(name, started_at)
+        await self._steps.reach(wire.Step.LOAD, wire.Phase.BEFORE)
+        try:
+            await self._engine.load(self._order(), name, weights)
+        except wire.PeerLostError:
+            self._residents.uncertain(name, self._clock.now())
+            raise
+        except wire.ServingError as error:
+            self._residents.not_loaded(name, self._clock.now())
+            self._load_failed(name, error)
+            return False
+        await self._steps.reach(wire.Step.LOAD, wire.Phase.AFTER)
+        now = self._clock.now()
+        self._residents.loaded(name, now)
+        self._used_at_by_name[name] = now
+        self._load_s += ((now - started_at) - self._load_s) * 0.2
+        self._failures_by_name.pop(name, None)
+        self._metrics.count("loads")
+        self._dispatch()
+        return True
+
+    def _weights_of(self, name: str) -> str | None:
+        adapter, version = targets.split_name(name)
+        entry = self._session.view.adapter_by_id.get(adapter)
+        if entry is None:
+            return None
+        return entry.value.versions.get(version)
+
+    def _load_failed(self, name: str, error: wire.ServingError) -> None:
+        """Back off, and fail those waiting after some tries."""
+        failures = self._failures_by_name.get(name, 0) + 1
+        self._failures_by_name[name] = failures
+        backoff_s = LOAD_BACKOFF_S * 2**failures
+        self._retry_at_by_name[name] = self._clock.now() + backoff_s
+        self._metrics.count("load_failures")
+        self._decide("Back off", name, f"load failed: {error.code}")
+        if failures < self._settings.load_retries:
+            return
+        for job in self._queue:
+            if job.adapter == name and not job.ready.done():
+                self._queue.remove(job)
+                job.ready.set_exception(
+                    wire.OverloadError(
+                        f"{name} could not be loaded: {error.message}",
+                        retry_after_s=backoff_s,
+                    )
+                )
+
+    def _decide(self, what: str, adapter: str, reason: str) -> None:
+        observe.log_decision(
+            observe.Decision(
+                "place", what, reason, adapter=adapter, target=self.info.id
+            )
+        )
--- /dev/null
+++ b/libs/placement/src/bergamotsail/placement/_fair_queue.py
@@ -0,0 +1,67 @@
+"""Waiting jobs, shared fairly between members."""
+
+import collections
+import collections.abc
+
+from bergamotsail.placement import _jobs
+
+
+class FairQueue:
+    """Weighted fair queueing by member, then by class, then by age.
+
+    Each member has a virtual time that grows by ``1 / weight`` with every
+    job taken. The member furthest behind goes first. One that was idle
+    starts level with the others, and saves nothing up.
+    """
+
+    def __init__(self) -> None:
+        self._jobs_by_member: dict[str, list[_jobs.Job]] = (
+            collections.defaultdict(list)
+        )
+        self._time_by_member: dict[str, float] = {}
+        self._now = 0.0
+
+    def __len__(self) -> int:
+        return sum(len(jobs) for jobs in self._jobs_by_member.values())
+
+    def __iter__(self) -> collections.abc.Iterator[_jobs.Job]:
+        for jobs in list(self._jobs_by_member.values()):
+            yield from list(jobs)
+
+    def waiting_of(self, member: str) -> int:
+        """Return how many jobs of a member wait."""
+        return len(self._jobs_by_member.get(member, ()))
+
+    def put(self, job: _jobs.Job) -> None:
+        """Add a job."""
+        member = job.request.payer
+        if not self._jobs_by_member[member]:
+            behind = self._time_by_member.get(member, 0.0)
+            self._time_by_member[member] = max(behind, self._now)
+        self._jobs_by_member[member].append(job)
+
+    def remove(self, job: _jobs.Job) -> None:
+        """Remove a job if it still waits."""
+        jobs = self._jobs_by_member.get(job.request.payer, [])
+        if job in jobs:
+            jobs.remove(job)
+
+    def take(
+        self,
+        can_run: collections.abc.Callable[[_jobs.Job], bool],
+        weight_by_member: collections.abc.Mapping[str, float],
+    ) -> _jobs.Job | None:
+        """Remove and return the next job that can run, if any."""
+        members = [m for m, jobs in self._jobs_by_member.items() if jobs]
+        members.sort(key=lambda member: self._time_by_member[member])
+        for member in members:
+            able = [j for j in self._jobs_by_member[member] if can_run(j)]
+            if not able:
+                continue
+            job = max(able, key=lambda j: (j.class_weight, -j.queued_at))
+            self._jobs_by_member[member].remove(job)
+            self._now = self._time_by_member[member]
+            weight = weight_by_member.get(member, 1.0)
+            self._time_by_member[member] += 1.0 / weight
+            return job
+        return None
--- /dev/null
+++ b/libs/placement/src/bergamotsail/placement/_policy.py
@@ -0,0 +1,98 @@
+"""What to load next and what to evict for it."""
+
+import abc
+import collections.abc
+import dataclasses
+
+from bergamotsail import wire
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An adapter version that could be loaded or evicted.
+
+    Args:
+        owner: the member it belongs to.
+        waiting: requests that wait for it.
+        urgency: sum of the class weights of those requests.
+        oldest_wait_s: how long the oldest has waited.
+        use: faded count of its uses.
+        idle_s: since it was last used.
+    """
+
+    name: str
+    owner: str
+    waiting: int
+    urgency: float
+    oldest_wait_s: float
+    use: float
+    idle_s: float
+
+
+class Policy(abc.ABC):
+    """Orders loads and evictions. Pins are not its business."""
+
+    @abc.abstractmethod
+    def load_score(self, candidate: Candidate) -> float:
+        """Return how much a load is worth; the highest goes first."""
+
+    @abc.abstractmethod
+    def keep_score(self, candidate: Candidate) -> float:
+        """Return how much keeping is worth; the lowest is evicted."""
+
+    def next_load(
+        self, candidates: collections.abc.Sequence[Candidate]
+    ) -> Candidate:
+        """Return the adapter to load next."""
+        return max(candidates, key=self.load_score)
+
+    def victim(
+        self, candidates: collections.abc.Sequence[Candidate]
+    ) -> Candidate:
+        """Return the adapter to evict."""
+        return min(candidates, key=self.keep_score)
+
+
+class ValuePolicy(Policy):
+    """Loads what most requests wait for; keeps what is used most.
+
+    Args:
+        stall_weight: 1 weighs the oldest wait most, so that none stalls
+            long; 0 weighs the number of waiting requests, so that each
+            load fills batches.
+    """
+
+    def __init__(self, stall_weight: float) -> None:
+        self._stall_weight = stall_weight
+
+    def load_score(self, candidate: Candidate) -> float:
+        wait = 1.0 + self._stall_weight * candidate.oldest_wait_s
+        return candidate.urgency * wait + candidate.use * 0.1
+
+    def keep_score(self, candidate: Candidate) -> float:
+        return candidate.waiting * 10.0 + candidate.use
+
+
+class LeastRecentPolicy(Policy):
+    """Loads in order of arrival and evicts the least recently used."""
+
+    def load_score(self, candidate: Candidate) -> float:
+        return candidate.oldest_wait_s
+
+    def keep_score(self, candidate: Candidate) -> float:
+        return -candidate.idle_s
+
+
+def policy_named(name: str, stall_weight: float) -> Policy:
+    """Return the policy of a name.
+
+    Raises:
+        BadRequestError: there is none of this name.
+    """
+    if name == "value":
+        return ValuePolicy(stall_weight)
+    if name == "least_recent":
+        return LeastRecentPolicy()
+    raise wire.BadRequestError(
+        f"There is no policy {name!r}. Use value or least_recent."
+    )
--- /dev/null
+++ b/libs/quorum/src/bergamotsail/quorum/__init__.py
@@ -0,0 +1,30 @@
+"""A replicated log with durable votes, snapshots and membership change.
+
+The node knows nothing of what its commands mean: it hands them, once
+committed, to a :class:`Machine`. It is Raft with pre-vote, check-quorum, a
+leader lease, single-server membership change through a learner stage, and
+a sync to disk before every vote and acknowledgement.
+"""
+
+from bergamotsail.quorum import _disk
+from bergamotsail.quorum import _messages
+from bergamotsail.quorum import _node
+from bergamotsail.quorum import _storage
+
+Disk = _disk.Disk
+DiskError = _disk.DiskError
+FolderDisk = _disk.FolderDisk
+
+Config = _messages.Config
+Entry = _messages.Entry
+EntryKind = _messages.EntryKind
+Member = _messages.Member
+CALLS = _messages.CALLS
+
+Machine = _node.Machine
+Node = _node.Node
+Role = _node.Role
+Timing = _node.Timing
+
+CorruptLogError = _storage.CorruptLogError
+Storage = _storage.Storage
--- /dev/null
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -0,0 +1,1007 @@
+"""One replica of the log: elections, replication, commit and membership.
+
+All handlers that change durable state run under one lock, one after the
+other. There is one task for the election, one for flushing to disk, one for
+applying, and one for each peer while this replica leads.
+"""
+
+import abc
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import enum
+import random
+import typing
+
+from bergamotsail import wire
+from bergamotsail.quorum import _disk
+from bergamotsail.quorum import _messages
+from bergamotsail.quorum import _storage
+
+MAX_BATCH = 256
+SNAPSHOT_LINES = 500
+JOIN_INTERVAL_S = 0.5
+
+Config = _messages.Config
+Entry = _messages.Entry
+Member = _messages.Member
+
+
+class Machine(abc.ABC):
+    """What committed commands act on. It must be deterministic."""
+
+    @abc.abstractmethod
+    def apply(self, index: int, command: bytes) -> object:
+        """Apply a committed command and return its result."""
+
+    @abc.abstractmethod
+    def snapshot(self) -> collections.abc.Iterator[bytes]:
+        """Return the state in lines.
+
+        The iterator is read later, so it holds a frozen copy.
+        """
+
+    @abc.abstractmethod
+    def restore(
+        self, index: int, lines: collections.abc.Iterable[bytes]
+    ) -> None:
+        """Replace the state by a snapshot taken at *index*."""
+
+
+class Role(enum.StrEnum):
+    """The role of a replica."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """Timeouts in seconds.
+
+    *drift* is the largest relative difference between two clocks.
+    *snapshot_entries* is how many entries are kept before a snapshot.
+    """
+
+    election_s: float = 1.0
+    heartbeat_s: float = 0.2
+    call_s: float = 1.0
+    drift: float = 0.05
+    snapshot_entries: int = 4000
+
+
+class _Waiter(typing.NamedTuple):
+    term: int
+    done: asyncio.Future
+
+
+class Node:
+    """A replica; an async context manager that runs its tasks.
+
+    Args:
+        name: the lasting name of this replica.
+        address: where its peers reach it.
+        seeds: addresses of the replicas, to join through.
+        storage: its disk.
+        transport: how it calls its peers.
+        machine: what it applies commands to.
+        rng: draws election timeouts.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        seeds: collections.abc.Sequence[str],
+        storage: _storage.Storage,
+        transport: wire.PeerTransport,
+        machine: Machine,
+        rng: random.Random,
+        timing: Timing = Timing(),
+        clock: wire.Clock = wire.LoopClock(),
+        steps: wire.Steps = wire.NoSteps(),
+    ) -> None:
+        self.name = name
+        self.role = Role.FOLLOWER
+        self.leader: Member | None = None
+        self.commit = 0
+        self.applied = 0
+        self.error: BaseException | None = None
+        self._address = address
+        self._seeds = tuple(seeds)
+        self._storage = storage
+        self._transport = transport
+        self._machine = machine
+        self._rng = rng
+        self._timing = timing
+        self._clock = clock
+        self._steps = steps
+        self._me = Member("", name, address)
+        self._vote = _messages.Vote()
+        self._log: list[Entry] = []
+        self._snapshot = _messages.SnapshotMeta(0, 0, Config())
+        self._configs: list[tuple[int, Config]] = [(0, Config())]
+        self._on_disk = 0
+        self._heard_at = 0.0
+        self._ready_index = 0
+        self._transferring = False
+        self._incoming: tuple[_messages.SnapshotMeta, int] | None = None
+        self._incoming_lines = 0
+        self._lock = asyncio.Lock()
+        self._flush_wanted = asyncio.Event()
+        self._commit_moved = asyncio.Event()
+        self._stand_now = asyncio.Event()
+        self._waiter_by_index: dict[int, _Waiter] = {}
+        self._next_by_peer: dict[str, int] = {}
+        self._match_by_peer: dict[str, int] = {}
+        self._acked_by_peer: dict[str, float] = {}
+        self._wake_by_peer: dict[str, asyncio.Event] = {}
+        self._replicator_by_peer: dict[str, asyncio.Task] = {}
+        self._joining: dict[str, asyncio.Task] = {}
+        self._snapshotting = False
+        self._tasks: list[asyncio.Task] = []
+
+    async def __aenter__(self) -> "Node":
+        await self._load()
+        for work in (self._elect, self._flush, self._apply, self._join):
+            self._tasks.append(asyncio.create_task(self._supervise(work)))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        running = [
+            *self._tasks,
+            *self._replicator_by_peer.values(),
+            *self._joining.values(),
+        ]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        self._fail_waiters()
+
+    async def _supervise(
+        self,
+        work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    ) -> None:
+        """Stop this replica for good when one of its tasks breaks."""
+        try:
+            await work()
+        except Exception as error:
+            self._fail(error)
+
+    def serve(self, server: wire.PeerServer) -> None:
+        """Answer the calls of other replicas."""
+        server.serve(_messages.VOTE, self.on_vote)
+        server.serve(_messages.APPEND, self.on_append)
+        server.serve(_messages.SNAPSHOT, self.on_snapshot)
+        server.serve(_messages.LEAD, self.on_lead)
+        server.serve(_messages.HELLO, self.on_hello)
+        server.serve(_messages.FORM, self.on_form)
+        server.serve(_messages.JOIN, self.on_join)
+
+    # What users of the log see.
+
+    @property
+    def member(self) -> Member:
+        """This replica."""
+        return self._me
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._vote.term
+
+    @property
+    def config(self) -> Config:
+        """The latest configuration in the log."""
+        return self._configs[-1][1]
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry in the log, committed or not."""
+        return self._log[-1].index if self._log else self._snapshot.index
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index up to which the log was replaced by a snapshot."""
+        return self._snapshot.index
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and knows all committed entries."""
+        return (
+            self.role is Role.LEADER
+            and self._ready_index > 0
+            and self.applied >= self._ready_index
+        )
+
+    def holds_lease(self) -> bool:
+        """Whether surely no other replica leads at this moment.
+
+        Followers give no vote for one election timeout after they heard
+        from a leader, so no other can be elected before then.
+        """
+        if not self.is_leader or self._transferring:
+            return False
+        sure_s = self._timing.election_s * (1 - self._timing.drift)
+        return self._clock.now() < self._quorum_acked_at() + sure_s
+
+    async def propose(self, command: bytes) -> object:
+        """Commit a command and return what the machine made of it.
+
+        Raises:
+            NotLeaderError: this replica does not lead; nothing was done.
+            UnknownOutcomeError: leadership was lost; it may yet commit.
+        """
+        if not self.holds_lease():
+            raise self.not_leader()
+        index = self._append_local(_messages.EntryKind.COMMAND, command)
+        return await self._applied_at(index)
+
+    def not_leader(self) -> wire.ServingError:
+        """Return the typed error for a call that only a leader answers."""
+        if self.role is Role.FAILED:
+            return wire.ReplicaFailedError(
+                f"The disk of replica {self.name} failed. Ask another.",
+                retry_after_s=1.0,
+            )
+        known = self.leader is not None and self.leader.id != self._me.id
+        return wire.NotLeaderError(
+            f"Replica {self.name} does not lead. Ask the leader.",
+            retry_after_s=self._timing.election_s,
+            use=self.leader.address if known else None,
+        )
+
+    async def transfer(self) -> None:
+        """Hand leadership to the most advanced voter, as far as possible."""
+        if self.role is not Role.LEADER:
+            return
+        others = [m for m in self.config.voters if m.id != self._me.id]
+        if not others:
+            return
+        self._transferring = True
+        try:
+            heir = max(others, key=lambda m: self._match_by_peer.get(m.id, 0))
+            deadline = self._clock.now() + self._timing.election_s
+            while (
+                self.role is Role.LEADER
+                and self._clock.now() < deadline
+                and self._match_by_peer.get(heir.id, 0) < self.last_index
+            ):
+                await self._clock.sleep(self._timing.heartbeat_s / 10)
+            request = _messages.LeadRequest(heir.id, self.term)
+            with contextlib.suppress(wire.ServingError):
+                await self._call(heir, _messages.LEAD, request)
+            while self.role is Role.LEADER and self._clock.now() < deadline:
+                await self._clock.sleep(self._timing.heartbeat_s / 10)
+        finally:
+            # The heir may stand at any later moment without waiting for
+            # our lease to end, so this lease is never used again.
+            if self.role is Role.LEADER:
+                self._become_follower(None)
+
+    async def form(self) -> None:
+        """Start a new log with all the seeds, which must all be blank.
+
+        Raises:
+            ConflictError: a seed already holds a log.
+        """
+        replies = await asyncio.gather(
+            *(
+                self._transport.call(
+                    seed,
+                    _messages.HELLO,
+                    _messages.Hello(),
+                    self._timing.call_s,
+                )
+                for seed in self._seeds
+            )
+        )
+        if not all(reply.blank for reply in replies):
+            raise wire.ConflictError(
+                "A replica already holds a log. Start the others and let "
+                "them join; form only once."
+            )
+        config = Config(tuple(reply.member for reply in replies))
+        for member in config.voters:
+            request = _messages.FormRequest(member.id, config)
+            await self._call(member, _messages.FORM, request)
+
+    # Calls from other replicas.
+
+    async def on_hello(self, _: _messages.Hello) -> _messages.HelloReply:
+        """Say who this replica is."""
+        return _messages.HelloReply(
+            self._me, not self.config.voters, self.leader
+        )
+
+    async def on_form(self, request: _messages.FormRequest) -> _messages.Empty:
+        """Take the first configuration, if blank."""
+        self._check_to(request.to)
+        async with self._lock:
+            if self.last_index > 0:
+                raise wire.ConflictError("This replica already holds a log.")
+            data = wire.encode(request.config)
+            entry = Entry(1, 1, _messages.EntryKind.CONFIG, data)
+            self._add_entry(entry)
+            await self._flush_locked()
+        return _messages.Empty()
+
+    async def on_vote(
+        self, request: _messages.VoteRequest
+    ) -> _messages.VoteReply:
+        """Give or refuse a vote; a given vote is on disk first."""
+        self._check_to(request.to)
+        async with self._lock:
+            self._check_disk()
+            if not self._may_vote(request):
+                return _messages.VoteReply(self.term, False)
+            if request.pre:
+                return _messages.VoteReply(self.term, True)
+            await self._steps.reach(wire.Step.VOTE, wire.Phase.BEFORE)
+            if request.term > self.term:
+                self._become_follower(None)
+            self._heard_at = self._clock.now()
+            await self._save_vote(
+                _messages.Vote(request.term, request.candidate)
+            )
+            await self._steps.reach(wire.Step.VOTE, wire.Phase.AFTER)
+            return _messages.VoteReply(self.term, True)
+
+    async def on_append(
+        self, request: _messages.AppendRequest
+    ) -> _messages.AppendReply:
+        """Take entries from the leader; they are on disk before the reply."""
+        self._check_to(request.to)
+        async with self._lock:
+            self._check_disk()
+            if not await self._follow(request.term, request.leader):
+                return self._append_reply(False)
+            if not self._matches(request.prev_index, request.prev_term):
+                return self._append_reply(False)
+            await self._take_entries(request.entries)
+            await self._flush_locked()
+            self._heard_at = self._clock.now()
+            last = request.prev_index + len(request.entries)
+            self._move_commit(min(request.commit, last))
+            await self._steps.reach(wire.Step.ACK, wire.Phase.BEFORE)
+            return _messages.AppendReply(self.term, True, last)
+
+    async def on_snapshot(
+        self, piece: _messages.SnapshotPiece
+    ) -> _messages.AppendReply:
+        """Take a part of a snapshot; install it after the last."""
+        self._check_to(piece.to)
+        async with self._lock:
+            self._check_disk()
+            if not await self._follow(piece.term, piece.leader):
+                return self._append_reply(False)
+            await self._steps.reach(wire.Step.SNAPSHOT, wire.Phase.BEFORE)
+            if piece.number == 0:
+                await self._storage.begin_incoming(piece.meta)
+                self._incoming = (piece.meta, 0)
+                self._incoming_lines = 0
+            if self._incoming != (piece.meta, piece.number):
+                self._incoming = None
+                return self._append_reply(False)
+            await self._storage.add_incoming(piece.lines)
+            self._incoming_lines += len(piece.lines)
+            self._incoming = (piece.meta, piece.number + 1)
+            if piece.last:
+                await self._install(piece.meta)
+            self._heard_at = self._clock.now()
+            return self._append_reply(True)
+
+    async def on_lead(self, request: _messages.LeadRequest) -> _messages.Empty:
+        """Stand for election at once, on the leader's own word."""
+        self._check_to(request.to)
+        if request.term == self.term:
+            self._stand_now.set()
+        return _messages.Empty()
+
+    async def on_join(self, request: _messages.JoinRequest) -> _messages.Empty:
+        """Start to bring a replica in, through the learner stage."""
+        if not self.is_leader:
+            raise self.not_leader()
+        name = request.member.name
+        running = self._joining.get(name)
+        if running is None or running.done():
+            self._joining[name] = asyncio.create_task(
+                self._bring_in(request.member)
+            )
+        return _messages.Empty()
+
+    def _check_to(self, to: str) -> None:
+        if to != self._me.id:
+            raise wire.NotFoundError(
+                f"Replica {to} is not here; this is {self._me.id}. Its disk "
+                "was replaced."
+            )
+
+    def _check_disk(self) -> None:
+        if self.role is Role.FAILED:
+            raise self.not_leader()
+
+    # Elections.
+
+    def _may_vote(self, request: _messages.VoteRequest) -> bool:
+        heard_s = self._clock.now() - self._heard_at
+        sticky = heard_s < self._timing.election_s and not request.transfer
+        sticky = sticky or (self.holds_lease() and not request.transfer)
+        if request.term < self.term or sticky:
+            return False
+        if self.role is Role.LEADER and request.term == self.term:
+            return False
+        mine = (self._term_at(self.last_index), self.last_index)
+        if (request.last_term, request.last_index) < mine:
+            return False
+        free = self._vote.voted_for in (None, request.candidate)
+        return request.pre or request.term > self.term or free
+
+    async def _elect(self) -> None:
+        while True:
+            wait_s = self._timing.election_s * self._rng.uniform(1.0, 2.0)
+            await self._wait_for_election(wait_s)
+            if self.role is Role.LEADER:
+                self._check_quorum()
+                continue
+            transfer = self._stand_now.is_set()
+            self._stand_now.clear()
+            heard_s = self._clock.now() - self._heard_at
+            if heard_s < wait_s and not transfer:
+                continue
+            if self.role is Role.FAILED:
+                continue
+            if not self.config.has_voter(self._me.id):
+                continue
+            with contextlib.suppress(wire.ServingError, _disk.DiskError):
+                await self._stand(transfer)
+
+    async def _wait_for_election(self, wait_s: float) -> None:
+        if self.role is Role.LEADER:
+            await self._clock.sleep(self._timing.heartbeat_s)
+            return
+        left_s = self._heard_at + wait_s - self._clock.now()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                self._stand_now.wait(), max(left_s, self._timing.heartbeat_s)
+            )
+
+    def _check_quorum(self) -> None:
+        silent_s = self._clock.now() - self._quorum_acked_at()
+        if silent_s > self._timing.election_s:
+            self._become_follower(None)
+
+    async def _stand(self, transfer: bool) -> None:
+        if not transfer and not await self._ask_votes(True, False):
+            self._heard_at = max(
+                self._heard_at, self._clock.now() - self._timing.election_s
+            )
+            return
+        async with self._lock:
+            self._become_follower(None)
+            self.role = Role.CANDIDATE
+            await self._save_vote(_messages.Vote(self.term + 1, self._me.id))
+            term = self.term
+        won = await self._ask_votes(False, transfer)
+        async with self._lock:
+            if self.role is not Role.CANDIDATE or self.term != term:
+                return
+            if won:
+                self._become_leader()
+            else:
+                self.role = Role.FOLLOWER
+
+    async def _ask_votes(self, pre: bool, transfer: bool) -> bool:
+        term = self.term + 1 if pre else self.term
+        voters = self.config.voters
+        others = [m for m in voters if m.id != self._me.id]
+        majority = self.config.majority
+        granted = 1
+        asked = [
+            asyncio.create_task(self._ask_vote(m, term, pre, transfer))
+            for m in others
+        ]
+        try:
+            for reply in asyncio.as_completed(asked):
+                if granted >= majority:
+                    break
+                granted += await reply
+        finally:
+            for task in asked:
+                task.cancel()
+        return granted >= majority
+
+    async def _ask_vote(
+        self, peer: Member, term: int, pre: bool, transfer: bool
+    ) -> int:
+        request = _messages.VoteRequest(
+            peer.id,
+            term,
+            self._me.id,
+            self.last_index,
+            self._term_at(self.last_index),
+            pre,
+            transfer,
+        )
+        try:
+            reply = await self._call(peer, _messages.VOTE, request)
+        except wire.ServingError:
+            return 0
+        if reply.term > self.term and not reply.granted:
+            async with self._lock:
+                await self._adopt_term(reply.term)
+        return int(reply.granted)
+
+    async def _adopt_term(self, term: int) -> None:
+        if term > self.term:
+            self._become_follower(None)
+            await self._save_vote(_messages.Vote(term, None))
+
+    async def _follow(self, term: int, leader: Member) -> bool:
+        """Accept a leader of this term; False when it is an old one."""
+        if term < self.term:
+            return False
+        await self._adopt_term(term)
+        if self.role is Role.CANDIDATE:
+            self._become_follower(leader)
+        self.leader = leader
+        self._heard_at = self._clock.now()
+        return True
+
+    def _become_follower(self, leader: Member | None) -> None:
+        was_leader = self.role is Role.LEADER
+        if self.role is not Role.FAILED:
+            self.role = Role.FOLLOWER
+        self.leader = leader
+        self._ready_index = 0
+        if was_leader:
+            self._heard_at = self._clock.now()
+            self._fail_waiters()
+            self._stop_replicators()
+
+    def _become_leader(self) -> None:
+        self.role = Role.LEADER
+        self.leader = self._me
+        self._transferring = False
+        now = self._clock.now()
+        self._next_by_peer.clear()
+        self._match_by_peer.clear()
+        self._acked_by_peer = {m.id: now for m in self.config.members}
+        self._ready_index = self._append_local(_messages.EntryKind.NOOP, b"")
+        self._start_replicators()
+
+    def _fail_waiters(self) -> None:
+        for waiter in self._waiter_by_index.values():
+            if not waiter.done.done():
+                waiter.done.set_exception(
+                    wire.UnknownOutcomeError(
+                        "Leadership was lost before the change was known to "
+                        "be committed. Send it again with the same "
+                        "operation id.",
+                        retry_after_s=self._timing.election_s,
+                    )
+                )
+                # A waiter whose caller went away is nobody's to read.
+                waiter.done.exception()
+        self._waiter_by_index.clear()
+
+    # The log in memory.
+
+    def _append_local(self, kind: _messages.EntryKind, data: bytes) -> int:
+        entry = Entry(self.last_index + 1, self.term, kind, data)
+        self._add_entry(entry)
+        self._flush_wanted.set()
+        for wake in self._wake_by_peer.values():
+            wake.set()
+        return entry.index
+
+    def _add_entry(self, entry: Entry) -> None:
+        self._log.append(entry)
+        if entry.kind is _messages.EntryKind.CONFIG:
+            config = wire.decode(entry.data, Config)
+            self._configs.append((entry.index, config))
+            if self.role is Role.LEADER:
+                self._start_replicators()
+
+    async def _applied_at(self, index: int) -> object:
+        done = asyncio.get_running_loop().create_future()
+        self._waiter_by_index[index] = _Waiter(self.term, done)
+        return await done
+
+    def _entry_at(self, index: int) -> Entry:
+        return self._log[index - self._snapshot.index - 1]
+
+    def _term_at(self, index: int) -> int:
+        if index == self._snapshot.index:
+            return self._snapshot.term
+        return self._entry_at(index).term
+
+    def _matches(self, index: int, term: int) -> bool:
+        if index <= self._snapshot.index:
+            # A snapshot holds committed entries only, so they match.
+            return True
+        return index <= self.last_index and self._term_at(index) == term
+
+    async def _take_entries(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            if entry.index <= self._snapshot.index:
+                continue
+            if entry.index <= self.last_index:
+                if self._term_at(entry.index) == entry.term:
+                    continue
+                await self._cut_after(entry.index - 1)
+            self._add_entry(entry)
+
+    async def _cut_after(self, index: int) -> None:
+        del self._log[index - self._snapshot.index :]
+        self._configs = [(at, c) for at, c in self._configs if at <= index]
+        if self._on_disk > index:
+            try:
+                await self._storage.truncate_after(index)
+            except _disk.DiskError as error:
+                self._fail(error)
+                raise self.not_leader() from error
+            self._on_disk = index
+
+    # The disk.
+
+    async def _load(self) -> None:
+        identity = await self._storage.identity(self.name)
+        self._me = Member(identity.id, self.name, self._address)
+        loaded = await self._storage.load()
+        self._vote = loaded.vote
+        if loaded.meta is not None:
+            await self._restore(loaded.meta)
+        for entry in loaded.entries:
+            self._add_entry(entry)
+        self._on_disk = self.last_index
+        # A vote may have been refused just before the restart because a
+        # leader had been heard, so wait as if it had been heard now.
+        self._heard_at = self._clock.now()
+
+    async def _restore(self, meta: _messages.SnapshotMeta) -> None:
+        stored = await self._storage.read_snapshot()
+        assert stored is not None
+        self._machine.restore(meta.index, stored[1])
+        self._snapshot = meta
+        self._configs = [(meta.index, meta.config)]
+        self.commit = max(self.commit, meta.index)
+        self.applied = meta.index
+
+    async def _install(self, meta: _messages.SnapshotMeta) -> None:
+        self._incoming = None
+        if meta.index <= self.commit:
+            return
+        try:
+            await self._storage.finish_incoming(self._incoming_lines)
+            await self._restore(meta)
+            self._log.clear()
+            await self._storage.rewrite_log([])
+        except _disk.DiskError as error:
+            self._fail(error)
+            raise self.not_leader() from error
+        self._on_disk = meta.index
+        await self._steps.reach(wire.Step.SNAPSHOT, wire.Phase.AFTER)
+
+    async def _save_vote(self, vote: _messages.Vote) -> None:
+        try:
+            await self._storage.save_vote(vote)
+        except _disk.DiskError as error:
+            self._fail(error)
+            raise self.not_leader() from error
+        self._vote = vote
+
+    async def _flush(self) -> None:
+        while True:
+            await self._flush_wanted.wait()
+            self._flush_wanted.clear()
+            async with self._lock:
+                with contextlib.suppress(wire.ServingError):
+                    await self._flush_locked()
+            self._advance_commit()
+
+    async def _flush_locked(self) -> None:
+        last = self.last_index
+        if last == self._on_disk:
+            return
+        self._check_disk()
+        first = max(self._on_disk, self._snapshot.index) + 1
+        entries = [self._entry_at(i) for i in range(first, last + 1)]
+        try:
+            await self._steps.reach(wire.Step.APPEND, wire.Phase.BEFORE)
+            await self._storage.append(entries)
+            await self._steps.reach(wire.Step.SYNC, wire.Phase.BEFORE)
+            await self._storage.sync()
+            await self._steps.reach(wire.Step.SYNC, wire.Phase.AFTER)
+        except _disk.DiskError as error:
+            self._fail(error)
+            raise self.not_leader() from error
+        self._on_disk = last
+
+    def _fail(self, error: BaseException) -> None:
+        """Stop for good: what a failed sync left on disk is not known."""
+        self.error = error
+        self._become_follower(None)
+        self.role = Role.FAILED
+
+    # Replication.
+
+    def _start_replicators(self) -> None:
+        for peer in self.config.members:
+            if peer.id == self._me.id or peer.id in self._replicator_by_peer:
+                continue
+            self._acked_by_peer.setdefault(peer.id, self._clock.now())
+            self._wake_by_peer[peer.id] = asyncio.Event()
+            self._replicator_by_peer[peer.id] = asyncio.create_task(
+                self._replicate(peer, self.term)
+            )
+
+    def _stop_replicators(self) -> None:
+        for task in self._replicator_by_peer.values():
+            task.cancel()
+        self._replicator_by_peer.clear()
+        self._wake_by_peer.clear()
+
+    async def _replicate(self, peer: Member, term: int) -> None:
+        self._next_by_peer[peer.id] = self.last_index + 1
+        wake = self._wake_by_peer[peer.id]
+        while self.role is Role.LEADER and self.term == term:
+            if peer not in self.config.members:
+                self._replicator_by_peer.pop(peer.id, None)
+                return
+            wake.clear()
+            try:
+                more = await self._send_next(peer)
+            except (wire.ServingError, _disk.DiskError):
+                more = False
+            if not more:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(
+                        wake.wait(), self._timing.heartbeat_s
+                    )
+
+    async def _send_next(self, peer: Member) -> bool:
+        """Send what the peer needs next; True when there is more."""
+        following = self._next_by_peer[peer.id]
+        if following <= self._snapshot.index:
+            await self._send_snapshot(peer)
+            return True
+        last = min(self.last_index, following + MAX_BATCH - 1)
+        entries = tuple(self._entry_at(i) for i in range(following, last + 1))
+        request = _messages.AppendRequest(
+            peer.id,
+            self.term,
+            self._me,
+            following - 1,
+            self._term_at(following - 1),
+            entries,
+            self.commit,
+        )
+        sent_at = self._clock.now()
+        reply = await self._call(peer, _messages.APPEND, request)
+        if not await self._still_leading(reply, request.term):
+            return False
+        self._acked_by_peer[peer.id] = sent_at
+        if not reply.success:
+            back = min(following - 1, reply.last_index + 1)
+            self._next_by_peer[peer.id] = max(back, 1)
+            return True
+        match = max(self._match_by_peer.get(peer.id, 0), reply.last_index)
+        self._match_by_peer[peer.id] = match
+        self._next_by_peer[peer.id] = match + 1
+        await self._steps.reach(wire.Step.ACK, wire.Phase.AFTER)
+        self._advance_commit()
+        return match < self.last_index
+
+    async def _send_snapshot(self, peer: Member) -> None:
+        stored = await self._storage.read_snapshot()
+        assert stored is not None
+        meta, lines = stored
+        term = self.term
+        starts = range(0, max(len(lines), 1), SNAPSHOT_LINES)
+        for number, start in enumerate(starts):
+            piece = _messages.SnapshotPiece(
+                peer.id,
+                term,
+                self._me,
+                meta,
+                number,
+                tuple(lines[start : start + SNAPSHOT_LINES]),
+                start + SNAPSHOT_LINES >= len(lines),
+            )
+            sent_at = self._clock.now()
+            reply = await self._call(peer, _messages.SNAPSHOT, piece)
+            if not await self._still_leading(reply, term):
+                return
+            self._acked_by_peer[peer.id] = sent_at
+            if not reply.success:
+                raise wire.PeerLostError("The snapshot must start again.")
+        self._next_by_peer[peer.id] = meta.index + 1
+
+    async def _still_leading(
+        self, reply: _messages.AppendReply, term: int
+    ) -> bool:
+        if reply.term > self.term:
+            async with self._lock:
+                await self._adopt_term(reply.term)
+        return self.role is Role.LEADER and self.term == term
+
+    def _quorum_acked_at(self) -> float:
+        """Return when the latest call that a majority answered was sent."""
+        now = self._clock.now()
+        times = [
+            now if m.id == self._me.id else self._acked_by_peer.get(m.id, 0.0)
+            for m in self.config.voters
+        ]
+        if not times:
+            return 0.0
+        times.sort(reverse=True)
+        return times[self.config.majority - 1]
+
+    def _advance_commit(self) -> None:
+        if self.role is not Role.LEADER:
+            return
+        matches = [
+            (
+                self._on_disk
+                if m.id == self._me.id
+                else self._match_by_peer.get(m.id, 0)
+            )
+            for m in self.config.voters
+        ]
+        matches.sort(reverse=True)
+        index = matches[self.config.majority - 1]
+        if index > self.commit and self._term_at(index) == self.term:
+            self._move_commit(index)
+
+    def _move_commit(self, index: int) -> None:
+        if index > self.commit:
+            self.commit = index
+            self._commit_moved.set()
+
+    def _append_reply(self, success: bool) -> _messages.AppendReply:
+        return _messages.AppendReply(self.term, success, self.last_index)
+
+    # Applying and snapshots.
+
+    async def _apply(self) -> None:
+        while True:
+            await self._commit_moved.wait()
+            self._commit_moved.clear()
+            while self.applied < self.commit:
+                await self._steps.reach(wire.Step.APPLY, wire.Phase.BEFORE)
+                if self.applied < self.commit:
+                    self._apply_next()
+            await self._maybe_snapshot()
+
+    def _apply_next(self) -> None:
+        entry = self._entry_at(self.applied + 1)
+        result: object = None
+        if entry.kind is _messages.EntryKind.COMMAND:
+            result = self._machine.apply(entry.index, entry.data)
+        self.applied = entry.index
+        waiter = self._waiter_by_index.pop(entry.index, None)
+        if waiter is None or waiter.done.done():
+            return
+        if waiter.term == entry.term:
+            waiter.done.set_result(result)
+        else:
+            waiter.done.set_exception(self.not_leader())
+
+    async def _maybe_snapshot(self) -> None:
+        behind = self.applied - self._snapshot.index
+        if behind < self._timing.snapshot_entries or self._snapshotting:
+            return
+        self._snapshotting = True
+        try:
+            await self._take_snapshot()
+        except _disk.DiskError as error:
+            self._fail(error)
+        finally:
+            self._snapshotting = False
+
+    async def _take_snapshot(self) -> None:
+        index = self.applied
+        config = [c for at, c in self._configs if at <= index][-1]
+        meta = _messages.SnapshotMeta(index, self._term_at(index), config)
+        async with self._lock:
+            if self._incoming is not None or self.applied != index:
+                return
+            await self._steps.reach(wire.Step.SNAPSHOT, wire.Phase.BEFORE)
+            await self._storage.write_snapshot(meta, self._machine.snapshot())
+            kept = self._log[index - self._snapshot.index :]
+            await self._storage.rewrite_log(kept)
+            self._on_disk = kept[-1].index if kept else index
+            del self._log[: index - self._snapshot.index]
+            self._snapshot = meta
+            later = [(at, c) for at, c in self._configs if at > index]
+            self._configs = [(index, config), *later]
+
+    # Membership.
+
+    async def _join(self) -> None:
+        """Ask to be a voter for as long as this replica is none."""
+        while True:
+            await self._clock.sleep(JOIN_INTERVAL_S)
+            if self.config.has_voter(self._me.id):
+                continue
+            for seed in self._seeds:
+                if seed != self._address and await self._ask_to_join(seed):
+                    break
+
+    async def _ask_to_join(self, seed: str) -> bool:
+        request = _messages.JoinRequest(self._me)
+        try:
+            await self._transport.call(
+                seed, _messages.JOIN, request, self._timing.call_s
+            )
+        except wire.ServingError:
+            return False
+        return True
+
+    async def _bring_in(self, member: Member) -> None:
+        """Learner first, voter when caught up, then its old self out.
+
+        The old self goes last, so that every committed entry stays on at
+        least as many disks as before.
+        """
+        with contextlib.suppress(wire.ServingError):
+            await self._steps.reach(wire.Step.JOIN, wire.Phase.BEFORE)
+            await self._change(lambda config: _with_learner(config, member))
+            await self._wait_caught_up(member)
+            await self._change(lambda config: _with_voter(config, member))
+            await self._change(lambda config: _without_old(config, member))
+            await self._steps.reach(wire.Step.JOIN, wire.Phase.AFTER)
+
+    async def _wait_caught_up(self, member: Member) -> None:
+        while self._match_by_peer.get(member.id, 0) < self.commit:
+            if not self.is_leader:
+                raise self.not_leader()
+            await self._clock.sleep(self._timing.heartbeat_s / 4)
+
+    async def _change(
+        self, edit: collections.abc.Callable[[Config], Config]
+    ) -> None:
+        """Commit a configuration that differs by one member at most."""
+        while self._configs[-1][0] > self.commit and self.is_leader:
+            await self._clock.sleep(self._timing.heartbeat_s / 4)
+        if not self.holds_lease():
+            raise self.not_leader()
+        config = edit(self.config)
+        if config == self.config:
+            return
+        index = self._append_local(
+            _messages.EntryKind.CONFIG, wire.encode(config)
+        )
+        await self._applied_at(index)
+
+    async def _call(
+        self, peer: Member, call: wire.Call, request: object
+    ) -> typing.Any:
+        return await self._transport.call(
+            peer.address, call, request, self._timing.call_s
+        )
+
+
+def _with_learner(config: Config, member: Member) -> Config:
+    if any(m.id == member.id for m in config.members):
+        return config
+    learners = tuple(m for m in config.learners if m.name != member.name)
+    return Config(config.voters, learners + (member,))
+
+
+def _with_voter(config: Config, member: Member) -> Config:
+    if config.has_voter(member.id):
+        return config
+    learners = tuple(m for m in config.learners if m.id != member.id)
+    return Config(config.voters + (member,), learners)
+
+
+def _without_old(config: Config, member: Member) -> Config:
+    voters = tuple(
+        m for m in config.voters if m.name != member.name or m.id == member.id
+    )
+    return Config(voters, config.learners)
--- /dev/null
+++ b/libs/quorum/src/bergamotsail/quorum/_storage.py
@@ -0,0 +1,265 @@
+"""Log, vote and snapshot of one replica on its disk.
+
+A file is a run of records: length, CRC-32C and a JSON payload. A record
+that is cut short or fails its checksum at the end of the log was never
+acknowledged and is cut off. The same in the middle of the log is damage,
+and the replica refuses to start on it.
+"""
+
+import collections.abc
+import dataclasses
+import struct
+import uuid
+
+import google_crc32c
+
+from bergamotsail import wire
+from bergamotsail.quorum import _disk
+from bergamotsail.quorum import _messages
+
+LOG = "log"
+VOTE = "vote"
+SNAPSHOT = "snapshot"
+INCOMING = "snapshot.incoming"
+IDENTITY = "identity"
+
+_HEADER = struct.Struct("<II")
+_WRITE_BYTES = 256 * 1024
+
+
+class CorruptLogError(wire.ServingError):
+    """Damage in the middle of a synced file."""
+
+    code = "corrupt_log"
+    status = 503
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """The replica id that belongs to this data folder."""
+
+    id: str
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotEnd:
+    """The last record of a snapshot file: how many lines precede it."""
+
+    lines: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loaded:
+    """What a replica finds on its disk at start."""
+
+    vote: _messages.Vote
+    meta: _messages.SnapshotMeta | None
+    entries: list[_messages.Entry]
+
+
+def pack(payload: bytes) -> bytes:
+    """Return a record around the payload."""
+    return _HEADER.pack(len(payload), google_crc32c.value(payload)) + payload
+
+
+def unpack(
+    data: bytes, offset: int = 0
+) -> collections.abc.Iterator[tuple[int, bytes]]:
+    """Yield (end offset, payload) of each whole record, up to a bad one."""
+    while (payload := _record_at(data, offset)) is not None:
+        offset += _HEADER.size + len(payload)
+        yield offset, payload
+
+
+def _record_at(data: bytes, offset: int) -> bytes | None:
+    if offset + _HEADER.size > len(data):
+        return None
+    length, checksum = _HEADER.unpack_from(data, offset)
+    start = offset + _HEADER.size
+    payload = data[start : start + length]
+    if length == 0 or len(payload) < length:
+        return None
+    return payload if google_crc32c.value(payload) == checksum else None
+
+
+def _damaged_inside(data: bytes, offset: int) -> bool:
+    """Whether whole records follow the bad one at *offset*."""
+    if offset + _HEADER.size > len(data):
+        return False
+    length, _ = _HEADER.unpack_from(data, offset)
+    following = offset + _HEADER.size + length
+    return _record_at(data, following) is not None
+
+
+class Storage:
+    """The durable state of one replica.
+
+    Entries are appended and synced in one go by ``append``. All methods
+    are called one at a time by the node.
+    """
+
+    def __init__(self, disk: _disk.Disk) -> None:
+        self._disk = disk
+        self._end_by_index: dict[int, int] = {}
+        self._size = 0
+
+    async def identity(self, name: str) -> Identity:
+        """Return this folder's replica id, made when it is blank."""
+        data = await self._disk.read(IDENTITY)
+        if data is not None:
+            return wire.decode(data, Identity)
+        identity = Identity(f"{name}.{uuid.uuid4().hex[:8]}", name)
+        await self._disk.replace(IDENTITY, wire.encode(identity))
+        return identity
+
+    async def load(self) -> Loaded:
+        """Read all, and cut off a torn tail.
+
+        Raises:
+            CorruptLogError: a record in the middle is damaged.
+        """
+        vote_data = await self._disk.read(VOTE)
+        vote = _messages.Vote()
+        if vote_data is not None:
+            vote = wire.decode(vote_data, _messages.Vote)
+        meta = await self._load_meta()
+        entries = await self._load_log()
+        if meta is not None:
+            entries = [entry for entry in entries if entry.index > meta.index]
+        return Loaded(vote, meta, entries)
+
+    async def _load_meta(self) -> _messages.SnapshotMeta | None:
+        records = await self._snapshot_records(SNAPSHOT)
+        if records is None:
+            return None
+        return wire.decode(records[0], _messages.SnapshotMeta)
+
+    async def _load_log(self) -> list[_messages.Entry]:
+        data = await self._disk.read(LOG) or b""
+        entries = []
+        self._end_by_index.clear()
+        self._size = 0
+        for end, payload in unpack(data):
+            entry = wire.decode(payload, _messages.Entry)
+            entries.append(entry)
+            self._end_by_index[entry.index] = end
+            self._size = end
+        if self._size < len(data):
+            if _damaged_inside(data, self._size):
+                raise CorruptLogError(
+                    f"The log is damaged at byte {self._size}. Remove the "
+                    "data folder; the replica then joins anew."
+                )
+            await self._disk.truncate(LOG, self._size)
+        return entries
+
+    async def save_vote(self, vote: _messages.Vote) -> None:
+        """Make term and vote last."""
+        await self._disk.replace(VOTE, wire.encode(vote))
+
+    async def append(
+        self, entries: collections.abc.Sequence[_messages.Entry]
+    ) -> None:
+        """Append entries; they last only after ``sync``."""
+        records = [pack(wire.encode(entry)) for entry in entries]
+        await self._disk.append(LOG, b"".join(records))
+        for entry, record in zip(entries, records):
+            self._size += len(record)
+            self._end_by_index[entry.index] = self._size
+
+    async def sync(self) -> None:
+        """Make all appended entries last."""
+        await self._disk.sync(LOG)
+
+    async def truncate_after(self, index: int) -> None:
+        """Remove all entries after *index*."""
+        size = self._end_by_index.get(index, 0)
+        await self._disk.truncate(LOG, size)
+        self._size = size
+        self._end_by_index = {
+            at: end for at, end in self._end_by_index.items() if at <= index
+        }
+
+    async def rewrite_log(
+        self, entries: collections.abc.Sequence[_messages.Entry]
+    ) -> None:
+        """Replace the whole log by these entries."""
+        records = [pack(wire.encode(entry)) for entry in entries]
+        await self._disk.replace(LOG, b"".join(records))
+        self._size = 0
+        self._end_by_index.clear()
+        for entry, record in zip(entries, records):
+            self._size += len(record)
+            self._end_by_index[entry.index] = self._size
+
+    async def write_snapshot(
+        self,
+        meta: _messages.SnapshotMeta,
+        lines: collections.abc.Iterator[bytes],
+    ) -> None:
+        """Write a snapshot and put it in force."""
+        await self.begin_incoming(meta)
+        count = 0
+        batch: list[bytes] = []
+        size = 0
+        for line in lines:
+            batch.append(line)
+            size += len(line)
+            count += 1
+            if size >= _WRITE_BYTES:
+                await self.add_incoming(batch)
+                batch, size = [], 0
+        await self.add_incoming(batch)
+        await self.finish_incoming(count)
+
+    async def begin_incoming(self, meta: _messages.SnapshotMeta) -> None:
+        """Start a snapshot beside the one in force."""
+        await self._disk.remove(INCOMING)
+        await self._disk.append(INCOMING, pack(wire.encode(meta)))
+
+    async def add_incoming(
+        self, lines: collections.abc.Sequence[bytes]
+    ) -> None:
+        """Add lines to the started snapshot."""
+        data = b"".join(pack(line) for line in lines)
+        await self._disk.append(INCOMING, data)
+
+    async def finish_incoming(self, count: int) -> None:
+        """Sync the started snapshot and put it in force."""
+        end = pack(wire.encode(SnapshotEnd(count)))
+        await self._disk.append(INCOMING, end)
+        await self._disk.sync(INCOMING)
+        await self._disk.rename(INCOMING, SNAPSHOT)
+
+    async def read_snapshot(
+        self,
+    ) -> tuple[_messages.SnapshotMeta, list[bytes]] | None:
+        """Return the snapshot in force, or None."""
+        records = await self._snapshot_records(SNAPSHOT)
+        if records is None:
+            return None
+        meta = wire.decode(records[0], _messages.SnapshotMeta)
+        return meta, records[1:-1]
+
+    async def _snapshot_records(self, name: str) -> list[bytes] | None:
+        data = await self._disk.read(name)
+        if data is None:
+            return None
+        records = [payload for _, payload in unpack(data)]
+        if len(records) < 2:
+            raise _corrupt_snapshot()
+        try:
+            end = wire.decode(records[-1], SnapshotEnd)
+        except wire.BadMessageError as error:
+            raise _corrupt_snapshot() from error
+        if end.lines != len(records) - 2:
+            raise _corrupt_snapshot()
+        return records
+
+
+def _corrupt_snapshot() -> CorruptLogError:
+    return CorruptLogError(
+        "The snapshot is damaged. Remove the data folder; the replica then "
+        "joins anew."
+    )
--- /dev/null
+++ b/libs/routing/src/bergamotsail/routing/_admission.py
@@ -0,0 +1,304 @@
+"""Admission within limits that hold over all entry instances together.
+
+The leader gives each daemon a share of each limit. A request takes a unit
+of every share that applies to it; when one is used up it waits its turn,
+while the session asks the leader for more.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+
+from bergamotsail import catalogue
+from bergamotsail import wire
+
+MILLI = 1000
+BURST_S = 1.0
+WANTED_KEPT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Bounds of one daemon's admission.
+
+    Args:
+        max_waiting: requests of one member that may wait for a share.
+        max_active: requests of all members in this daemon.
+        max_wait_s: the longest that a request waits for a share.
+    """
+
+    max_waiting: int = 200
+    max_active: int = 2000
+    max_wait_s: float = 10.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiting:
+    keys: tuple[str, ...]
+    ready: asyncio.Future
+
+
+class _Concurrency:
+    """A share of a concurrency limit."""
+
+    def __init__(self) -> None:
+        self.share = 0
+        self.used = 0
+        self.wanted = 0
+        self.wanted_at = float("-inf")
+
+    def want(self, amount: int, now: float) -> None:
+        """Remember the peak of what was wanted lately."""
+        if amount >= self.wanted or now - self.wanted_at > WANTED_KEPT_S:
+            self.wanted = amount
+            self.wanted_at = now
+
+    def can_take(self, now: float) -> bool:
+        return self.used < self.share
+
+    def take(self, now: float) -> None:
+        self.used += 1
+
+    def give_back(self) -> None:
+        self.used -= 1
+
+    def held(self) -> int:
+        return max(self.share, self.used)
+
+    def set_share(self, share: int, now: float) -> None:
+        self.share = share
+
+
+class _Rate:
+    """A share of a rate limit, as a token bucket that starts empty.
+
+    A bucket that started full would let a limit be passed by moving the
+    share from daemon to daemon.
+    """
+
+    def __init__(self) -> None:
+        self.share = 0
+        self.wanted = 0
+        self.wanted_at = float("-inf")
+        self._tokens = 0.0
+        self._at = 0.0
+
+    def want(self, amount: int, now: float) -> None:
+        self.wanted = max(amount, self.wanted)
+        self.wanted_at = now
+
+    def can_take(self, now: float) -> bool:
+        self._fill(now)
+        return self._tokens >= 1.0
+
+    def take(self, now: float) -> None:
+        self._tokens -= 1.0
+
+    def give_back(self) -> None:
+        return None
+
+    def held(self) -> int:
+        return self.share
+
+    def set_share(self, share: int, now: float) -> None:
+        self._fill(now)
+        self.share = share
+        if share == 0:
+            self._tokens = 0.0
+
+    def _fill(self, now: float) -> None:
+        rate = self.share / MILLI
+        filled = self._tokens + rate * (now - self._at)
+        self._tokens = min(filled, max(1.0, rate * BURST_S))
+        self._at = now
+
+
+class Admission:
+    """Admits requests of this daemon.
+
+    Args:
+        view: gives the catalogue as it stands.
+        kick: asks for a heartbeat soon.
+    """
+
+    def __init__(
+        self,
+        view: collections.abc.Callable[[], catalogue.View],
+        kick: collections.abc.Callable[[], None],
+        settings: AdmissionSettings,
+        clock: wire.Clock = wire.LoopClock(),
+    ) -> None:
+        self._view = view
+        self._kick = kick
+        self._settings = settings
+        self._clock = clock
+        self._share_by_key: dict[str, _Concurrency | _Rate] = {}
+        self._waiting_by_member: dict[str, list[_Waiting]] = (
+            collections.defaultdict(list)
+        )
+        self.active = 0
+
+    @contextlib.asynccontextmanager
+    async def enter(
+        self,
+        member: str,
+        kind: catalogue.Kind,
+        entry_id: str,
+        left_s: float,
+    ) -> collections.abc.AsyncIterator[None]:
+        """Hold a unit of each limit that applies, while inside.
+
+        Raises:
+            LimitError: the limit is reached and the wait is over.
+            OverloadError: too many requests wait or are active.
+        """
+        if self.active >= self._settings.max_active:
+            raise wire.OverloadError(
+                "This instance is full. Use another address.",
+                retry_after_s=1.0,
+            )
+        keys = self._keys(member, kind, entry_id)
+        self.active += 1
+        try:
+            await self._take(member, keys, left_s)
+            try:
+                yield
+            finally:
+                for key in keys:
+                    self._share_by_key[key].give_back()
+                self._start_waiting()
+        finally:
+            self.active -= 1
+
+    def held_by_key(self) -> dict[str, int]:
+        """Return the shares held."""
+        return {key: share.held() for key, share in self._share_by_key.items()}
+
+    def wanted_by_key(self) -> dict[str, int]:
+        """Return the shares that could be used."""
+        now = self._clock.now()
+        wanted = {}
+        for key, share in list(self._share_by_key.items()):
+            if now - share.wanted_at <= WANTED_KEPT_S:
+                wanted[key] = share.wanted
+            elif share.held() == 0:
+                del self._share_by_key[key]
+        return wanted
+
+    def take_shares(self, share_by_key: dict[str, int]) -> None:
+        """Use these shares from now on, and start what they allow."""
+        now = self._clock.now()
+        for key, amount in share_by_key.items():
+            if key in self._share_by_key:
+                self._share_by_key[key].set_share(amount, now)
+        self._start_waiting()
+
+    def _keys(
+        self, member: str, kind: catalogue.Kind, entry_id: str
+    ) -> tuple[str, ...]:
+        """Return the keys of the limits that apply."""
+        view = self._view()
+        found = []
+        subjects = (
+            (catalogue.Kind.MEMBER, member),
+            (kind, entry_id),
+        )
+        for subject_kind, subject_id in subjects:
+            entry = view.by_kind[subject_kind].get(subject_id)
+            if entry is None:
+                continue
+            limits = entry.value.limits
+            if limits.concurrency is not None:
+                found.append(f"concurrency/{subject_kind}/{subject_id}")
+            if limits.rate is not None:
+                found.append(f"rate/{subject_kind}/{subject_id}")
+        return tuple(found)
+
+    async def _take(
+        self, member: str, keys: tuple[str, ...], left_s: float
+    ) -> None:
+        for key in keys:
+            self._share(key)
+        queue = self._waiting_by_member[member]
+        if not queue and self._try_take(keys):
+            self._note_wanted(keys)
+            return
+        if len(queue) >= self._settings.max_waiting:
+            raise self._at_limit(member)
+        ready = asyncio.get_running_loop().create_future()
+        waiting = _Waiting(keys, ready)
+        queue.append(waiting)
+        self._note_wanted(keys)
+        self._kick()
+        wait_s = min(left_s, self._settings.max_wait_s)
+        ticking = asyncio.create_task(self._tick(ready))
+        try:
+            async with asyncio.timeout(wait_s):
+                await ready
+        except TimeoutError:
+            raise self._at_limit(member) from None
+        except asyncio.CancelledError:
+            self._undo_if_taken(waiting)
+            raise
+        finally:
+            ticking.cancel()
+            if waiting in queue:
+                queue.remove(waiting)
+
+    def _undo_if_taken(self, waiting: _Waiting) -> None:
+        ready = waiting.ready
+        if ready.done() and not ready.cancelled():
+            for key in waiting.keys:
+                self._share_by_key[key].give_back()
+
+    async def _tick(self, ready: asyncio.Future) -> None:
+        """Look again as rate tokens arrive."""
+        while not ready.done():
+            await self._clock.sleep(0.02)
+            self._start_waiting()
+
+    def _at_limit(self, member: str) -> wire.LimitError:
+        return wire.LimitError(
+            f"Member {member} is at its limit. Try again later.",
+            retry_after_s=1.0,
+        )
+
+    def _share(self, key: str) -> "_Concurrency | _Rate":
+        if key not in self._share_by_key:
+            is_rate = key.startswith("rate/")
+            self._share_by_key[key] = _Rate() if is_rate else _Concurrency()
+        return self._share_by_key[key]
+
+    def _try_take(self, keys: tuple[str, ...]) -> bool:
+        now = self._clock.now()
+        shares = [self._share(key) for key in keys]
+        if not all(share.can_take(now) for share in shares):
+            return False
+        for share in shares:
+            share.take(now)
+        return True
+
+    def _note_wanted(self, keys: tuple[str, ...]) -> None:
+        now = self._clock.now()
+        for key in keys:
+            share = self._share(key)
+            waiting = sum(
+                key in waiting.keys
+                for queue in self._waiting_by_member.values()
+                for waiting in queue
+            )
+            if isinstance(share, _Rate):
+                share.want(MILLI * max(1, waiting), now)
+            else:
+                share.want(share.used + waiting, now)
+
+    def _start_waiting(self) -> None:
+        for queue in self._waiting_by_member.values():
+            for waiting in list(queue):
+                if waiting.ready.done():
+                    queue.remove(waiting)
+                elif self._try_take(waiting.keys):
+                    queue.remove(waiting)
+                    waiting.ready.set_result(None)
