--- /dev/null
+++ b/libs/routing/src/bergamotsail/routing/_entry.py
@@ -0,0 +1,491 @@
+"""Model requests: resolve, admit, route, stream, retry, refuse."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import uuid
+import zlib
+
+from bergamotsail import catalogue
+from bergamotsail import control
+from bergamotsail import observe
+from bergamotsail import placement
+from bergamotsail import targets
+from bergamotsail import wire
+from bergamotsail.routing import _admission
+from bergamotsail.routing import _choice
+from bergamotsail.routing import _retries
+
+MAX_ATTEMPTS = 4
+RETRY_PAUSE_S = 0.1
+RESUME_FOR_S = 8.0
+PREFIX_CHARS = 64
+SEPARATOR = "~"
+CANCEL_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """An authenticated caller."""
+
+    member: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumePoint:
+    """Where a broken stream stood, as its event ids tell."""
+
+    target: str
+    incarnation: str
+    adapter: str
+    stream_id: str
+    number: int
+
+    def token(self) -> str:
+        """Return the event id."""
+        return SEPARATOR.join(
+            (
+                self.target,
+                self.incarnation,
+                self.adapter,
+                self.stream_id,
+                str(self.number),
+            )
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completion:
+    """What a caller asks.
+
+    Args:
+        model: adapter name, or ``adapter@version``.
+        deadline_s: seconds that the caller waits at most.
+        resume: a broken stream to go on with.
+    """
+
+    request: str
+    model: str
+    prompt: targets.Prompt
+    deadline_s: float
+    entry_class: str | None = None
+    resume: ResumePoint | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """A part of the answer on its way to the caller."""
+
+    text: str
+    adapter: str
+    resume: ResumePoint
+    end: bool
+
+
+def parse_resume(token: str, member: str) -> ResumePoint:
+    """Read an event id that a caller sent back.
+
+    Raises:
+        BadRequestError: it is malformed or names another member's stream.
+    """
+    fields = token.split(SEPARATOR)
+    owner = fields[3].rpartition(":")[0] if len(fields) == 5 else ""
+    if len(fields) != 5 or owner != member or not fields[4].isdigit():
+        raise wire.BadRequestError(
+            "Send as Last-Event-ID the id of the last event that you got."
+        )
+    return ResumePoint(*fields[:4], int(fields[4]))
+
+
+class Entry:
+    """Serves model requests on this daemon."""
+
+    def __init__(
+        self,
+        session: control.Session,
+        admission: _admission.Admission,
+        owners: placement.Owners,
+        transport: wire.PeerTransport,
+        routing: _choice.Routing,
+        metrics: observe.Metrics,
+        clock: wire.Clock = wire.LoopClock(),
+    ) -> None:
+        self._session = session
+        self._admission = admission
+        self._owners = owners
+        self._transport = transport
+        self._routing = routing
+        self._metrics = metrics
+        self._clock = clock
+        self._budgets = _retries.RetryBudgets(self._retry_part)
+
+    async def complete(
+        self, caller: Caller, completion: Completion
+    ) -> collections.abc.AsyncIterator[Part]:
+        """Answer a request in parts; the last one has ``end`` set.
+
+        Raises:
+            ServingError: typed, with whether it ran and when to come back.
+        """
+        self._session.check_fresh()
+        adapter = self.resolve(caller, completion.model)
+        entry = self._session.view.adapter_by_id[adapter.partition("@")[0]]
+        deadline = self._clock.now() + completion.deadline_s
+        started_at = self._clock.now()
+        entered = self._admission.enter(
+            caller.member,
+            catalogue.Kind.ADAPTER,
+            entry.id,
+            completion.deadline_s,
+        )
+        async with entered:
+            self._budgets.first_try(caller.member)
+            attempt = _Attempt(
+                caller,
+                completion,
+                adapter,
+                completion.entry_class or str(entry.value.entry_class),
+                deadline,
+            )
+            parts = self._answer(attempt)
+            last_at = started_at
+            try:
+                async for part in parts:
+                    last_at = self._record(part, attempt, started_at, last_at)
+                    yield part
+            finally:
+                await parts.aclose()
+
+    def resolve(self, caller: Caller, model: str) -> str:
+        """Return ``adapter@version`` for a model that the caller may use.
+
+        Raises:
+            NotFoundError: unknown, or another member's.
+        """
+        name, version = targets.split_name(model)
+        entry = self._session.view.adapter_by_id.get(name)
+        allowed = entry is not None and caller.member in (
+            entry.value.owner,
+            *entry.value.callers,
+        )
+        if not allowed:
+            raise wire.NotFoundError(
+                f"There is no adapter {name!r} for {caller.member}. Check "
+                "the name, or ask its owner for access."
+            )
+        version = version or entry.value.default_version
+        if version not in entry.value.versions:
+            raise wire.NotFoundError(
+                f"Adapter {name!r} has no version {version!r}. It has "
+                f"{', '.join(sorted(entry.value.versions))}."
+            )
+        return targets.versioned_name(name, version)
+
+    def _record(
+        self,
+        part: Part,
+        attempt: "_Attempt",
+        started_at: float,
+        last_at: float,
+    ) -> float:
+        now = self._clock.now()
+        labels = {
+            "member": attempt.caller.member,
+            "entry_class": attempt.entry_class,
+        }
+        if part.resume.number == 0:
+            self._metrics.record_s(
+                "time_to_first_token", now - started_at, **labels
+            )
+        else:
+            self._metrics.record_s("token_gap", now - last_at, **labels)
+        return now
+
+    def _retry_part(self, member: str) -> float:
+        entry = self._session.view.member_by_id.get(member)
+        return entry.value.retry_budget if entry is not None else 0.0
+
+    async def _answer(
+        self, attempt: "_Attempt"
+    ) -> collections.abc.AsyncIterator[Part]:
+        """Try targets until one answers; then hold on to its stream."""
+        completion = attempt.completion
+        if completion.resume is not None:
+            attempt.point = completion.resume
+            attempt.stream_id = completion.resume.stream_id
+        tried: set[str] = set()
+        number = 0
+        while True:
+            number += 1
+            try:
+                async with contextlib.aclosing(
+                    self._attempt(attempt, tried)
+                ) as parts:
+                    async for part in parts:
+                        yield part
+                return
+            except wire.ServingError as error:
+                await self._pause_or_raise(attempt, number, error)
+
+    async def _pause_or_raise(
+        self, attempt: "_Attempt", number: int, error: wire.ServingError
+    ) -> None:
+        """Return when another try is due; raise the final answer if not."""
+        now = self._clock.now()
+        if attempt.broken_since is None:
+            attempt.broken_since = now
+        if attempt.point is not None:
+            over = now - attempt.broken_since > RESUME_FOR_S
+        else:
+            over = number >= MAX_ATTEMPTS
+        final = over or not _worth_retrying(error, attempt)
+        if final or now + RETRY_PAUSE_S >= attempt.deadline:
+            raise self._final(error, attempt)
+        if not self._budgets.spend(attempt.caller.member):
+            self._metrics.count("retry_budget_spent")
+            raise self._final(error, attempt)
+        self._metrics.count("retries", code=error.code)
+        self._decide("Retry", attempt, "-", error.code)
+        if attempt.point is None:
+            attempt.new_stream()
+        await self._clock.sleep(RETRY_PAUSE_S * number)
+        self._session.check_fresh()
+
+    def _final(
+        self, error: wire.ServingError, attempt: "_Attempt"
+    ) -> wire.ServingError:
+        """Type the final answer: once a part went out it is not whole."""
+        self._metrics.count("refusals", code=error.code)
+        self._decide("Refuse", attempt, "-", error.code)
+        if attempt.point is None:
+            return error
+        return wire.TruncatedError(
+            f"The answer broke off and could not be resumed ({error.code}). "
+            "Send the request again.",
+            retry_after_s=error.retry_after_s or 1.0,
+            ran=wire.Ran.FAILED,
+        )
+
+    async def _attempt(
+        self, attempt: "_Attempt", tried: set[str]
+    ) -> collections.abc.AsyncIterator[Part]:
+        target, owner = self._route(attempt, tried)
+        tried.add(target)
+        point = attempt.point
+        request = placement.RunRequest(
+            attempt.completion.request,
+            attempt.stream_id,
+            target,
+            attempt.adapter if point is None else point.adapter,
+            attempt.caller.member,
+            attempt.entry_class,
+            attempt.completion.prompt,
+            max(0.0, attempt.deadline - self._clock.now()),
+            None if point is None else point.number,
+            None if point is None else point.incarnation,
+        )
+        ended = False
+        closed_by_caller = True
+        chunks = self._run(owner, request)
+        try:
+            async for chunk in chunks:
+                part = self._part(attempt, request, chunk)
+                if part is None:
+                    continue
+                ended = part.end
+                yield part
+            closed_by_caller = False
+        except Exception:
+            closed_by_caller = False
+            raise
+        finally:
+            if closed_by_caller and not ended:
+                self._cancel(owner, request)
+            await chunks.aclose()
+        if not ended:
+            raise wire.TruncatedError("The answer has no end mark.")
+
+    def _part(
+        self,
+        attempt: "_Attempt",
+        request: placement.RunRequest,
+        chunk: targets.Chunk,
+    ) -> Part | None:
+        """Check a chunk against the request; None drops a repeated one."""
+        held = -1 if attempt.point is None else attempt.point.number
+        strange = (
+            chunk.stream_id != request.stream_id
+            or chunk.adapter != request.adapter
+        )
+        if strange or chunk.number <= held:
+            self._metrics.count("chunks_dropped", reason="late")
+            return None
+        if chunk.number != held + 1:
+            raise wire.TruncatedError(f"Chunk {held + 1} is missing.")
+        attempt.broken_since = None
+        attempt.point = ResumePoint(
+            request.target,
+            chunk.incarnation,
+            chunk.adapter,
+            chunk.stream_id,
+            chunk.number,
+        )
+        return Part(chunk.text, chunk.adapter, attempt.point, chunk.end)
+
+    def _route(
+        self, attempt: "_Attempt", tried: set[str]
+    ) -> tuple[str, control.DaemonInfo]:
+        """Choose a target and find its owner."""
+        if attempt.point is not None:
+            target = attempt.point.target
+            self._decide("Resume", attempt, target, "stream is there")
+            return target, self._owner_of(target)
+        usable = self._usable_targets(attempt)
+        fresh = [target for target in usable if target.id not in tried]
+        prefix = zlib.crc32(
+            attempt.completion.prompt.text[:PREFIX_CHARS].encode()
+        )
+        choice = self._routing.choose(
+            attempt.adapter, fresh or usable, prefix, self._clock.now()
+        )
+        self._decide("Send", attempt, choice.target.id, choice.reason)
+        return choice.target.id, self._owner_of(choice.target.id)
+
+    def _usable_targets(self, attempt: "_Attempt") -> list[control.TargetInfo]:
+        name, version = targets.split_name(attempt.adapter)
+        view = self._session.view
+        entry = view.adapter_by_id.get(name)
+        if entry is None or version not in entry.value.versions:
+            raise wire.WithdrawnError(
+                f"{attempt.adapter} was withdrawn while the request waited."
+            )
+        owned = view.ownership_by_target
+        usable = [
+            target
+            for target in self._session.digest.target_by_id.values()
+            if target.pool == entry.value.pool
+            and not target.leaving
+            and target.id in owned
+            and owned[target.id].owner is not None
+        ]
+        reachable = [
+            target
+            for target in usable
+            if target.status is None or target.status.reachable
+        ]
+        if not usable:
+            raise wire.OverloadError(
+                f"No engine of pool {entry.value.pool} takes work now.",
+                retry_after_s=1.0,
+            )
+        return reachable or usable
+
+    def _owner_of(self, target: str) -> control.DaemonInfo:
+        ownership = self._session.view.ownership_by_target.get(target)
+        owner = None
+        if ownership is not None and ownership.owner is not None:
+            owner = self._session.digest.daemon_by_boot.get(ownership.owner)
+        if owner is None:
+            raise wire.NotOwnerError(
+                f"Target {target} has no owner at the moment.",
+                retry_after_s=1.0,
+            )
+        return owner
+
+    def _run(
+        self, owner: control.DaemonInfo, request: placement.RunRequest
+    ) -> collections.abc.AsyncIterator[targets.Chunk]:
+        if owner.boot == self._session.boot:
+            return self._owners.run(request)
+        return self._transport.stream(
+            owner.address,
+            placement.RUN,
+            request,
+            request.left_s + RESUME_FOR_S,
+        )
+
+    def _cancel(
+        self, owner: control.DaemonInfo, request: placement.RunRequest
+    ) -> None:
+        """Tell the owner that the caller went away."""
+        self._metrics.count("cancelled_by_caller")
+        cancel = placement.CancelRequest(request.target, request.stream_id)
+        task = asyncio.create_task(self._send_cancel(owner, cancel))
+        _background.add(task)
+        task.add_done_callback(_background.discard)
+
+    async def _send_cancel(
+        self, owner: control.DaemonInfo, cancel: placement.CancelRequest
+    ) -> None:
+        with contextlib.suppress(wire.ServingError):
+            if owner.boot == self._session.boot:
+                await self._owners.on_cancel(cancel)
+            else:
+                await self._transport.call(
+                    owner.address, placement.CANCEL, cancel, CANCEL_TIMEOUT_S
+                )
+
+    def _decide(
+        self, what: str, attempt: "_Attempt", target: str, reason: str
+    ) -> None:
+        observe.log_decision(
+            observe.Decision(
+                "route",
+                what,
+                reason,
+                attempt.completion.request,
+                attempt.adapter,
+                target,
+            )
+        )
+
+
+_background: set[asyncio.Task] = set()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Attempt:
+    """A request on its way, over all its tries.
+
+    Args:
+        point: the last part that went to the caller, if any.
+    """
+
+    caller: Caller
+    completion: Completion
+    adapter: str
+    entry_class: str
+    deadline: float
+    stream_id: str = ""
+    point: ResumePoint | None = None
+    broken_since: float | None = None
+
+    def __post_init__(self) -> None:
+        self.new_stream()
+
+    def new_stream(self) -> None:
+        """Take a stream id that no other attempt or member has."""
+        self.stream_id = f"{self.caller.member}:{uuid.uuid4().hex}"
+
+
+def _worth_retrying(error: wire.ServingError, attempt: _Attempt) -> bool:
+    """Whether another target, or the same one later, may answer.
+
+    Model requests are idempotent, so an unknown outcome is run again as
+    long as nothing went to the caller.
+    """
+    final = (
+        wire.BadRequestError,
+        wire.BadMessageError,
+        wire.NotFoundError,
+        wire.WithdrawnError,
+        wire.DeadlineError,
+        wire.TooLargeError,
+        wire.CutOffError,
+    )
+    if isinstance(error, final):
+        return False
+    if attempt.point is not None:
+        return not isinstance(error, wire.EngineError | wire.WrongAdapterError)
+    return True
--- /dev/null
+++ b/libs/routing/src/bergamotsail/routing/_keys.py
@@ -0,0 +1,47 @@
+"""Idempotency keys that name their own time.
+
+The system forgets claims after a while. To refuse a key whose claim it may
+have forgotten, it must see from the key how old it is. So a key is either
+a UUID of version 7, or ``UNIX_SECONDS-ANYTHING``.
+"""
+
+import uuid
+
+from bergamotsail import wire
+
+LONGEST = 200
+_MS = 1000
+
+
+def key_time_ms(key: str) -> int:
+    """Return the time that a key names, in milliseconds since 1970.
+
+    Example: ``key_time_ms("1767225600-pickup-17")`` gives
+    ``1767225600000``.
+
+    Raises:
+        IdempotencyKeyError: the key is missing or names no time.
+    """
+    if not key or len(key) > LONGEST:
+        raise _bad_key()
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return _prefix_ms(key)
+    if parsed.version != 7:
+        raise _bad_key()
+    return parsed.int >> 80
+
+
+def _prefix_ms(key: str) -> int:
+    seconds, dash, rest = key.partition("-")
+    if not (dash and rest and seconds.isascii() and seconds.isdigit()):
+        raise _bad_key()
+    return int(seconds) * _MS
+
+
+def _bad_key() -> wire.IdempotencyKeyError:
+    return wire.IdempotencyKeyError(
+        "Send an Idempotency-Key that is a UUID of version 7 or reads "
+        "UNIX_SECONDS-ANYTHING, of at most 200 characters."
+    )
--- /dev/null
+++ b/libs/routing/src/bergamotsail/routing/_retries.py
@@ -0,0 +1,32 @@
+"""Retry budgets, so that retries never multiply an overload."""
+
+import collections.abc
+
+CAP = 10.0
+
+
+class RetryBudgets:
+    """A budget for each member.
+
+    Every first try adds a part of a retry, up to a cap; every retry spends
+    a whole one. So retries are at most that part of the traffic.
+    """
+
+    def __init__(
+        self, part_of: collections.abc.Callable[[str], float]
+    ) -> None:
+        self._part_of = part_of
+        self._left_by_member: dict[str, float] = {}
+
+    def first_try(self, member: str) -> None:
+        """Count a first try."""
+        left = self._left_by_member.get(member, CAP)
+        self._left_by_member[member] = min(CAP, left + self._part_of(member))
+
+    def spend(self, member: str) -> bool:
+        """Take one retry; False when the budget is spent."""
+        left = self._left_by_member.get(member, CAP)
+        if left < 1.0:
+            return False
+        self._left_by_member[member] = left - 1.0
+        return True
--- /dev/null
+++ b/libs/routing/src/bergamotsail/routing/_services.py
@@ -0,0 +1,484 @@
+"""Calls of plain services, of which some may not be repeated.
+
+A call that may not be repeated first takes its idempotency key, by a
+write-once claim that a majority of replicas has on disk. Only the attempt
+that won the claim is sent, at most once. A resend, at any entry, gets the
+recorded outcome, or *unknown* when the first attempt never said.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import hashlib
+import time
+import uuid
+
+from bergamotsail import catalogue
+from bergamotsail import control
+from bergamotsail import observe
+from bergamotsail import targets
+from bergamotsail import wire
+from bergamotsail.routing import _admission
+from bergamotsail.routing import _entry
+from bergamotsail.routing import _keys
+from bergamotsail.routing import _retries
+
+State = catalogue.ClaimState
+
+MAX_ATTEMPTS = 4
+RETRY_PAUSE_S = 0.1
+POLL_S = 0.1
+WAIT_FOR_OTHER_S = 3.0
+RECORD_FOR_S = 60.0
+MAX_RECORDED_BYTES = 64 * 1024
+FUTURE_MS = 300_000
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """A caller's call of a service.
+
+    Args:
+        path: path and query within the service.
+        key: the caller's idempotency key, if any.
+        non_idempotent: the caller itself says so.
+    """
+
+    request: str
+    service: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    deadline_s: float
+    key: str | None = None
+    non_idempotent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceResult:
+    """The answer of a service.
+
+    Args:
+        replayed: it was recorded by an earlier attempt.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    replayed: bool = False
+
+
+class ServiceRouter:
+    """Serves calls of plain services on this daemon."""
+
+    def __init__(
+        self,
+        session: control.Session,
+        admission: _admission.Admission,
+        make_service: collections.abc.Callable[[str], targets.Service],
+        metrics: observe.Metrics,
+        clock: wire.Clock = wire.LoopClock(),
+        steps: wire.Steps = wire.NoSteps(),
+    ) -> None:
+        self._session = session
+        self._admission = admission
+        self._make_service = make_service
+        self._metrics = metrics
+        self._clock = clock
+        self._steps = steps
+        self._budgets = _retries.RetryBudgets(self._retry_part)
+        self._running_by_target: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._recording: set[asyncio.Task] = set()
+
+    async def call(
+        self, caller: _entry.Caller, call: ServiceCall
+    ) -> ServiceResult:
+        """Pass a call on and return its answer.
+
+        Raises:
+            ServingError: typed, with whether it ran and when to come back.
+        """
+        self._session.check_fresh()
+        entry = self._resolve(caller, call.service)
+        once = call.non_idempotent or _marked(entry.value, call)
+        key_time_ms = self._check_key(call) if once else 0
+        deadline = self._clock.now() + call.deadline_s
+        entered = self._admission.enter(
+            caller.member, catalogue.Kind.SERVICE, entry.id, call.deadline_s
+        )
+        async with entered:
+            if once:
+                # A caller that goes away must not break off a call that
+                # may not be repeated: its outcome is still recorded.
+                return await asyncio.shield(
+                    self._keep(
+                        self._call_once(
+                            caller, call, entry.value, key_time_ms, deadline
+                        )
+                    )
+                )
+            return await self._call_freely(caller, call, entry.value, deadline)
+
+    async def settled(self) -> None:
+        """Wait until all calls ended and their outcomes are recorded."""
+        while self._recording:
+            await asyncio.wait(list(self._recording))
+
+    def _resolve(self, caller: _entry.Caller, service: str) -> catalogue.Entry:
+        entry = self._session.view.service_by_id.get(service)
+        allowed = entry is not None and caller.member in (
+            entry.value.owner,
+            *entry.value.callers,
+        )
+        if not allowed:
+            raise wire.NotFoundError(
+                f"There is no service {service!r} for {caller.member}. "
+                "Check the name, or ask its owner for access."
+            )
+        return entry
+
+    def _check_key(self, call: ServiceCall) -> int:
+        if call.key is None:
+            raise wire.IdempotencyKeyError(
+                "This call may not be repeated. Send an Idempotency-Key "
+                "that is a UUID of version 7 or reads "
+                "UNIX_SECONDS-ANYTHING, and keep it for resends."
+            )
+        key_time_ms = _keys.key_time_ms(call.key)
+        if key_time_ms > time.time() * 1000 + FUTURE_MS:
+            raise wire.IdempotencyKeyError(
+                "The time in the Idempotency-Key lies in the future. Set "
+                "your clock."
+            )
+        return key_time_ms
+
+    def _retry_part(self, member: str) -> float:
+        entry = self._session.view.member_by_id.get(member)
+        return entry.value.retry_budget if entry is not None else 0.0
+
+    # Calls that may be repeated.
+
+    async def _call_freely(
+        self,
+        caller: _entry.Caller,
+        call: ServiceCall,
+        service: catalogue.Service,
+        deadline: float,
+    ) -> ServiceResult:
+        self._budgets.first_try(caller.member)
+        tried: set[str] = set()
+        number = 0
+        while True:
+            number += 1
+            target = self._choose(call, service, tried)
+            tried.add(target.id)
+            try:
+                reply = await self._send(target, call, deadline, False)
+                return ServiceResult(
+                    reply.status, _end_to_end(reply.headers), reply.body
+                )
+            except wire.ServingError as error:
+                pause_s = RETRY_PAUSE_S * number
+                late = self._clock.now() + pause_s >= deadline
+                if number >= MAX_ATTEMPTS or late:
+                    raise
+                if not self._budgets.spend(caller.member):
+                    raise
+                self._metrics.count("retries", code=error.code)
+                await self._clock.sleep(pause_s)
+                self._session.check_fresh()
+
+    def _choose(
+        self,
+        call: ServiceCall,
+        service: catalogue.Service,
+        tried: set[str],
+    ) -> control.TargetInfo:
+        usable = [
+            target
+            for target in self._session.digest.target_by_id.values()
+            if target.pool == service.pool and not target.leaving
+        ]
+        if not usable:
+            raise wire.OverloadError(
+                f"No target of pool {service.pool} takes work now.",
+                retry_after_s=1.0,
+            )
+        fresh = [target for target in usable if target.id not in tried]
+        order = control.rendezvous(call.request, [t.id for t in usable])
+        chosen = min(
+            fresh or usable,
+            key=lambda t: (self._running_by_target[t.id], order.index(t.id)),
+        )
+        observe.log_decision(
+            observe.Decision(
+                "route",
+                "Call",
+                "least calls running",
+                call.request,
+                call.service,
+                chosen.id,
+            )
+        )
+        return chosen
+
+    async def _send(
+        self,
+        target: control.TargetInfo,
+        call: ServiceCall,
+        deadline: float,
+        once: bool,
+    ) -> targets.ServiceReply:
+        request = targets.ServiceRequest(
+            call.method,
+            call.path,
+            _end_to_end(call.headers),
+            call.body,
+            max(0.05, deadline - self._clock.now()),
+            once,
+            self._session.fresh,
+        )
+        self._running_by_target[target.id] += 1
+        try:
+            return await self._make_service(target.address).call(request)
+        finally:
+            self._running_by_target[target.id] -= 1
+
+    # Calls that may not be repeated.
+
+    async def _call_once(
+        self,
+        caller: _entry.Caller,
+        call: ServiceCall,
+        service: catalogue.Service,
+        key_time_ms: int,
+        deadline: float,
+    ) -> ServiceResult:
+        claim = catalogue.Claim(
+            caller.member,
+            call.key or "",
+            key_time_ms,
+            _digest(call),
+            uuid.uuid4().hex,
+        )
+        reply = await self._claim(claim, deadline)
+        if reply.state is State.WON:
+            return await self._run_claimed(claim, call, service, deadline)
+        return await self._replay(claim, reply, deadline)
+
+    async def _claim(
+        self, claim: catalogue.Claim, deadline: float
+    ) -> catalogue.ClaimReply:
+        """Take the key; asked again until the answer is known."""
+        command = catalogue.Command(claim=claim)
+        started_at = self._clock.now()
+        while True:
+            await self._steps.reach(wire.Step.CLAIM, wire.Phase.BEFORE)
+            try:
+                reply = await self._session.leader.command(command)
+                self._metrics.record_s("claim", self._clock.now() - started_at)
+                return reply
+            except wire.ServingError as error:
+                if self._clock.now() + RETRY_PAUSE_S >= deadline:
+                    self._give_up(claim)
+                    raise wire.DeadlineError(
+                        "The idempotency key could not be claimed in time "
+                        f"({error.code}). The call was not sent.",
+                        retry_after_s=1.0,
+                    ) from error
+                await self._clock.sleep(RETRY_PAUSE_S)
+
+    def _give_up(self, claim: catalogue.Claim) -> None:
+        """Free a key whose claim may yet commit though it was not sent."""
+        self._record_later(
+            catalogue.Record(
+                claim.member, claim.key, claim.attempt, State.NOT_RUN
+            )
+        )
+
+    async def _run_claimed(
+        self,
+        claim: catalogue.Claim,
+        call: ServiceCall,
+        service: catalogue.Service,
+        deadline: float,
+    ) -> ServiceResult:
+        state = State.UNKNOWN
+        outcome = None
+        try:
+            await self._steps.reach(wire.Step.CLAIM, wire.Phase.AFTER)
+            reply = await self._send_once(call, service, deadline)
+            outcome = _outcome(reply)
+            state = State.DONE
+        except wire.PeerLostError as error:
+            raise wire.UnknownOutcomeError(
+                "The service's reply was lost, so the call may have run. It "
+                "will not be run again under this key."
+            ) from error
+        except wire.ServingError as error:
+            if error.ran is wire.Ran.NOT_RUN:
+                state = State.NOT_RUN
+            raise
+        finally:
+            record = catalogue.Record(
+                claim.member, claim.key, claim.attempt, state, outcome
+            )
+            recording = self._record_later(record)
+        # A reply that went out before its record could be lost to a resend.
+        await asyncio.wait(
+            [recording], timeout=max(0.0, deadline - self._clock.now())
+        )
+        return ServiceResult(outcome.status, outcome.headers, reply.body)
+
+    async def _send_once(
+        self,
+        call: ServiceCall,
+        service: catalogue.Service,
+        deadline: float,
+    ) -> targets.ServiceReply:
+        """Send to one target after another, but only while none got it."""
+        tried: set[str] = set()
+        while True:
+            self._session.check_fresh()
+            target = self._choose(call, service, tried)
+            is_last = target.id in tried or len(tried) >= MAX_ATTEMPTS
+            tried.add(target.id)
+            await self._steps.reach(wire.Step.SEND, wire.Phase.BEFORE)
+            try:
+                reply = await self._send(target, call, deadline, True)
+            except wire.NotSentError:
+                if is_last or self._clock.now() >= deadline:
+                    raise
+                continue
+            await self._steps.reach(wire.Step.SEND, wire.Phase.AFTER)
+            return reply
+
+    def _record_later(self, record: catalogue.Record) -> asyncio.Task:
+        return self._keep(self._record(record))
+
+    def _keep(self, work: collections.abc.Coroutine) -> asyncio.Task:
+        """Run work that must end whether or not the caller waits."""
+        task = asyncio.create_task(work)
+        self._recording.add(task)
+        task.add_done_callback(self._forget)
+        return task
+
+    def _forget(self, task: asyncio.Task) -> None:
+        self._recording.discard(task)
+        if not task.cancelled():
+            # Read the error of a call whose caller went away.
+            task.exception()
+
+    async def _record(self, record: catalogue.Record) -> None:
+        command = catalogue.Command(record=record)
+        give_up_at = self._clock.now() + RECORD_FOR_S
+        await self._steps.reach(wire.Step.RECORD, wire.Phase.BEFORE)
+        while self._clock.now() < give_up_at:
+            with contextlib.suppress(wire.ServingError):
+                await self._session.leader.command(command)
+                await self._steps.reach(wire.Step.RECORD, wire.Phase.AFTER)
+                return
+            await self._clock.sleep(RETRY_PAUSE_S)
+
+    async def _replay(
+        self,
+        claim: catalogue.Claim,
+        reply: catalogue.ClaimReply,
+        deadline: float,
+    ) -> ServiceResult:
+        """Answer a resend from what the first attempt recorded."""
+        wait_until = min(deadline, self._clock.now() + WAIT_FOR_OTHER_S)
+        while reply.state is State.HELD and self._clock.now() < wait_until:
+            await self._clock.sleep(POLL_S)
+            find = control.FindClaim(claim.member, claim.key)
+            with contextlib.suppress(wire.ServingError):
+                found = await self._session.leader.call(
+                    control.FIND_CLAIM, find, 1.0
+                )
+                reply = found.claim or reply
+        return _replayed(reply)
+
+
+def _replayed(reply: catalogue.ClaimReply) -> ServiceResult:
+    outcome = reply.outcome
+    if reply.state is State.DONE and outcome is not None:
+        return ServiceResult(
+            outcome.status, outcome.headers, outcome.body, True
+        )
+    if reply.state is State.HELD:
+        raise wire.InProgressError(
+            "An earlier call with this key has not ended, or its instance "
+            "was lost. Ask again with the same key.",
+            retry_after_s=2.0,
+        )
+    if reply.state is State.EXPIRED:
+        raise wire.IdempotencyKeyError(
+            "The time in this key is too long ago to tell whether the call "
+            "ran. Check with the service before you use a new key.",
+            ran=wire.Ran.UNKNOWN,
+        )
+    if reply.state is State.OTHER_REQUEST:
+        raise wire.KeyReusedError(
+            "This key was used for another request. Use a new key."
+        )
+    if reply.state is State.NOT_RUN:
+        raise wire.NotSentError(
+            "The earlier call with this key was not sent. Ask again with "
+            "the same key.",
+            retry_after_s=0.1,
+        )
+    raise wire.UnknownOutcomeError(
+        "The outcome of the earlier call with this key is not known. It "
+        "will not be run again under this key."
+    )
+
+
+def _marked(service: catalogue.Service, call: ServiceCall) -> bool:
+    """Whether the catalogue marks this call as non-idempotent."""
+    return any(
+        call.method == marked.method
+        and call.path.startswith(marked.path_prefix)
+        for marked in service.non_idempotent
+    )
+
+
+def _digest(call: ServiceCall) -> str:
+    parts = (call.service, call.method, call.path)
+    head = "\0".join(parts).encode()
+    return hashlib.sha256(head + b"\0" + call.body).hexdigest()
+
+
+def _end_to_end(headers: dict[str, str]) -> dict[str, str]:
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in HOP_HEADERS
+    }
+
+
+def _outcome(reply: targets.ServiceReply) -> catalogue.Outcome:
+    """Return what is recorded of a reply; an oversized body is left out."""
+    body = reply.body
+    headers = _end_to_end(reply.headers)
+    if len(body) > MAX_RECORDED_BYTES:
+        body = b""
+        headers["X-Body-Not-Recorded"] = "true"
+    return catalogue.Outcome(reply.status, headers, body)
--- /dev/null
+++ b/libs/settings/src/bergamotsail/settings/_check.py
@@ -0,0 +1,186 @@
+"""Reading and checking settings."""
+
+import collections.abc
+import dataclasses
+import ipaddress
+import json
+import pathlib
+import re
+import typing
+
+import cattrs
+from cattrs import gen
+
+from bergamotsail.settings import _model
+
+LEASE_HEARTBEATS = 3
+
+
+class SettingFault(ValueError):
+    """One fault and the path of the setting."""
+
+    def __init__(self, path: str, message: str) -> None:
+        super().__init__(f"{path}: {message}")
+        self.path = path
+        self.message = message
+
+
+class SettingsError(ExceptionGroup):
+    """All faults of a settings file at once."""
+
+    def derive(
+        self, excs: collections.abc.Sequence[Exception]
+    ) -> "SettingsError":
+        """Keep the type when the group is split."""
+        return SettingsError(self.message, excs)
+
+
+def load(path: str | pathlib.Path) -> _model.DaemonSettings:
+    """Read and check a settings file.
+
+    Raises:
+        SettingsError: with one :class:`SettingFault` for each fault.
+    """
+    try:
+        text = pathlib.Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise _group([SettingFault(str(path), f"can't be read: {error}")])
+    return parse(text)
+
+
+def parse(text: str) -> _model.DaemonSettings:
+    """Check settings given as JSON text; raises as :func:`load`."""
+    try:
+        data = json.loads(text)
+    except ValueError as error:
+        raise _group([SettingFault("$", f"is not JSON: {error}")])
+    try:
+        settings = _converter().structure(data, _model.DaemonSettings)
+    except cattrs.BaseValidationError as error:
+        raise _group(list(_faults_of(error)))
+    faults = list(_range_faults(settings, "$"))
+    faults.extend(_meaning_faults(settings))
+    if faults:
+        raise _group(faults)
+    return settings
+
+
+def _group(faults: list[SettingFault]) -> SettingsError:
+    return SettingsError("Mend these settings", faults)
+
+
+def _converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for kind in (str, int, float, bool):
+        converter.register_structure_hook(kind, _strict)
+    for kind in _nested_types(_model.DaemonSettings):
+        hook = gen.make_dict_structure_fn(
+            kind, converter, _cattrs_forbid_extra_keys=True
+        )
+        converter.register_structure_hook(kind, hook)
+    return converter
+
+
+def _nested_types(kind: type) -> collections.abc.Iterator[type]:
+    for field in dataclasses.fields(kind):
+        if dataclasses.is_dataclass(field.type):
+            yield from _nested_types(field.type)
+    yield kind
+
+
+def _strict(value: object, kind: type) -> object:
+    """Take a plain value only as what it is; an int may be a float."""
+    if kind is float and type(value) is int:
+        return float(value)
+    if type(value) is not kind:
+        found = type(value).__name__
+        raise TypeError(f"give a {kind.__name__}, not a {found}")
+    return value
+
+
+def _faults_of(
+    error: cattrs.BaseValidationError,
+) -> collections.abc.Iterator[SettingFault]:
+    for line in cattrs.transform_error(error, format_exception=_describe):
+        message, _, path = line.rpartition(" @ ")
+        yield SettingFault(path, message)
+
+
+def _describe(error: BaseException, _: type | None) -> str:
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        names = ", ".join(sorted(error.extra_fields))
+        return f"unknown keys: {names}; remove or correct them"
+    if isinstance(error, KeyError):
+        return f"give a value for {error.args[0]}"
+    return str(error)
+
+
+def _range_faults(
+    value: typing.Any, path: str
+) -> collections.abc.Iterator[SettingFault]:
+    for field in dataclasses.fields(value):
+        inner = getattr(value, field.name)
+        inner_path = f"{path}.{field.name}"
+        if dataclasses.is_dataclass(inner):
+            yield from _range_faults(inner, inner_path)
+        allowed = field.metadata.get("range")
+        if allowed and not allowed.low <= inner <= allowed.high:
+            yield SettingFault(
+                inner_path, f"give {allowed.low:g} to {allowed.high:g}"
+            )
+
+
+def _meaning_faults(
+    settings: _model.DaemonSettings,
+) -> collections.abc.Iterator[SettingFault]:
+    if not re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9-]{0,63}", settings.name):
+        yield SettingFault("$.name", "use letters, digits and dashes")
+    for path, address in _addresses(settings):
+        if not _is_address(address):
+            yield SettingFault(path, "give an IP number and a port")
+    if not settings.replicas:
+        yield SettingFault("$.replicas", "name at least one replica")
+    is_replica = settings.address in settings.replicas
+    if is_replica and settings.data_folder is None:
+        yield SettingFault("$.data_folder", "a replica needs one")
+    if settings.data_folder is not None and not is_replica:
+        yield SettingFault(
+            "$.data_folder", "list this address under replicas, or remove it"
+        )
+    lease = settings.lease
+    if lease.heartbeat_s * LEASE_HEARTBEATS > lease.lease_s:
+        yield SettingFault(
+            "$.lease.heartbeat_s", "give at most a third of lease_s"
+        )
+    if settings.consensus.heartbeat_s * 3 > settings.consensus.election_s:
+        yield SettingFault(
+            "$.consensus.heartbeat_s", "give at most a third of election_s"
+        )
+    if len(settings.peer_token) < 16:
+        yield SettingFault("$.peer_token", "give 16 characters or more")
+    for operator, digest in settings.operator_tokens.items():
+        if not re.fullmatch(r"[0-9a-f]{64}", digest):
+            yield SettingFault(
+                f"$.operator_tokens[{operator!r}]", "give 64 hex digits"
+            )
+    if settings.routing not in ("residency", "hash", "least_loaded"):
+        yield SettingFault("$.routing", "give residency, hash or least_loaded")
+    if settings.placement.policy not in ("value", "least_recent"):
+        yield SettingFault("$.placement.policy", "give value or least_recent")
+
+
+def _addresses(
+    settings: _model.DaemonSettings,
+) -> collections.abc.Iterator[tuple[str, str]]:
+    yield "$.address", settings.address
+    for number, address in enumerate(settings.replicas):
+        yield f"$.replicas[{number}]", address
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdigit() and 0 < int(port) < 65536
--- /dev/null
+++ b/libs/standins/src/bergamotsail/standins/__init__.py
@@ -0,0 +1,30 @@
+"""Small stand-ins of the outside systems.
+
+They speak the published protocols just enough to try the product: the
+demonstration, the tests and the measurements all use these. Each comes as
+a plain object with the rules, and as HTTP handlers around it.
+"""
+
+from bergamotsail.standins import _engine
+from bergamotsail.standins import _http
+from bergamotsail.standins import _memory
+from bergamotsail.standins import _others
+
+EngineSettings = _engine.EngineSettings
+EngineStandIn = _engine.EngineStandIn
+
+InstanceListStandIn = _others.InstanceListStandIn
+ServiceStandIn = _others.ServiceStandIn
+WeightStoreStandIn = _others.WeightStoreStandIn
+
+Link = _memory.Link
+MemoryEngine = _memory.MemoryEngine
+MemoryInstanceList = _memory.MemoryInstanceList
+MemoryService = _memory.MemoryService
+
+engine_application = _http.engine_application
+list_application = _http.list_application
+service_application = _http.service_application
+store_application = _http.store_application
+HttpWeightStore = _http.HttpWeightStore
+expected_text = _engine.expected_text
--- /dev/null
+++ b/libs/standins/src/bergamotsail/standins/_others.py
@@ -0,0 +1,108 @@
+"""The rules of a weight store, a plain service and an instance list."""
+
+import asyncio
+import collections
+import dataclasses
+
+from bergamotsail import targets
+from bergamotsail import wire
+from bergamotsail.standins import _engine
+
+SLICE_S = 0.005
+
+
+class WeightStoreStandIn(_engine.WeightSource):
+    """A store that all its readers share the speed of.
+
+    Args:
+        load_s: seconds for one load when it is the only one.
+    """
+
+    def __init__(self, load_s: float) -> None:
+        self.load_s = load_s
+        self.fault: wire.ServingError | None = None
+        self.fetches = 0
+        self.most_at_once = 0
+        self._active = 0
+
+    async def fetch(self, weights: str) -> None:
+        self._active += 1
+        self.most_at_once = max(self.most_at_once, self._active)
+        left_s = self.load_s
+        try:
+            while left_s > 1e-9:
+                slice_s = min(SLICE_S * self._active, left_s * self._active)
+                share = slice_s / self._active
+                await asyncio.sleep(slice_s)
+                left_s -= share
+                if self.fault is not None:
+                    raise self.fault
+        finally:
+            self._active -= 1
+        self.fetches += 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReceivedCall:
+    """A call as the service got it."""
+
+    method: str
+    path: str
+    key: str
+    body: bytes
+
+
+class ServiceStandIn:
+    """A plain service that counts what it did.
+
+    Args:
+        delay_s: seconds that a call takes.
+    """
+
+    def __init__(self, delay_s: float = 0.01) -> None:
+        self.delay_s = delay_s
+        self.received: list[ReceivedCall] = []
+        self.count_by_key: collections.Counter[str] = collections.Counter()
+
+    async def call(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> targets.ServiceReply:
+        """Do a call; from here on it has run."""
+        lowered = {name.lower(): value for name, value in headers.items()}
+        key = lowered.get("idempotency-key", "")
+        self.received.append(ReceivedCall(method, path, key, body))
+        self.count_by_key[key] += 1
+        await asyncio.sleep(self.delay_s)
+        reply = {"done": path, "number": len(self.received)}
+        headers = {"Content-Type": "application/json"}
+        return targets.ServiceReply(200, headers, wire.encode(reply))
+
+
+class InstanceListStandIn:
+    """The platform's list, which shows changes late.
+
+    Args:
+        lag_s: how long a change takes to show.
+    """
+
+    def __init__(self, lag_s: float = 0.5) -> None:
+        self.lag_s = lag_s
+        self.fault: wire.ServingError | None = None
+        self._history: list[tuple[float, tuple[targets.Instance, ...]]] = []
+
+    def set(self, instances: tuple[targets.Instance, ...]) -> None:
+        """Change the list; the first setting shows at once."""
+        now = asyncio.get_running_loop().time()
+        shows_at = now + self.lag_s if self._history else now
+        self._history.append((shows_at, instances))
+
+    def read(self) -> tuple[targets.Instance, ...]:
+        """Return the list as it shows now."""
+        if self.fault is not None:
+            raise self.fault
+        now = asyncio.get_running_loop().time()
+        shown: tuple[targets.Instance, ...] = ()
+        for shows_at, instances in self._history:
+            if shows_at <= now:
+                shown = instances
+        return shown
--- /dev/null
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -0,0 +1,68 @@
+"""Typed messages, typed errors and transport between processes.
+
+Everything that crosses a process boundary is a frozen dataclass, encoded as
+JSON by :mod:`msgspec`. A daemon sees its peers through
+:class:`PeerTransport` alone, so tests can put an in-memory network there.
+"""
+
+from bergamotsail.wire import _clock
+from bergamotsail.wire import _codec
+from bergamotsail.wire import _errors
+from bergamotsail.wire import _http
+from bergamotsail.wire import _peers
+from bergamotsail.wire import _steps
+
+decode = _codec.decode
+encode = _codec.encode
+encode_lines = _codec.encode_lines
+to_builtins = _codec.to_builtins
+
+Clock = _clock.Clock
+LoopClock = _clock.LoopClock
+
+Phase = _steps.Phase
+Step = _steps.Step
+Steps = _steps.Steps
+NoSteps = _steps.NoSteps
+
+Call = _peers.Call
+PeerServer = _peers.PeerServer
+PeerTransport = _peers.PeerTransport
+HttpPeerTransport = _peers.HttpPeerTransport
+
+HttpClient = _http.HttpClient
+HttpReply = _http.HttpReply
+HttpRequest = _http.HttpRequest
+
+BadMessageError = _errors.BadMessageError
+BadRequestError = _errors.BadRequestError
+CancelledByCallerError = _errors.CancelledByCallerError
+ConflictError = _errors.ConflictError
+CutOffError = _errors.CutOffError
+DeadlineError = _errors.DeadlineError
+EngineError = _errors.EngineError
+ErrorBody = _errors.ErrorBody
+ForbiddenError = _errors.ForbiddenError
+IdempotencyKeyError = _errors.IdempotencyKeyError
+InProgressError = _errors.InProgressError
+InternalError = _errors.InternalError
+KeyReusedError = _errors.KeyReusedError
+LimitError = _errors.LimitError
+NotFoundError = _errors.NotFoundError
+NotLeaderError = _errors.NotLeaderError
+NotOwnerError = _errors.NotOwnerError
+NotSentError = _errors.NotSentError
+OverloadError = _errors.OverloadError
+PeerLostError = _errors.PeerLostError
+Ran = _errors.Ran
+ReplicaFailedError = _errors.ReplicaFailedError
+ServingError = _errors.ServingError
+StaleOrderError = _errors.StaleOrderError
+StoppingError = _errors.StoppingError
+TooLargeError = _errors.TooLargeError
+TruncatedError = _errors.TruncatedError
+UnauthenticatedError = _errors.UnauthenticatedError
+UnknownOutcomeError = _errors.UnknownOutcomeError
+WithdrawnError = _errors.WithdrawnError
+WrongAdapterError = _errors.WrongAdapterError
+error_from_body = _errors.error_from_body
--- /dev/null
+++ b/libs/wire/src/bergamotsail/wire/_clock.py
@@ -0,0 +1,30 @@
+"""Monotonic time, behind an interface so that tests can bend it."""
+
+import abc
+import asyncio
+
+
+class Clock(abc.ABC):
+    """Monotonic seconds and sleeping.
+
+    No decision in this project uses the wall clock, so that a clock step
+    never matters. Leases allow for drift between two clocks.
+    """
+
+    @abc.abstractmethod
+    def now(self) -> float:
+        """Return monotonic seconds since an arbitrary start."""
+
+    @abc.abstractmethod
+    async def sleep(self, seconds: float) -> None:
+        """Sleep for *seconds* of this clock."""
+
+
+class LoopClock(Clock):
+    """The clock of the running event loop."""
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
--- /dev/null
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -0,0 +1,284 @@
+"""Every failure that can cross a process boundary, with its type.
+
+An error knows its stable ``code``, its HTTP status and whether the work
+ran. *Not run* is said only when nothing left for a target, or when the
+target itself said so; when in doubt it is *unknown*.
+"""
+
+import dataclasses
+import enum
+
+
+class Ran(enum.StrEnum):
+    """Whether the work of a failed request ran."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ErrorBody:
+    """The JSON form of an error."""
+
+    code: str
+    message: str
+    ran: Ran
+    retry_after_s: float | None = None
+    use: str | None = None
+
+
+class ServingError(Exception):
+    """Base of all errors that callers, operators and peers can see.
+
+    Args:
+        message: what happened and what to do about it.
+        retry_after_s: when to come back, in seconds.
+        use: the address of a daemon to use instead.
+        ran: overrides the usual outcome of this type.
+    """
+
+    code = "internal"
+    status = 500
+    ran = Ran.NOT_RUN
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        retry_after_s: float | None = None,
+        use: str | None = None,
+        ran: Ran | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        self.retry_after_s = retry_after_s
+        self.use = use
+        if ran is not None:
+            self.ran = ran
+
+    def body(self) -> ErrorBody:
+        """Return the JSON form of this error."""
+        return ErrorBody(
+            self.code, self.message, self.ran, self.retry_after_s, self.use
+        )
+
+
+class InternalError(ServingError):
+    """A bug or a fault of ours; the outcome is not known."""
+
+    ran = Ran.UNKNOWN
+
+
+class BadMessageError(ServingError):
+    """A message that is not JSON or does not fit its type."""
+
+    code = "bad_message"
+    status = 400
+
+
+class BadRequestError(ServingError):
+    """A request that can never succeed as it stands."""
+
+    code = "bad_request"
+    status = 400
+
+
+class IdempotencyKeyError(BadRequestError):
+    """A missing, malformed or expired idempotency key."""
+
+    code = "bad_idempotency_key"
+
+
+class KeyReusedError(ServingError):
+    """An idempotency key that was used with another request."""
+
+    code = "idempotency_key_reused"
+    status = 422
+
+
+class TooLargeError(ServingError):
+    """A body over the limit."""
+
+    code = "too_large"
+    status = 413
+
+
+class UnauthenticatedError(ServingError):
+    """A missing or wrong token."""
+
+    code = "unauthenticated"
+    status = 401
+
+
+class ForbiddenError(ServingError):
+    """A caller or operator without the right to do this."""
+
+    code = "forbidden"
+    status = 403
+
+
+class NotFoundError(ServingError):
+    """An unknown adapter, version, service, entry or route."""
+
+    code = "not_found"
+    status = 404
+
+
+class ConflictError(ServingError):
+    """A compare-and-set that lost; the message holds the current one."""
+
+    code = "conflict"
+    status = 409
+
+
+class WithdrawnError(ServingError):
+    """The adapter version was withdrawn while the request waited."""
+
+    code = "version_withdrawn"
+    status = 410
+
+
+class LimitError(ServingError):
+    """A member or an entry is at its catalogue limit."""
+
+    code = "limit_reached"
+    status = 429
+
+
+class OverloadError(ServingError):
+    """No room for this request within its deadline."""
+
+    code = "overloaded"
+    status = 503
+
+
+class DeadlineError(ServingError):
+    """The deadline passed, or can't be met."""
+
+    code = "deadline"
+    status = 504
+
+
+class CutOffError(ServingError):
+    """This daemon's lease ended, so it may act on old state."""
+
+    code = "cut_off"
+    status = 503
+
+
+class StoppingError(ServingError):
+    """This daemon is stopping as planned."""
+
+    code = "stopping"
+    status = 503
+
+
+class NotLeaderError(ServingError):
+    """This replica does not lead; ``use`` names the leader if known."""
+
+    code = "not_leader"
+    status = 421
+
+
+class ReplicaFailedError(ServingError):
+    """This replica's disk failed, so it acknowledges nothing."""
+
+    code = "replica_failed"
+    status = 503
+
+
+class NotOwnerError(ServingError):
+    """This daemon does not own the target."""
+
+    code = "not_owner"
+    status = 421
+
+
+class NotSentError(ServingError):
+    """Nothing left for the other side."""
+
+    code = "not_sent"
+    status = 503
+
+
+class PeerLostError(ServingError):
+    """The other side was lost after something was sent."""
+
+    code = "peer_lost"
+    status = 502
+    ran = Ran.UNKNOWN
+
+
+class StaleOrderError(ServingError):
+    """The target refused an old fencing number."""
+
+    code = "stale_order"
+    status = 409
+
+
+class EngineError(ServingError):
+    """The engine refused or failed the work."""
+
+    code = "engine_failed"
+    status = 502
+    ran = Ran.FAILED
+
+
+class WrongAdapterError(ServingError):
+    """The answer's stamp names another adapter, version or incarnation."""
+
+    code = "wrong_adapter"
+    status = 502
+    ran = Ran.FAILED
+
+
+class TruncatedError(ServingError):
+    """A stream ended without its end mark, or lost a chunk."""
+
+    code = "truncated"
+    status = 502
+    ran = Ran.UNKNOWN
+
+
+class UnknownOutcomeError(ServingError):
+    """A call that may have run; it will not be run again."""
+
+    code = "outcome_unknown"
+    status = 502
+    ran = Ran.UNKNOWN
+
+
+class InProgressError(ServingError):
+    """The same idempotency key is being run right now."""
+
+    code = "in_progress"
+    status = 409
+    ran = Ran.UNKNOWN
+
+
+class CancelledByCallerError(ServingError):
+    """The caller went away."""
+
+    code = "cancelled"
+    status = 499
+    ran = Ran.UNKNOWN
+
+
+def _all_types(kind: type[ServingError]) -> list[type[ServingError]]:
+    found = [kind]
+    for sub in kind.__subclasses__():
+        found.extend(_all_types(sub))
+    return found
+
+
+def error_from_body(body: ErrorBody) -> ServingError:
+    """Rebuild the typed error that a peer sent."""
+    by_code = {kind.code: kind for kind in _all_types(ServingError)}
+    kind = by_code.get(body.code, InternalError)
+    return kind(
+        body.message,
+        retry_after_s=body.retry_after_s,
+        use=body.use,
+        ran=body.ran,
+    )
--- /dev/null
+++ b/libs/wire/src/bergamotsail/wire/_http.py
@@ -0,0 +1,213 @@
+"""HTTP by tornado's curl client, with two things added.
+
+The *gate* runs at the last moment before a request is written, on a
+connection that stands. If it says no, nothing was sent; that is how a
+daemon that froze after its lease check still sends nothing. And a failed
+request says whether anything was sent at all.
+
+libcurl sends a request again on a new connection when a kept one turns out
+to be dead. That is wrong for a call that may not be repeated, so
+``once=True`` takes a new connection and refuses a second sending.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from bergamotsail.wire import _errors
+
+MAX_CLIENTS = 1000
+CONNECT_TIMEOUT_S = 1.0
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+NO_TIMEOUT_S = 0.0
+
+Gate = collections.abc.Callable[[], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One HTTP request.
+
+    Args:
+        url: where to, by IP number.
+        timeout_s: seconds for the whole exchange; 0 means none.
+        gate: asked right before the request is written.
+        once: never write the request twice.
+    """
+
+    url: str
+    method: str = "GET"
+    body: bytes | None = None
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    timeout_s: float = 10.0
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
+    gate: Gate | None = None
+    once: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A whole HTTP reply."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _Sending:
+    """Tracks, for one request, whether anything was written."""
+
+    def __init__(self, request: HttpRequest) -> None:
+        self._request = request
+        self.sent = False
+        self.abandoned = False
+
+    def prepare(self, handle: pycurl.Curl) -> None:
+        handle.setopt(pycurl.PREREQFUNCTION, self._before_write)
+        handle.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
+        handle.setopt(pycurl.NOPROGRESS, 0)
+        once = 1 if self._request.once else 0
+        handle.setopt(pycurl.FRESH_CONNECT, once)
+        handle.setopt(pycurl.FORBID_REUSE, once)
+
+    def _before_write(self, *_: object) -> int:
+        if self._request.once and self.sent:
+            return pycurl.PREREQFUNC_ABORT
+        gate = self._request.gate
+        if self.abandoned or (gate is not None and not gate()):
+            return pycurl.PREREQFUNC_ABORT
+        self.sent = True
+        return pycurl.PREREQFUNC_OK
+
+    def _on_progress(self, *_: int) -> int:
+        return 1 if self.abandoned else 0
+
+
+class HttpClient:
+    """A context manager around one curl client."""
+
+    def __init__(self) -> None:
+        self._curl = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+
+    def __enter__(self) -> "HttpClient":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._curl.close()
+
+    async def fetch(self, request: HttpRequest) -> HttpReply:
+        """Send a request and return the whole reply, of any status.
+
+        Raises:
+            NotSentError: nothing was written.
+            PeerLostError: the reply was lost after writing.
+        """
+        sending = _Sending(request)
+        try:
+            reply = await self._curl.fetch(
+                self._tornado_request(request, sending), raise_error=False
+            )
+        except asyncio.CancelledError:
+            sending.abandoned = True
+            raise
+        except httpclient.HTTPError as error:
+            raise _lost(error, sending, request) from error
+        return HttpReply(
+            reply.code, dict(reply.headers.get_all()), reply.body or b""
+        )
+
+    async def stream(
+        self, request: HttpRequest
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Send a request and yield the lines of the reply's body.
+
+        Lines come without their end; empty lines are left out. A reply
+        with a status of 400 or more raises the typed error in its body.
+
+        Raises:
+            NotSentError: nothing was written.
+            PeerLostError: the reply broke off.
+        """
+        sending = _Sending(request)
+        chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
+        buffered = 0
+
+        def on_chunk(chunk: bytes) -> None:
+            nonlocal buffered
+            buffered += len(chunk)
+            if buffered > MAX_BUFFERED_BYTES:
+                sending.abandoned = True
+            chunks.put_nowait(chunk)
+
+        async def fetch() -> httpclient.HTTPResponse:
+            try:
+                return await self._curl.fetch(
+                    self._tornado_request(request, sending, on_chunk),
+                    raise_error=False,
+                )
+            finally:
+                chunks.put_nowait(None)
+
+        fetching = asyncio.create_task(fetch())
+        rest = b""
+        try:
+            while (chunk := await chunks.get()) is not None:
+                buffered -= len(chunk)
+                *lines, rest = (rest + chunk).split(b"\n")
+                for line in lines:
+                    if line.strip():
+                        yield line.strip()
+            try:
+                await fetching
+            except httpclient.HTTPError as error:
+                raise _lost(error, sending, request) from error
+            if rest.strip():
+                yield rest.strip()
+        finally:
+            sending.abandoned = True
+            fetching.cancel()
+
+    def _tornado_request(
+        self,
+        request: HttpRequest,
+        sending: _Sending,
+        on_chunk: collections.abc.Callable[[bytes], None] | None = None,
+    ) -> httpclient.HTTPRequest:
+        return httpclient.HTTPRequest(
+            request.url,
+            method=request.method,
+            body=request.body,
+            headers=request.headers,
+            connect_timeout=request.connect_timeout_s,
+            request_timeout=request.timeout_s,
+            follow_redirects=False,
+            allow_nonstandard_methods=True,
+            decompress_response=False,
+            prepare_curl_callback=sending.prepare,
+            streaming_callback=on_chunk,
+        )
+
+
+def _lost(
+    error: httpclient.HTTPError, sending: _Sending, request: HttpRequest
+) -> _errors.ServingError:
+    """Return the typed error: nothing was sent, or the reply was lost."""
+    text = f"{request.method} {request.url}: {error}"
+    if sending.sent:
+        return _errors.PeerLostError(
+            f"The reply was lost ({text}). Ask again if the work may be "
+            "repeated."
+        )
+    return _errors.NotSentError(
+        f"Nothing was sent ({text}). Try another address.", retry_after_s=1.0
+    )
