--- /dev/null
+++ b/features/promises.feature
@@ -0,0 +1,37 @@
+Feature: What must always hold
+  Each scenario is made to break a promise if its guard were off. The
+  second outline switches the guard off and sees the scenario notice.
+
+  Scenario Outline: <scenario> breaks no promise
+    When the scenario <scenario> runs
+    Then no promise is broken
+
+    Examples:
+      | scenario                   |
+      | exact_adapter              |
+      | withdrawn_version          |
+      | never_evicted              |
+      | orphaned_runs              |
+      | own_whole_answer           |
+      | not_run_means_it           |
+      | at_most_once               |
+      | expired_keys               |
+      | leaving_target             |
+      | leaving_unlisted           |
+      | planned_stop               |
+      | changes_survive_power_loss |
+      | changes_reach_cut_off      |
+      | operators_race             |
+      | frozen_owner               |
+      | cut_off_owner              |
+      | limits_over_all            |
+      | rate_over_all              |
+
+  Scenario: Every guard that is switched off is noticed
+    When each guard is switched off in its scenario
+    Then each is noticed
+
+  Scenario: A fixed part of the fault matrix passes
+    When every 8th case of the fault matrix runs
+    Then every case that reached its step passed
+    And at least 40 cases reached their step
--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -369,9 +369,7 @@
 async def cut_off_owner(seed: int = 1) -> list[str]:
     """Owners are cut off from all others, but not from their engines."""
     async with World(Settings(seed=seed)) as world:
-        sending = asyncio.create_task(
-            _send(world, 120, 0.1, deadline_s=15.0)
-        )
+        sending = asyncio.create_task(_send(world, 120, 0.1, deadline_s=15.0))
         for number in range(2):
             await asyncio.sleep(0.5)
             owners = [p for p in world.places if p.daemon.owners.by_target]
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -22,8 +22,6 @@
 from bergamotsail import standins
 from bergamotsail import targets
 from bergamotsail import wire
-from features.support import disk
-from features.support import network
 from features.support import oracle
 
 WALL_START_S = 1_800_000_000.0
@@ -78,11 +76,11 @@
         self.number = number
         self.name = f"entry-{number}"
         self.address = f"10.0.0.{number + 1}:7000"
-        self.disk: disk.MemoryDisk | None = None
+        self.disk: standins.MemoryDisk | None = None
         if number < world.settings.replicas:
-            self.disk = disk.MemoryDisk(world.rng)
+            self.disk = standins.MemoryDisk(world.rng)
         self.daemon: daemon_lib.Daemon | None = None
-        self.host: network.Host | None = None
+        self.host: standins.Host | None = None
         self.link_by_address: dict[str, standins.Link] = {}
         self.frozen = False
         self.tasks: set[asyncio.Task] = set()
@@ -114,7 +112,7 @@
     def __init__(self, settings: WorldSettings = WorldSettings()) -> None:
         self.settings = settings
         self.rng = random.Random(settings.seed)
-        self.network = network.MemoryNetwork(self.rng)
+        self.network = standins.MemoryNetwork(self.rng)
         self.oracle = oracle.Oracle(self)
         self.armed: dict[tuple[wire.Step, wire.Phase], Action] = {}
         self.fired: list[tuple[wire.Step, wire.Phase, str]] = []
@@ -195,7 +193,7 @@
         place.frozen = False
         place.link_by_address.clear()
         outside = daemon_lib.Outside(
-            network.MemoryTransport(self.network, place.address),
+            standins.MemoryTransport(self.network, place.address),
             lambda address: self._engine_for(place, address),
             lambda address: self._service_for(place, address),
             standins.MemoryInstanceList(self.instances, self.list_link),
--- /dev/null
+++ b/libs/bench/src/bergamotsail/bench/_virtual.py
@@ -0,0 +1,198 @@
+"""A deployment in one process and virtual time, with the real daemons.
+
+Only disks, the network between daemons and the targets are stand-ins, at
+the product's own interfaces.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import random
+
+from bergamotsail import catalogue
+from bergamotsail import daemon as daemon_lib
+from bergamotsail import observe
+from bergamotsail import settings as settings_lib
+from bergamotsail import standins
+from bergamotsail import targets
+from bergamotsail import wire
+
+POLL_S = 0.05
+SETTLE_S = 4.0
+PUT_BATCH = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeploymentSettings:
+    """Sizes of a deployment.
+
+    Args:
+        load_s: seconds for one load, one at a time.
+        daemon: settings added to every daemon's.
+    """
+
+    members: tuple[str, ...]
+    daemons: int
+    engines: int
+    adapters: int
+    load_s: float
+    engine: standins.EngineSettings
+    daemon: dict[str, object] = dataclasses.field(default_factory=dict)
+    seed: int = 1
+    datacentres: tuple[str, ...] = ("dc-a", "dc-b", "dc-c")
+
+
+class Deployment:
+    """Daemons and engines; an async context manager."""
+
+    def __init__(self, settings: DeploymentSettings) -> None:
+        self.settings = settings
+        self.rng = random.Random(settings.seed)
+        self.network = standins.MemoryNetwork(self.rng)
+        self.store = standins.WeightStoreStandIn(settings.load_s)
+        self.instances = standins.InstanceListStandIn(1.0)
+        self.engine_by_address: dict[str, standins.EngineStandIn] = {}
+        self.daemon_by_address: dict[str, daemon_lib.Daemon] = {}
+        self.leaving: set[str] = set()
+        self._stack = contextlib.AsyncExitStack()
+        self._link = standins.Link()
+
+    async def __aenter__(self) -> "Deployment":
+        settings = self.settings
+        for number in range(settings.engines):
+            engine = standins.EngineStandIn(settings.engine, self.store)
+            await self._stack.enter_async_context(engine)
+            self.engine_by_address[f"10.1.0.{number + 1}:8000"] = engine
+        self.publish()
+        addresses = [f"10.0.0.{n + 1}:7000" for n in range(settings.daemons)]
+        for number, address in enumerate(addresses):
+            await self._start(number, address, addresses[:3])
+        await self.daemon(0).node.form()
+        await self._wait(self._all_fresh)
+        await self._create_entries()
+        await asyncio.sleep(SETTLE_S)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._stack.aclose()
+
+    def daemon(self, number: int) -> daemon_lib.Daemon:
+        """Return a daemon by number."""
+        return list(self.daemon_by_address.values())[number]
+
+    def publish(self) -> None:
+        """Set the instance list."""
+        centres = self.settings.datacentres
+        listed = []
+        for number, address in enumerate(self.engine_by_address):
+            name = f"runner-{number}"
+            state = targets.InstanceState.LIVE
+            if name in self.leaving:
+                state = targets.InstanceState.LEAVING
+            centre = centres[number % len(centres)]
+            listed.append(
+                targets.Instance(name, "llm", address, centre, state)
+            )
+        self.instances.set(tuple(listed))
+
+    async def _start(
+        self, number: int, address: str, replicas: list[str]
+    ) -> None:
+        values = {
+            "name": f"entry-{number}",
+            "address": address,
+            "datacentre": self.settings.datacentres[number % 3],
+            "replicas": replicas,
+            "instance_list": "http://list",
+            "peer_token": "peer-token-0123456789",
+            "operator_tokens": {},
+        }
+        disk = None
+        if address in replicas:
+            values["data_folder"] = "data"
+            disk = standins.MemoryDisk(self.rng)
+        settings = settings_lib.parse(
+            json.dumps(values | self.settings.daemon)
+        )
+        outside = daemon_lib.Outside(
+            standins.MemoryTransport(self.network, address),
+            lambda at: standins.MemoryEngine(
+                self.engine_by_address[at], self._link
+            ),
+            lambda _: None,
+            standins.MemoryInstanceList(self.instances, self._link),
+            disk,
+            random.Random(self.rng.random()),
+        )
+        daemon = daemon_lib.Daemon(settings, outside)
+        self.network.join(address, daemon.server)
+        self.daemon_by_address[address] = daemon
+        await daemon.__aenter__()
+        self._stack.push_async_callback(self.lose, address)
+
+    async def lose(self, address: str) -> None:
+        """End a daemon without warning."""
+        daemon = self.daemon_by_address.pop(address, None)
+        if daemon is not None:
+            self.network.kill(address)
+            await daemon.__aexit__(None, None, None)
+
+    async def stop(self, address: str) -> None:
+        """End a daemon as planned."""
+        await self.daemon_by_address[address].stop()
+        await self.lose(address)
+
+    def _all_fresh(self) -> bool:
+        daemons = self.daemon_by_address.values()
+        return all(daemon.session.fresh() for daemon in daemons)
+
+    async def _wait(self, check: collections.abc.Callable[[], bool]) -> None:
+        while not check():
+            await asyncio.sleep(POLL_S)
+
+    async def _create_entries(self) -> None:
+        await self._put("pool", "llm", {"kind": "engine"})
+        for member in self.settings.members:
+            token = catalogue.hash_token(f"{member}-token")
+            await self._put("member", member, {"token_sha256": token})
+        numbers = range(self.settings.adapters)
+        for start in numbers[::PUT_BATCH]:
+            batch = numbers[start : start + PUT_BATCH]
+            await asyncio.gather(*(self._put_adapter(n) for n in batch))
+
+    async def _put_adapter(self, number: int) -> None:
+        members = self.settings.members
+        value = {
+            "owner": members[number % len(members)],
+            "pool": "llm",
+            "versions": {"v1": f"store/{number}"},
+            "default_version": "v1",
+        }
+        await self._put("adapter", f"adapter-{number}", value)
+
+    async def _put(self, kind: str, entry_id: str, value: dict) -> None:
+        put = catalogue.Put(
+            catalogue.Kind(kind),
+            entry_id,
+            json.dumps(value),
+            f"{kind}/{entry_id}",
+            "bench",
+        )
+        leader = self.daemon(0).leader
+        while True:
+            with contextlib.suppress(wire.ServingError):
+                await leader.command(catalogue.Command(put=put))
+                return
+            await asyncio.sleep(POLL_S)
+
+    def reset_metrics(self) -> None:
+        """Forget all metrics, as after a warm-up."""
+        for daemon in self.daemon_by_address.values():
+            daemon.metrics.reset()
+
+    def metrics(self) -> observe.MetricsSnapshot:
+        """Return the metrics of all daemons, merged."""
+        daemons = self.daemon_by_address.values()
+        return observe.merge([d.metrics.snapshot() for d in daemons])
--- /dev/null
+++ b/libs/bench/src/bergamotsail/bench/capacity.py
@@ -0,0 +1,455 @@
+"""Measure the slopes that docs/CAPACITY.md is worked out from."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import gc
+import json
+import os
+import pathlib
+import resource
+import tempfile
+import time
+
+from absl import app
+from absl import flags
+from absl import logging
+
+from bergamotsail import bench
+from bergamotsail.bench import demo
+from bergamotsail import catalogue
+from bergamotsail import control
+from bergamotsail import quorum
+from bergamotsail import wire
+
+_DAEMONS = flags.DEFINE_list(
+    "daemons", ["6", "20", "60"], "Numbers of daemons for the change test."
+)
+
+ENTRIES = 41_000
+LOG_ENTRIES = 10_000
+PAGE = resource.getpagesize()
+TICKS = os.sysconf("SC_CLK_TCK")
+REQUESTS = 60
+TOKENS = 100
+MB = 1e6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slope:
+    """A measured figure."""
+
+    name: str
+    value: float
+    unit: str
+
+
+def _rss() -> int:
+    """Return this process's resident bytes."""
+    fields = pathlib.Path("/proc/self/statm").read_text().split()
+    return int(fields[1]) * PAGE
+
+
+def _process_rss(pid: int) -> int:
+    fields = pathlib.Path(f"/proc/{pid}/statm").read_text().split()
+    return int(fields[1]) * PAGE
+
+
+def _process_cpu_s(pid: int) -> float:
+    """Return the processor seconds that a process used so far."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def _put(number: int) -> catalogue.Command:
+    value = {
+        "owner": "member-1",
+        "pool": "llm",
+        "versions": {"v1": f"store/adapters/{number}/v1"},
+        "default_version": "v1",
+    }
+    return catalogue.Command(
+        put=catalogue.Put(
+            catalogue.Kind.ADAPTER,
+            f"adapter-{number}",
+            json.dumps(value),
+            f"operation-{number}",
+            "ops",
+        )
+    )
+
+
+def _filled_machine(entries: int) -> catalogue.CatalogueMachine:
+    machine = catalogue.CatalogueMachine()
+    pool = catalogue.Put(
+        catalogue.Kind.POOL, "llm", '{"kind":"engine"}', "pool", "ops"
+    )
+    token = catalogue.hash_token("token")
+    member = catalogue.Put(
+        catalogue.Kind.MEMBER,
+        "member-1",
+        json.dumps({"token_sha256": token}),
+        "member",
+        "ops",
+    )
+    for index, put in enumerate((pool, member), 1):
+        machine.apply(index, wire.encode(catalogue.Command(put=put)))
+    for number in range(entries):
+        machine.apply(number + 3, wire.encode(_put(number)))
+    return machine
+
+
+def measure_catalogue() -> collections.abc.Iterator[Slope]:
+    """Memory of entries, and the cost of a change."""
+    gc.collect()
+    before = _rss()
+    machine = _filled_machine(ENTRIES)
+    gc.collect()
+    after = _rss()
+    yield Slope(
+        "machine memory per entry", (after - before) / ENTRIES, "bytes"
+    )
+    lines = list(machine.snapshot())
+    size = sum(len(line) for line in lines)
+    yield Slope("snapshot bytes per entry", size / ENTRIES, "bytes")
+    started = time.perf_counter()
+    list(machine.snapshot())
+    spent_s = time.perf_counter() - started
+    yield Slope("snapshot encoding per entry", spent_s / ENTRIES * 1e6, "us")
+    effects = list(machine.view.effects())
+    del machine
+    gc.collect()
+    before = _rss()
+    view = catalogue.View()
+    for effect in effects:
+        view.apply(effect)
+    del effects
+    gc.collect()
+    after = _rss()
+    yield Slope("view memory per entry", (after - before) / ENTRIES, "bytes")
+    effect = next(view.effects())
+    encoded = wire.encode(effect)
+    yield Slope("bytes per change per daemon", len(encoded), "bytes")
+    started = time.perf_counter()
+    for _ in range(2000):
+        view.apply(wire.decode(encoded, catalogue.Effect))
+    spent_s = time.perf_counter() - started
+    yield Slope("cpu per change per daemon", spent_s / 2000 * 1e6, "us")
+
+
+def measure_heartbeat() -> collections.abc.Iterator[Slope]:
+    """Bytes of a heartbeat and its reply, and their coding."""
+    status = control.TargetStatus(
+        "runner-100",
+        123456,
+        True,
+        False,
+        tuple(f"adapter-{n}@v1" for n in range(8)),
+        3,
+        12,
+        16,
+        8,
+    )
+    digest = control.DigestLog(3)
+    for number in range(600):
+        info = control.TargetInfo(
+            f"runner-{number}", "llm", "10.1.200.200:8000", "dc-a"
+        )
+        digest.put_target(info)
+    full = wire.encode(digest.delta(0, 0))
+    yield Slope("digest bytes per target", len(full) / 600, "bytes")
+    version = digest.version
+    for number in range(10):
+        info = control.TargetInfo(
+            f"runner-{number}",
+            "llm",
+            "10.1.200.200:8000",
+            "dc-a",
+            False,
+            status,
+        )
+        digest.put_target(info)
+    delta = wire.encode(digest.delta(3, version))
+    yield Slope("digest bytes per changed target", len(delta) / 10, "bytes")
+    started = time.perf_counter()
+    for _ in range(500):
+        wire.encode(digest.delta(3, version))
+    spent_s = time.perf_counter() - started
+    yield Slope("cpu of a delta over 600 targets", spent_s / 500 * 1e6, "us")
+
+
+async def measure_log() -> list[Slope]:
+    """Append and sync, restart by replay and by snapshot."""
+    slopes = []
+    with tempfile.TemporaryDirectory() as folder:
+        storage = quorum.Storage(quorum.FolderDisk(folder))
+        await storage.load()
+        entries = [
+            quorum.Entry(
+                number + 1,
+                1,
+                quorum.EntryKind.COMMAND,
+                wire.encode(_put(number)),
+            )
+            for number in range(LOG_ENTRIES)
+        ]
+        started = time.perf_counter()
+        for entry in entries[:200]:
+            await storage.append([entry])
+            await storage.sync()
+        spent_s = time.perf_counter() - started
+        slopes.append(
+            Slope("append and sync of one entry", spent_s / 200 * 1e3, "ms")
+        )
+        await storage.append(entries[200:])
+        await storage.sync()
+        size = (pathlib.Path(folder) / "log").stat().st_size
+        slopes.append(
+            Slope("log bytes per entry", size / LOG_ENTRIES, "bytes")
+        )
+        started = time.perf_counter()
+        again = quorum.Storage(quorum.FolderDisk(folder))
+        loaded = await again.load()
+        machine = _filled_machine(0)
+        for entry in loaded.entries:
+            machine.apply(entry.index + 2, entry.data)
+        spent_s = time.perf_counter() - started
+        slopes.append(
+            Slope(
+                "restart by replay, per entry",
+                spent_s / LOG_ENTRIES * 1e6,
+                "us",
+            )
+        )
+    return slopes
+
+
+async def measure_snapshot() -> list[Slope]:
+    """Own snapshots against shipped ones, at the size to come."""
+    slopes = []
+    machine = _filled_machine(ENTRIES)
+    meta = quorum.SnapshotMeta(ENTRIES, 1, quorum.Config())
+    with tempfile.TemporaryDirectory() as folder:
+        storage = quorum.Storage(quorum.FolderDisk(folder))
+        started = time.perf_counter()
+        await storage.write_snapshot(meta, machine.snapshot())
+        taken_s = time.perf_counter() - started
+        size = (pathlib.Path(folder) / "snapshot").stat().st_size
+        started = time.perf_counter()
+        stored = await storage.read_snapshot()
+        restored = catalogue.CatalogueMachine()
+        restored.restore(ENTRIES, stored[1])
+        restore_s = time.perf_counter() - started
+    slopes.append(Slope("own snapshot of 41,000 entries", taken_s, "s"))
+    slopes.append(Slope("restart from that snapshot", restore_s, "s"))
+    slopes.append(Slope("bytes shipped per follower instead", size / MB, "MB"))
+    return slopes
+
+
+async def _cpu_of(
+    system: bench.System, work: collections.abc.Awaitable
+) -> tuple[dict[str, float], float]:
+    """Return processor seconds by daemon while *work* runs, and seconds."""
+    pids = {n: system.by_name[n].popen.pid for n in system.daemons}
+    before = {name: _process_cpu_s(pid) for name, pid in pids.items()}
+    started = time.perf_counter()
+    await work
+    spent_s = time.perf_counter() - started
+    used = {n: _process_cpu_s(pid) - before[n] for n, pid in pids.items()}
+    return used, spent_s
+
+
+async def measure_processes() -> list[Slope]:
+    """Idle cost, cost of requests and tokens, claims, take-over."""
+    slopes = []
+    settings = bench.SystemSettings(
+        daemons=6, engines=3, engine={"step_s": 0.005, "batch_slots": 32}
+    )
+    with bench.System(settings) as system, wire.HttpClient() as http:
+        await system.start(http)
+        await demo.create_entries(system, http, 4)
+        await asyncio.sleep(5.0)
+        used, spent_s = await _cpu_of(system, asyncio.sleep(10.0))
+        idle = [used[name] / spent_s for name in system.daemons[3:]]
+        slopes.append(
+            Slope("idle entry daemon", 100 * max(idle), "% of a core")
+        )
+        leading = [used[name] / spent_s for name in system.daemons[:3]]
+        slopes.append(
+            Slope(
+                "idle leader of 6 daemons", 100 * max(leading), "% of a core"
+            )
+        )
+        rss = [
+            _process_rss(system.by_name[name].popen.pid)
+            for name in system.daemons
+        ]
+        slopes.append(Slope("resident entry daemon", max(rss[3:]) / MB, "MB"))
+        slopes.append(Slope("resident replica", max(rss[:3]) / MB, "MB"))
+        slopes += await _measure_tokens(system, http)
+        slopes += await _measure_claims(system, http)
+        slopes += await _measure_takeover(system, http)
+    return slopes
+
+
+async def _measure_tokens(
+    system: bench.System, http: wire.HttpClient
+) -> list[Slope]:
+    """Processor time per token, at the owner and through another daemon."""
+    client = bench.Client(http, system.addresses, "tahi-token")
+    warm = await client.complete("adapter-0", "warm", 2)
+    target = warm.last_event.partition("~")[0]
+    status = await system.admin(http, "GET", "/admin/v1/status")
+    owner = next(
+        t["owner"].partition("#")[0]
+        for t in status["targets"]
+        if t["info"]["id"] == target
+    )
+    other = next(n for n in system.daemons[3:] if n != owner)
+    slopes = []
+    for name, hops in ((owner, "one hop"), (other, "two hops")):
+        for tokens in (1, TOKENS):
+            address = system.by_name[name].address
+
+            async def load(address: str = address, tokens: int = tokens):
+                await asyncio.gather(
+                    *(
+                        client.complete(
+                            "adapter-0", f"p{n}", tokens, address=address
+                        )
+                        for n in range(REQUESTS)
+                    )
+                )
+
+            used, spent_s = await _cpu_of(system, load())
+            total = used[name] + (used[owner] if name != owner else 0.0)
+            if tokens == 1:
+                per_request = total / REQUESTS
+                slopes.append(
+                    Slope(f"cpu per request, {hops}", per_request * 1e3, "ms")
+                )
+            else:
+                per_token = (total / REQUESTS - per_request) / (TOKENS - 1)
+                slopes.append(
+                    Slope(f"cpu per token, {hops}", per_token * 1e6, "us")
+                )
+    return slopes
+
+
+async def _measure_claims(
+    system: bench.System, http: wire.HttpClient
+) -> list[Slope]:
+    """Latency of calls that may and that may not be repeated."""
+    client = bench.Client(http, system.addresses, "tahi-token")
+    slopes = []
+    for path, what in (("/slots", "repeatable"), ("/pickups", "claimed")):
+        spent = []
+        for number in range(100):
+            key = f"{int(time.time())}-{path}-{number}"
+            started = time.perf_counter()
+            result = await client.call("tahi-app", path, key=key)
+            spent.append(time.perf_counter() - started)
+            assert not result.code, result
+        spent.sort()
+        slopes.append(Slope(f"{what} call, p50", spent[50] * 1e3, "ms"))
+        slopes.append(Slope(f"{what} call, p99", spent[98] * 1e3, "ms"))
+    return slopes
+
+
+async def _measure_takeover(
+    system: bench.System, http: wire.HttpClient
+) -> list[Slope]:
+    """Time without a leader, and until lost targets have owners."""
+    status = await system.admin(http, "GET", "/admin/v1/status")
+    leader = next(
+        name
+        for name in system.daemons
+        if system.by_name[name].address == status["replicas"]["leader"]
+    )
+    left = [name for name in system.daemons if name != leader]
+    owned = [
+        t["info"]["id"]
+        for t in status["targets"]
+        if (t["owner"] or "").partition("#")[0] == leader
+    ]
+    system.kill(leader)
+    started = time.perf_counter()
+    value = {"token_sha256": catalogue.hash_token("x")}
+
+    async def accepted() -> bool:
+        try:
+            await system.put(http, "member", "third", value, left[-1])
+        except wire.ServingError:
+            return False
+        return True
+
+    await system.eventually(accepted, "a change after the kill")
+    changed_s = time.perf_counter() - started
+
+    async def taken_over() -> bool:
+        now = await system.admin(
+            http, "GET", "/admin/v1/status", name=left[-1]
+        )
+        return all(
+            (t["owner"] or "").partition("#")[0] not in ("", leader)
+            for t in now["targets"]
+            if t["info"]["id"] in owned
+        )
+
+    await system.eventually(taken_over, "the targets to be taken over")
+    return [
+        Slope("change accepted after the leader's kill", changed_s, "s"),
+        Slope(
+            "lost targets owned again after it",
+            time.perf_counter() - started,
+            "s",
+        ),
+    ]
+
+
+async def measure_changes(daemons: int) -> list[Slope]:
+    """Time for a change to be in force everywhere, and the leader's cost."""
+    settings = bench.SystemSettings(daemons=daemons, engines=1, services=1)
+    with bench.System(settings) as system, wire.HttpClient() as http:
+        await system.start(http)
+        await asyncio.sleep(4.0)
+        spent = []
+        for number in range(5):
+            value = {"token_sha256": catalogue.hash_token(f"t{number}")}
+            started = time.perf_counter()
+            reply = await system.put(http, "member", f"m-{number}", value)
+            await system.wait_applied(http, reply["revision"])
+            spent.append(time.perf_counter() - started)
+        used, wall_s = await _cpu_of(system, asyncio.sleep(8.0))
+        leader = max(used[name] for name in system.daemons[:3])
+    return [
+        Slope(f"change in force, {daemons} daemons, max", max(spent), "s"),
+        Slope(
+            f"leader of {daemons} daemons",
+            100 * leader / wall_s,
+            "% of a core",
+        ),
+    ]
+
+
+async def _measure() -> list[Slope]:
+    slopes = [*measure_catalogue(), *measure_heartbeat()]
+    slopes += await measure_log()
+    slopes += await measure_snapshot()
+    slopes += await measure_processes()
+    for daemons in _DAEMONS.value:
+        slopes += await measure_changes(int(daemons))
+    return slopes
+
+
+def _main(_: list[str]) -> None:
+    logging.set_verbosity(logging.FATAL)
+    slopes = asyncio.run(_measure())
+    for slope in slopes:
+        print(f"{slope.name:44} {slope.value:12.3f} {slope.unit}")
+    print(json.dumps({s.name: round(s.value, 4) for s in slopes}))
+
+
+if __name__ == "__main__":
+    app.run(_main)
--- /dev/null
+++ b/libs/bench/src/bergamotsail/bench/experiment.py
@@ -0,0 +1,426 @@
+"""Measure policies on seeded workloads, in virtual time."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import json
+import multiprocessing
+import pathlib
+import sys
+
+from absl import app
+from absl import flags
+from absl import logging
+import looptime
+
+from bergamotsail.bench import _virtual
+from bergamotsail.bench import _workloads
+from bergamotsail import routing
+from bergamotsail import targets
+from bergamotsail import wire
+
+_QUICK = flags.DEFINE_bool("quick", False, "Steady workloads only, shorter.")
+_JOBS = flags.DEFINE_integer("jobs", 7, "Processes.")
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of the workloads.")
+_SECONDS = flags.DEFINE_float("seconds", 90.0, "Virtual seconds of load.")
+_PLOT = flags.DEFINE_string("plot", "build/bench.svg", "Where to plot.")
+_EVENTS = flags.DEFINE_list("events", None, "Only these workloads.")
+
+WARM_PART = 1 / 3
+DEADLINE_S = 30.0
+BASELINES = ("least_loaded", "hash")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """A way to route and place, by its settings."""
+
+    name: str
+    routing: str
+    placement: str
+
+
+POLICIES = (
+    Policy("least_loaded", "least_loaded", "least_recent"),
+    Policy("hash", "hash", "least_recent"),
+    Policy("ours", "residency", "value"),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Task:
+    """One run: a deployment, a workload, a policy and a weight."""
+
+    shape: _workloads.Shape
+    event: str
+    policy: Policy
+    seconds: float
+    seed: int
+    stall_weight: float
+
+
+@dataclasses.dataclass(slots=True)
+class Measured:
+    """What each request came to, by member."""
+
+    first_s: dict[str, list[float]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    refused: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    answered: int = 0
+    asked: int = 0
+    by_second: dict[int, list[float]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+
+
+def percentile(values: list[float], part: float) -> float:
+    """Return a percentile of values, 0 when there are none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+async def _ask(
+    deployment: _virtual.Deployment,
+    arrival: _workloads.Arrival,
+    client_s: float,
+    measured: Measured | None,
+) -> None:
+    members = deployment.settings.members
+    member = members[arrival.adapter % len(members)]
+    daemons = list(deployment.daemon_by_address.values())
+    accepting = [d for d in daemons if d.accepting]
+    daemon = accepting[int(arrival.at * 1000) % len(accepting)]
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    first: float | None = None
+    name = f"adapter-{arrival.adapter}"
+    completion = routing.Completion(
+        f"r{arrival.at:.6f}",
+        name,
+        targets.Prompt(f"prompt {arrival.adapter % 7}", arrival.tokens),
+        DEADLINE_S,
+    )
+    code = ""
+    await asyncio.sleep(client_s)
+    try:
+        parts = daemon.entry.complete(routing.Caller(member), completion)
+        async with contextlib.aclosing(parts):
+            async for _ in parts:
+                if first is None:
+                    first = loop.time() - started + client_s
+    except wire.ServingError as error:
+        code = error.code
+    if measured is None:
+        return
+    measured.asked += 1
+    if code:
+        measured.refused[code] += 1
+        return
+    measured.answered += 1
+    measured.first_s[member].append(first or 0.0)
+    measured.by_second[int(arrival.at)].append(first or 0.0)
+
+
+async def _events(
+    deployment: _virtual.Deployment, event: str, seconds: float
+) -> None:
+    """Make the workload's event happen half-way."""
+    await asyncio.sleep(seconds / 2)
+    engines = list(deployment.engine_by_address.values())
+    addresses = list(deployment.daemon_by_address)
+    if event == "engine_restart":
+        for engine in engines[:2]:
+            engine.restart()
+    elif event == "failed_loads":
+        for engine in engines:
+            engine.load_fault = wire.EngineError("The load failed.")
+        await asyncio.sleep(3.0)
+        for engine in engines:
+            engine.load_fault = None
+    elif event == "leaving":
+        deployment.leaving.add("runner-0")
+        deployment.publish()
+    elif event == "daemon_lost":
+        await deployment.lose(addresses[-1])
+    elif event == "daemon_stop":
+        await deployment.stop(addresses[-1])
+
+
+async def _run(task: Task) -> dict[str, object]:
+    shape = task.shape
+    settings = _virtual.DeploymentSettings(
+        shape.members,
+        shape.daemons,
+        shape.engines,
+        shape.adapters,
+        shape.load_s,
+        shape.engine,
+        {
+            "routing": task.policy.routing,
+            "placement": {
+                "policy": task.policy.placement,
+                "stall_weight": task.stall_weight,
+            },
+        },
+        task.seed,
+    )
+    arrivals = _workloads.trace(shape, task.event, task.seconds, task.seed)
+    warm_until = task.seconds * WARM_PART
+    measured = Measured()
+    async with _virtual.Deployment(settings) as deployment:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        event = asyncio.create_task(
+            _events(deployment, task.event, task.seconds)
+        )
+        asking = []
+        counted = None
+        for arrival in arrivals:
+            await asyncio.sleep(max(0.0, started + arrival.at - loop.time()))
+            if counted is None and arrival.at >= warm_until:
+                deployment.reset_metrics()
+                counted = _engine_counts(deployment)
+            is_warm = arrival.at >= warm_until
+            asking.append(
+                asyncio.create_task(
+                    _ask(
+                        deployment,
+                        arrival,
+                        shape.client_s,
+                        measured if is_warm else None,
+                    )
+                )
+            )
+        await asyncio.gather(*asking)
+        await event
+        return _figures(task, arrivals, deployment, measured, counted)
+
+
+def _engine_counts(
+    deployment: _virtual.Deployment,
+) -> tuple[int, int, int]:
+    """Return loads, steps and used slots over all engines."""
+    reports = [e.report() for e in deployment.engine_by_address.values()]
+    return (
+        sum(e.loads for e in deployment.engine_by_address.values()),
+        sum(report.steps for report in reports),
+        sum(report.step_slots_used for report in reports),
+    )
+
+
+def _figures(
+    task: Task,
+    arrivals: list[_workloads.Arrival],
+    deployment: _virtual.Deployment,
+    measured: Measured,
+    counted: tuple[int, int, int],
+) -> dict[str, object]:
+    snapshot = deployment.metrics()
+    loads, steps, used = (
+        now - before
+        for now, before in zip(_engine_counts(deployment), counted)
+    )
+    shape = task.shape
+    slots = shape.engines * shape.engine.adapter_slots
+    warm_until = task.seconds * WARM_PART
+    bound = _workloads.fewest_loads(arrivals, slots, warm_until)
+    stalls = _load_stalls(snapshot)
+    firsts = [
+        value for values in measured.first_s.values() for value in values
+    ]
+    per_mille = 1000 / max(1, measured.asked)
+    evictions = snapshot.counter_by_name.get("evictions", 0)
+    return {
+        "requests": measured.asked,
+        "answered": measured.answered,
+        "refused": dict(measured.refused),
+        "load_stall_ms": stalls,
+        "first_token_ms": {
+            "p50": round(percentile(firsts, 0.5) * 1000, 1),
+            "p95": round(percentile(firsts, 0.95) * 1000, 1),
+            "p99": round(percentile(firsts, 0.99) * 1000, 1),
+        },
+        "first_token_p99_ms_by_member": {
+            member: round(percentile(values, 0.99) * 1000, 1)
+            for member, values in measured.first_s.items()
+        },
+        "batch_efficiency": round(
+            used / max(1, steps * shape.engine.batch_slots), 4
+        ),
+        "loads_per_1000": round(loads * per_mille, 1),
+        "evictions_per_1000": round(evictions * per_mille, 1),
+        "belady_loads_per_1000": round(bound * per_mille, 1),
+        "loads_to_belady": round(loads / max(1, bound), 3),
+        "first_token_mean_ms_by_10_s": _by_ten_seconds(measured),
+    }
+
+
+def _by_ten_seconds(measured: Measured) -> dict[str, float]:
+    tens: dict[int, list[float]] = collections.defaultdict(list)
+    for second, values in measured.by_second.items():
+        tens[second // 10 * 10] += values
+    return {
+        str(start): round(1000 * sum(values) / len(values), 1)
+        for start, values in sorted(tens.items())
+    }
+
+
+def _load_stalls(snapshot) -> dict[str, float]:
+    """Return the load stalls over all members and classes."""
+    from hdrh import histogram
+
+    total = histogram.HdrHistogram(1, 3_600_000_000, 2)
+    for name, encoded in snapshot.histogram_by_name.items():
+        if name.startswith("load_stall"):
+            total.decode_and_add(encoded)
+    count = total.get_total_count()
+    stalled = count - total.get_count_at_value(1)
+    return {
+        "p50": total.get_value_at_percentile(50) / 1000,
+        "p95": total.get_value_at_percentile(95) / 1000,
+        "p99": total.get_value_at_percentile(99) / 1000,
+        "max": total.get_max_value() / 1000,
+        "share_stalled": round(stalled / max(1, count), 4),
+    }
+
+
+def run_task(task: Task) -> dict[str, object]:
+    """Run one task on a virtual-time loop of its own."""
+    logging.set_verbosity(logging.FATAL)
+    loop = looptime.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(_run(task))
+    finally:
+        for pending in asyncio.all_tasks(loop):
+            pending.cancel()
+        loop.close()
+
+
+def _tasks() -> list[Task]:
+    seconds = _SECONDS.value
+    events = _EVENTS.value or _workloads.EVENTS
+    if _QUICK.value:
+        events = ("steady",)
+        seconds = min(seconds, 45.0)
+    tasks = [
+        Task(shape, event, policy, seconds, _SEED.value, shape.stall_weight)
+        for shape in _workloads.SHAPES
+        for event in events
+        for policy in POLICIES
+    ]
+    for shape in _workloads.SHAPES if not _QUICK.value else ():
+        # The other member's weight on this member's steady workload.
+        other = 1.0 - shape.stall_weight
+        ours = Policy("ours_other_weight", "residency", "value")
+        if "steady" in events:
+            tasks.append(
+                Task(shape, "steady", ours, seconds, _SEED.value, other)
+            )
+    return tasks
+
+
+def _ratio(by_policy: dict[str, dict]) -> dict[str, float]:
+    """Return ours against the best baseline and the limit."""
+    ours = by_policy["ours"]
+    stalls = [by_policy[b]["load_stall_ms"]["p99"] for b in BASELINES]
+    batches = [by_policy[b]["batch_efficiency"] for b in BASELINES]
+    return {
+        "load_stall_p99_to_best_baseline": round(
+            ours["load_stall_ms"]["p99"] / max(0.001, min(stalls)), 3
+        ),
+        "batch_efficiency_to_best_baseline": round(
+            ours["batch_efficiency"] / max(0.0001, max(batches)), 3
+        ),
+        "loads_to_belady": ours["loads_to_belady"],
+    }
+
+
+def _print_table(by_workload: dict[str, dict[str, dict]]) -> None:
+    head = (
+        "workload",
+        "policy",
+        "stall p50",
+        "p95",
+        "p99",
+        "max ms",
+        "stalled",
+        "batch",
+        "first p99",
+        "refused",
+        "loads/1000",
+        "to Belady",
+    )
+    print("  ".join(head))
+    for workload, by_policy in by_workload.items():
+        for policy, figures in by_policy.items():
+            stall = figures["load_stall_ms"]
+            cells = (
+                f"{workload:26}",
+                f"{policy:18}",
+                f"{stall['p50']:8.0f}",
+                f"{stall['p95']:8.0f}",
+                f"{stall['p99']:8.0f}",
+                f"{stall['max']:8.0f}",
+                f"{stall['share_stalled']:7.3f}",
+                f"{figures['batch_efficiency']:7.4f}",
+                f"{figures['first_token_ms']['p99']:8.0f}",
+                f"{sum(figures['refused'].values()):5}",
+                f"{figures['loads_per_1000']:8.1f}",
+                f"{figures['loads_to_belady']:6.2f}",
+            )
+            print(" ".join(cells))
+
+
+def _plot(by_workload: dict[str, dict[str, dict]], path: str) -> None:
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(2, 1, figsize=(11, 8), sharex=True)
+    names = list(by_workload)
+    for offset, policy in enumerate(p.name for p in POLICIES):
+        places = [n + offset * 0.27 for n in range(len(names))]
+        rows = [by_workload[name][policy] for name in names]
+        stalls = [row["load_stall_ms"]["p99"] for row in rows]
+        batches = [row["batch_efficiency"] for row in rows]
+        axes[0].bar(places, stalls, 0.25, label=policy)
+        axes[1].bar(places, batches, 0.25, label=policy)
+    axes[0].set_ylabel("load stall p99, ms")
+    axes[1].set_ylabel("batch efficiency")
+    axes[1].set_xticks(range(len(names)), names, rotation=45, ha="right")
+    axes[0].legend()
+    pathlib.Path(path).parent.mkdir(parents=True, exist_ok=True)
+    figure.tight_layout()
+    figure.savefig(path)
+    print(f"Plotted to {path}.")
+
+
+def _main(_: list[str]) -> None:
+    tasks = _tasks()
+    results = []
+    with multiprocessing.Pool(_JOBS.value, maxtasksperchild=1) as pool:
+        for figures in pool.imap(run_task, tasks):
+            results.append(figures)
+            print(f"{len(results)} of {len(tasks)}", file=sys.stderr)
+    by_workload: dict[str, dict[str, dict]] = collections.defaultdict(dict)
+    for task, figures in zip(tasks, results):
+        workload = f"{task.shape.name}/{task.event}"
+        by_workload[workload][task.policy.name] = figures
+    _print_table(by_workload)
+    _plot(by_workload, _PLOT.value)
+    ratio = {name: _ratio(rows) for name, rows in by_workload.items()}
+    summary = {"by_workload": by_workload, "ratio": ratio}
+    summary["stated"] = "in memory, virtual time, real decision code"
+    print(json.dumps(summary))
+
+
+if __name__ == "__main__":
+    app.run(_main)
--- a/libs/observe/src/bergamotsail/observe/_metrics.py
+++ b/libs/observe/src/bergamotsail/observe/_metrics.py
@@ -42,6 +42,11 @@
         """Add to a counter."""
         self._counter_by_name[full_name(name, labels)] += by
 
+    def reset(self) -> None:
+        """Forget all, as after a warm-up."""
+        self._histogram_by_name.clear()
+        self._counter_by_name.clear()
+
     def snapshot(self) -> MetricsSnapshot:
         """Return all in a form that can be sent and merged."""
         return MetricsSnapshot(
--- a/libs/quorum/src/bergamotsail/quorum/__init__.py
+++ b/libs/quorum/src/bergamotsail/quorum/__init__.py
@@ -26,5 +26,7 @@
 Role = _node.Role
 Timing = _node.Timing
 
+SnapshotMeta = _messages.SnapshotMeta
+
 CorruptLogError = _storage.CorruptLogError
 Storage = _storage.Storage
--- a/libs/standins/src/bergamotsail/standins/__init__.py
+++ b/libs/standins/src/bergamotsail/standins/__init__.py
@@ -5,9 +5,11 @@
 a plain object with the rules, and as HTTP handlers around it.
 """
 
+from bergamotsail.standins import _disk
 from bergamotsail.standins import _engine
 from bergamotsail.standins import _http
 from bergamotsail.standins import _memory
+from bergamotsail.standins import _network
 from bergamotsail.standins import _others
 
 EngineSettings = _engine.EngineSettings
@@ -18,10 +20,15 @@
 WeightStoreStandIn = _others.WeightStoreStandIn
 
 Link = _memory.Link
+MemoryDisk = _disk.MemoryDisk
 MemoryEngine = _memory.MemoryEngine
 MemoryInstanceList = _memory.MemoryInstanceList
 MemoryService = _memory.MemoryService
 
+Host = _network.Host
+MemoryNetwork = _network.MemoryNetwork
+MemoryTransport = _network.MemoryTransport
+
 engine_application = _http.engine_application
 list_application = _http.list_application
 service_application = _http.service_application
