--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -1,6 +1,7 @@
 """Steps of the promises: scenarios, mutants, matrix and fuzzing."""
 
 import multiprocessing
+from multiprocessing import pool as pool_lib
 
 import behave
 
@@ -11,7 +12,7 @@
 JOBS = 6
 
 
-def _pool() -> multiprocessing.pool.Pool:
+def _pool() -> pool_lib.Pool:
     return multiprocessing.get_context("fork").Pool(JOBS)
 
 
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -271,6 +271,10 @@
             engine.load_fault = None
             engine.load_hang_s = 0.0
         for place in self.places:
+            if place.disk is not None:
+                # A disk may be about to fail that nobody wrote to yet.
+                place.disk.fail_syncs = False
+                place.disk.full = False
             node = place.daemon.node if place.daemon else None
             failed = node is not None and node.error is not None
             if place.frozen:
--- a/libs/catalogue/src/bergamotsail/catalogue/_entries.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_entries.py
@@ -4,6 +4,7 @@
 import enum
 import hashlib
 import re
+import sys
 
 from bergamotsail import wire
 
@@ -148,6 +149,30 @@
     value: Value
 
 
+NO_LIMITS = Limits()
+
+
+def share_parts(value: Value) -> Value:
+    """Return an equal value that shares what many entries have alike.
+
+    Among tens of thousands of adapters, owners, pools, version names and
+    the absence of limits repeat; each is then kept in memory once.
+    """
+    if not isinstance(value, Adapter):
+        return value
+    return dataclasses.replace(
+        value,
+        owner=sys.intern(value.owner),
+        pool=sys.intern(value.pool),
+        versions={
+            sys.intern(version): weights
+            for version, weights in value.versions.items()
+        },
+        default_version=sys.intern(value.default_version),
+        limits=NO_LIMITS if value.limits == NO_LIMITS else value.limits,
+    )
+
+
 def hash_token(token: str) -> str:
     """Return the form in which a token is kept."""
     return hashlib.sha256(token.encode()).hexdigest()
--- a/libs/catalogue/src/bergamotsail/catalogue/_view.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_view.py
@@ -99,7 +99,7 @@
         if effect.value is None:
             return
         kind = _entries.TYPE_BY_KIND[effect.kind]
-        value = wire.decode(effect.value, kind)
+        value = _entries.share_parts(wire.decode(effect.value, kind))
         by_id[effect.id] = _entries.Entry(
             effect.kind, effect.id, effect.index, value
         )
--- a/libs/wire/src/bergamotsail/wire/_http.py
+++ b/libs/wire/src/bergamotsail/wire/_http.py
@@ -20,7 +20,7 @@
 
 from bergamotsail.wire import _errors
 
-MAX_CLIENTS = 1000
+MAX_CLIENTS = 400
 CONNECT_TIMEOUT_S = 1.0
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 NO_TIMEOUT_S = 0.0
