--- a/libs/placement/src/bergamotsail/placement/_engine_owner.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_owner.py
@@ -10,18 +10,15 @@
 from bergamotsail import control
 from bergamotsail import observe
 from bergamotsail.placement import _counter
-from bergamotsail.placement import _fair_queue
 from bergamotsail.placement import _jobs
-from bergamotsail.placement import _policy
+from bergamotsail.placement import _loads
 from bergamotsail.placement import _residents
+from bergamotsail.placement import _state
 from bergamotsail import targets
 from bergamotsail import wire
 
-TURN_WAIT_S = 1.0
-LOAD_BACKOFF_S = 0.5
 WATCH_S = 0.25
 UNREACHABLE_AFTER_S = 2.0
-DEFAULT_LOAD_S = 0.3
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -58,32 +55,35 @@
         self.epoch = epoch
         self.handing_over = False
         self._released = False
-        self._engine = engine
         self._session = session
-        self._settings = settings
-        self._metrics = metrics
         self._clock = clock
         self._steps = steps
-        self._policy = _policy.policy_named(
-            settings.policy, settings.stall_weight
+        self._metrics = metrics
+        self._settings = settings
+        self._engine = engine
+        self._state = _state.EngineState(
+            info,
+            engine,
+            session,
+            settings,
+            metrics,
+            clock,
+            steps,
+            _residents.Residents(clock.now()),
+            _counter.AgedCounter(settings.half_life_s),
+        )
+        self._queue = self._state.queue
+        self._residents = self._state.residents
+        self._loads = _loads.Loads(
+            self._state, self._order, self._may_start, self._dispatch
         )
-        self._queue = _fair_queue.FairQueue()
-        self._residents = _residents.Residents(clock.now())
-        self._uses = _counter.AgedCounter(settings.half_life_s)
-        self._used_at_by_name: dict[str, float] = {}
-        self._failures_by_name: dict[str, int] = {}
-        self._retry_at_by_name: dict[str, float] = {}
-        self._report: targets.EngineReport | None = None
         self._report_at = float("-inf")
-        self._load_s = DEFAULT_LOAD_S
         self._running = 0
-        self._work = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._parked_by_stream: dict[str, asyncio.Task] = {}
-        self._ordering = asyncio.Lock()
 
     async def __aenter__(self) -> "EngineOwner":
-        for work in (self._read_reports, self._load_loop):
+        for work in (self._read_reports, self._loads.run):
             self._tasks.append(asyncio.create_task(work()))
         return self
 
@@ -105,7 +105,7 @@
 
     def status(self) -> control.TargetStatus:
         """Describe the target for the leader."""
-        report = self._report
+        report = self._state.report
         return control.TargetStatus(
             self.info.id,
             self.epoch,
@@ -126,7 +126,7 @@
         """
         self.handing_over = True
         self._refuse_waiting(self._not_owner())
-        async with self._ordering:
+        async with self._state.ordering:
             # The view says for a moment yet that this epoch is ours.
             self._released = True
             await self._steps.reach(wire.Step.HAND_OVER, wire.Phase.AFTER)
@@ -164,10 +164,10 @@
         if request.resume_after is not None:
             return self._resume(job)
         self._check_room(job)
-        self._uses.add(job.adapter, self._clock.now())
+        self._state.uses.add(job.adapter, self._clock.now())
         self._queue.put(job)
         self._dispatch()
-        self._work.set()
+        self._state.work.set()
         try:
             async with asyncio.timeout_at(job.deadline):
                 return await job.ready
@@ -243,7 +243,7 @@
             if not self._residents.usable(waiting.adapter)
         }
         names.add(job.adapter)
-        return self._load_s * len(names)
+        return self._state.load_s * len(names)
 
     def _give_back(self, job: _jobs.Job) -> None:
         """Undo a dispatch that its waiter did not take."""
@@ -275,9 +275,9 @@
         return not job.ready.done() and self._residents.usable(job.adapter)
 
     def _room(self) -> int:
-        if self._report is None:
+        if self._state.report is None:
             return 0
-        return self._report.batch_slots - self._running
+        return self._state.report.batch_slots - self._running
 
     async def _chunks(
         self, stream: _Stream
@@ -377,7 +377,7 @@
         self._running -= 1
         name = stream.job.adapter
         now = self._clock.now()
-        self._used_at_by_name[name] = now
+        self._state.used_at_by_name[name] = now
         if stream.sent and not stream.ended:
             # The run may go on: its reader may be back to resume it.
             self._residents.doubt(name, stream.incarnation, now)
@@ -387,7 +387,7 @@
             )
         self._residents.unpin(name, stream.incarnation)
         self._dispatch()
-        self._work.set()
+        self._state.work.set()
 
     async def _cancel_later(self, stream_id: str) -> None:
         await self._clock.sleep(self._settings.orphan_grace_s)
@@ -406,6 +406,10 @@
 
     # Orders.
 
+    def _may_start(self) -> bool:
+        """Whether new loads and evictions may be started."""
+        return not self.handing_over and self._owns()
+
     def _owns(self) -> bool:
         owned = self._session.owns(self.info.id, self.epoch)
         return owned and not self._released
@@ -450,13 +454,13 @@
                 self.info.id,
                 report.incarnation,
             )
-        self._report = report
+        self._state.report = report
         self._report_at = now
-        self._expire_doubts(now)
+        self._drop_expired(now)
         self._dispatch()
-        self._work.set()
+        self._state.work.set()
 
-    def _expire_doubts(self, now: float) -> None:
+    def _drop_expired(self, now: float) -> None:
         for job in list(self._queue):
             if job.deadline <= now:
                 self._queue.remove(job)
@@ -464,262 +468,3 @@
     def _reachable(self) -> bool:
         silent_s = self._clock.now() - self._report_at
         return silent_s < UNREACHABLE_AFTER_S
-
-    # Loading and evicting.
-
-    async def _load_loop(self) -> None:
-        while True:
-            self._work.clear()
-            try:
-                loaded = await self._load_next()
-            except wire.ServingError as error:
-                logging.info("place: No load. %s", error.message)
-                loaded = False
-            except Exception:
-                logging.exception("place: A load broke.")
-                loaded = False
-            if loaded:
-                continue
-            await wire.wait_event(self._work, LOAD_BACKOFF_S)
-
-    def _candidates(self) -> list[_policy.Candidate]:
-        now = self._clock.now()
-        jobs_by_name: dict[str, list[_jobs.Job]] = {}
-        for job in self._queue:
-            known = self._residents.by_name.get(job.adapter)
-            held_back = self._retry_at_by_name.get(job.adapter, 0.0) > now
-            if known is None and not held_back:
-                jobs_by_name.setdefault(job.adapter, []).append(job)
-        return [
-            self._candidate(name, jobs[0].owner, jobs)
-            for name, jobs in jobs_by_name.items()
-        ]
-
-    def _candidate(
-        self, name: str, owner: str, jobs: list[_jobs.Job]
-    ) -> _policy.Candidate:
-        now = self._clock.now()
-        oldest = min((job.queued_at for job in jobs), default=now)
-        return _policy.Candidate(
-            name,
-            owner,
-            len(jobs),
-            sum(job.class_weight for job in jobs),
-            now - oldest,
-            self._uses.value(name, now),
-            now - self._used_at_by_name.get(name, 0.0),
-        )
-
-    async def _load_next(self) -> bool:
-        """Load the adapter most worth it; False when there is nothing."""
-        if self.handing_over or not self._owns() or self._report is None:
-            return False
-        candidates = self._candidates()
-        if not candidates:
-            self._residents.stop_draining()
-            self._dispatch()
-            return False
-        wanted = self._policy.next_load(candidates)
-        if self._slot_for(wanted) is None:
-            self._make_room(wanted)
-            return False
-        turn = await self._take_turn(wanted)
-        if turn is None:
-            return False
-        try:
-            return await self._load_on_turn(wanted.owner)
-        finally:
-            await self._end_turn(turn)
-
-    async def _load_on_turn(self, owner: str) -> bool:
-        """Choose again, as the queue moved on, and load."""
-        candidates = [c for c in self._candidates() if c.owner == owner]
-        if not candidates:
-            return False
-        wanted = self._policy.next_load(candidates)
-        victim = self._slot_for(wanted)
-        if victim is None:
-            return False
-        async with self._ordering:
-            if self.handing_over:
-                return False
-            if victim and not await self._evict(victim, wanted):
-                return False
-            return await self._load(wanted)
-
-    def _slot_for(self, wanted: _policy.Candidate) -> str | None:
-        """Return the adapter to evict, "" for a free slot, None for none."""
-        assert self._report is not None
-        if len(self._residents.by_name) < self._report.adapter_slots:
-            return ""
-        evictable = self._evictable(wanted)
-        if not evictable:
-            return None
-        return self._policy.victim(evictable).name
-
-    def _evictable(self, wanted: _policy.Candidate) -> list[_policy.Candidate]:
-        now = self._clock.now()
-        free = [
-            resident.name
-            for resident in self._residents.by_name.values()
-            if resident.confirmed
-            and not resident.pinned
-            and now - resident.changed_at >= self._settings.min_residence_s
-        ]
-        drained = [n for n in free if self._residents.by_name[n].draining]
-        found = [self._resident_candidate(name) for name in drained or free]
-        return [c for c in found if self._may_displace(wanted, c)]
-
-    def _resident_candidate(self, name: str) -> _policy.Candidate:
-        jobs = [job for job in self._queue if job.adapter == name]
-        return self._candidate(name, self._owner_of(name), jobs)
-
-    def _owner_of(self, name: str) -> str:
-        adapter, _ = targets.split_name(name)
-        entry = self._session.view.adapter_by_id.get(adapter)
-        return entry.value.owner if entry is not None else ""
-
-    def _may_displace(
-        self, wanted: _policy.Candidate, victim: _policy.Candidate
-    ) -> bool:
-        """Whether the slot shares let one member's adapter go for another.
-
-        A member at its share of the slots makes room among its own.
-        """
-        if wanted.owner == victim.owner or not victim.owner:
-            return True
-        entry = self._session.view.member_by_id.get(wanted.owner)
-        if entry is None or entry.value.limits.slot_share is None:
-            return True
-        assert self._report is not None
-        slots = self._report.adapter_slots
-        allowed = max(1, int(entry.value.limits.slot_share * slots))
-        held = [
-            name
-            for name in self._residents.by_name
-            if self._owner_of(name) == wanted.owner
-        ]
-        return len(held) < allowed
-
-    def _make_room(self, wanted: _policy.Candidate) -> None:
-        """Let the least valuable busy adapter run dry for an old wait."""
-        draining = [r for r in self._residents.by_name.values() if r.draining]
-        if draining or wanted.oldest_wait_s < self._settings.drain_after_s:
-            return
-        busy = [
-            self._resident_candidate(r.name)
-            for r in self._residents.by_name.values()
-            if r.confirmed
-        ]
-        busy = [c for c in busy if self._may_displace(wanted, c)]
-        if busy:
-            victim = self._policy.victim(busy)
-            self._residents.by_name[victim.name].draining = True
-            self._decide("Drain", victim.name, f"room for {wanted.name}")
-
-    async def _take_turn(self, wanted: _policy.Candidate) -> str | None:
-        pool = self._session.view.pool_by_id.get(self.info.pool)
-        request = control.TurnRequest(
-            self._session.boot,
-            pool.value.store if pool is not None else "default",
-            self.info.id,
-            wanted.name,
-            wanted.owner,
-            self._policy.load_score(wanted),
-            TURN_WAIT_S,
-        )
-        reply = await self._session.leader.call(
-            control.TURN, request, TURN_WAIT_S * 2
-        )
-        return reply.turn
-
-    async def _end_turn(self, turn: str) -> None:
-        pool = self._session.view.pool_by_id.get(self.info.pool)
-        store = pool.value.store if pool is not None else "default"
-        with contextlib.suppress(wire.ServingError):
-            await self._session.leader.call(
-                control.TURN_END, control.TurnEnd(store, turn), 1.0
-            )
-
-    async def _evict(self, name: str, wanted: _policy.Candidate) -> bool:
-        resident = self._residents.by_name.get(name)
-        if resident is None or resident.pinned:
-            return False
-        # From here on no run may be dispatched to it.
-        resident.confirmed = False
-        self._decide("Evict", name, f"least worth, for {wanted.name}")
-        await self._steps.reach(wire.Step.EVICT, wire.Phase.BEFORE)
-        try:
-            await self._engine.unload(self._order(), name)
-        except (wire.NotSentError, wire.StaleOrderError):
-            resident.confirmed = True
-            raise
-        except wire.ServingError:
-            self._residents.uncertain(name, self._clock.now())
-            raise
-        await self._steps.reach(wire.Step.EVICT, wire.Phase.AFTER)
-        self._residents.unloaded(name, self._clock.now())
-        self._metrics.count("evictions")
-        return True
-
-    async def _load(self, wanted: _policy.Candidate) -> bool:
-        name = wanted.name
-        weights = self._weights_of(name)
-        if weights is None:
-            return False
-        started_at = self._clock.now()
-        self._decide("Load", name, f"{wanted.waiting} waiting")
-        self._residents.loading(name, started_at)
-        await self._steps.reach(wire.Step.LOAD, wire.Phase.BEFORE)
-        try:
-            await self._engine.load(self._order(), name, weights)
-        except wire.PeerLostError:
-            self._residents.uncertain(name, self._clock.now())
-            raise
-        except wire.ServingError as error:
-            self._residents.not_loaded(name, self._clock.now())
-            self._load_failed(name, error)
-            return False
-        await self._steps.reach(wire.Step.LOAD, wire.Phase.AFTER)
-        now = self._clock.now()
-        self._residents.loaded(name, now)
-        self._used_at_by_name[name] = now
-        self._load_s += ((now - started_at) - self._load_s) * 0.2
-        self._failures_by_name.pop(name, None)
-        self._metrics.count("loads")
-        self._dispatch()
-        return True
-
-    def _weights_of(self, name: str) -> str | None:
-        adapter, version = targets.split_name(name)
-        entry = self._session.view.adapter_by_id.get(adapter)
-        if entry is None:
-            return None
-        return entry.value.versions.get(version)
-
-    def _load_failed(self, name: str, error: wire.ServingError) -> None:
-        """Back off, and fail those waiting after some tries."""
-        failures = self._failures_by_name.get(name, 0) + 1
-        self._failures_by_name[name] = failures
-        backoff_s = LOAD_BACKOFF_S * 2**failures
-        self._retry_at_by_name[name] = self._clock.now() + backoff_s
-        self._metrics.count("load_failures")
-        self._decide("Back off", name, f"load failed: {error.code}")
-        if failures < self._settings.load_retries:
-            return
-        for job in self._queue:
-            if job.adapter == name and not job.ready.done():
-                self._queue.remove(job)
-                job.ready.set_exception(
-                    wire.OverloadError(
-                        f"{name} could not be loaded: {error.message}",
-                        retry_after_s=backoff_s,
-                    )
-                )
-
-    def _decide(self, what: str, adapter: str, reason: str) -> None:
-        observe.log_decision(
-            observe.Decision(
-                "place", what, reason, adapter=adapter, target=self.info.id
-            )
-        )
--- /dev/null
+++ b/libs/placement/src/bergamotsail/placement/_loads.py
@@ -0,0 +1,322 @@
+"""Which adapters an owner loads and evicts, and the orders for it."""
+
+import collections.abc
+import contextlib
+
+from absl import logging
+
+from bergamotsail import control
+from bergamotsail import observe
+from bergamotsail.placement import _jobs
+from bergamotsail.placement import _policy
+from bergamotsail.placement import _state
+from bergamotsail import targets
+from bergamotsail import wire
+
+TURN_WAIT_S = 1.0
+LOAD_BACKOFF_S = 0.5
+DEFAULT_STORE = "default"
+
+
+class Loads:
+    """Loads what waits and evicts for it, one order at a time.
+
+    Args:
+        make_order: gives an order that is sent only while the epoch owns
+            the engine.
+        may_start: whether new orders may be started.
+        dispatch: starts jobs once their adapter is resident.
+    """
+
+    def __init__(
+        self,
+        state: _state.EngineState,
+        make_order: collections.abc.Callable[[], targets.Order],
+        may_start: collections.abc.Callable[[], bool],
+        dispatch: collections.abc.Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._order = make_order
+        self._may_start = may_start
+        self._dispatch = dispatch
+        settings = state.settings
+        self._policy = _policy.policy_named(
+            settings.policy, settings.stall_weight
+        )
+        self._failures_by_name: dict[str, int] = {}
+        self._retry_at_by_name: dict[str, float] = {}
+
+    async def run(self) -> None:
+        while True:
+            self._state.work.clear()
+            try:
+                loaded = await self._load_next()
+            except wire.ServingError as error:
+                logging.info("place: No load. %s", error.message)
+                loaded = False
+            except Exception:
+                logging.exception("place: A load broke.")
+                loaded = False
+            if loaded:
+                continue
+            await wire.wait_event(self._state.work, LOAD_BACKOFF_S)
+
+    def _candidates(self) -> list[_policy.Candidate]:
+        now = self._state.clock.now()
+        jobs_by_name: dict[str, list[_jobs.Job]] = {}
+        for job in self._state.queue:
+            known = self._state.residents.by_name.get(job.adapter)
+            held_back = self._retry_at_by_name.get(job.adapter, 0.0) > now
+            if known is None and not held_back:
+                jobs_by_name.setdefault(job.adapter, []).append(job)
+        return [
+            self._candidate(name, jobs[0].owner, jobs)
+            for name, jobs in jobs_by_name.items()
+        ]
+
+    def _candidate(
+        self, name: str, owner: str, jobs: list[_jobs.Job]
+    ) -> _policy.Candidate:
+        now = self._state.clock.now()
+        oldest = min((job.queued_at for job in jobs), default=now)
+        return _policy.Candidate(
+            name,
+            owner,
+            len(jobs),
+            sum(job.class_weight for job in jobs),
+            now - oldest,
+            self._state.uses.value(name, now),
+            now - self._state.used_at_by_name.get(name, 0.0),
+        )
+
+    async def _load_next(self) -> bool:
+        """Load the adapter most worth it; False when there is nothing."""
+        if not self._may_start() or self._state.report is None:
+            return False
+        candidates = self._candidates()
+        if not candidates:
+            self._state.residents.stop_draining()
+            self._dispatch()
+            return False
+        wanted = self._policy.next_load(candidates)
+        if self._slot_for(wanted) is None:
+            self._make_room(wanted)
+            return False
+        turn = await self._take_turn(wanted)
+        if turn is None:
+            return False
+        try:
+            return await self._load_on_turn(wanted.owner)
+        finally:
+            await self._end_turn(turn)
+
+    async def _load_on_turn(self, owner: str) -> bool:
+        """Choose again, as the queue moved on, and load."""
+        candidates = [c for c in self._candidates() if c.owner == owner]
+        if not candidates:
+            return False
+        wanted = self._policy.next_load(candidates)
+        victim = self._slot_for(wanted)
+        if victim is None:
+            return False
+        async with self._state.ordering:
+            if not self._may_start():
+                return False
+            if victim and not await self._evict(victim, wanted):
+                return False
+            return await self._load(wanted)
+
+    def _slot_for(self, wanted: _policy.Candidate) -> str | None:
+        """Return the adapter to evict, "" for a free slot, None for none."""
+        assert self._state.report is not None
+        if (
+            len(self._state.residents.by_name)
+            < self._state.report.adapter_slots
+        ):
+            return ""
+        evictable = self._evictable(wanted)
+        if not evictable:
+            return None
+        return self._policy.victim(evictable).name
+
+    def _evictable(self, wanted: _policy.Candidate) -> list[_policy.Candidate]:
+        now = self._state.clock.now()
+        free = [
+            resident.name
+            for resident in self._state.residents.by_name.values()
+            if resident.confirmed
+            and not resident.pinned
+            and now - resident.changed_at
+            >= self._state.settings.min_residence_s
+        ]
+        drained = [
+            n for n in free if self._state.residents.by_name[n].draining
+        ]
+        found = [self._resident_candidate(name) for name in drained or free]
+        return [c for c in found if self._may_displace(wanted, c)]
+
+    def _resident_candidate(self, name: str) -> _policy.Candidate:
+        jobs = [job for job in self._state.queue if job.adapter == name]
+        return self._candidate(name, self._owner_of(name), jobs)
+
+    def _owner_of(self, name: str) -> str:
+        adapter, _ = targets.split_name(name)
+        entry = self._state.session.view.adapter_by_id.get(adapter)
+        return entry.value.owner if entry is not None else ""
+
+    def _may_displace(
+        self, wanted: _policy.Candidate, victim: _policy.Candidate
+    ) -> bool:
+        """Whether the slot shares let one member's adapter go for another.
+
+        A member at its share of the slots makes room among its own.
+        """
+        if wanted.owner == victim.owner or not victim.owner:
+            return True
+        entry = self._state.session.view.member_by_id.get(wanted.owner)
+        if entry is None or entry.value.limits.slot_share is None:
+            return True
+        assert self._state.report is not None
+        slots = self._state.report.adapter_slots
+        allowed = max(1, int(entry.value.limits.slot_share * slots))
+        held = [
+            name
+            for name in self._state.residents.by_name
+            if self._owner_of(name) == wanted.owner
+        ]
+        return len(held) < allowed
+
+    def _make_room(self, wanted: _policy.Candidate) -> None:
+        """Let the least valuable busy adapter run dry for an old wait."""
+        draining = [
+            r for r in self._state.residents.by_name.values() if r.draining
+        ]
+        if (
+            draining
+            or wanted.oldest_wait_s < self._state.settings.drain_after_s
+        ):
+            return
+        busy = [
+            self._resident_candidate(r.name)
+            for r in self._state.residents.by_name.values()
+            if r.confirmed
+        ]
+        busy = [c for c in busy if self._may_displace(wanted, c)]
+        if busy:
+            victim = self._policy.victim(busy)
+            self._state.residents.by_name[victim.name].draining = True
+            self._decide("Drain", victim.name, f"room for {wanted.name}")
+
+    async def _take_turn(self, wanted: _policy.Candidate) -> str | None:
+        request = control.TurnRequest(
+            self._state.session.boot,
+            self._store(),
+            self._state.info.id,
+            wanted.name,
+            wanted.owner,
+            self._policy.load_score(wanted),
+            TURN_WAIT_S,
+        )
+        reply = await self._state.session.leader.call(
+            control.TURN, request, TURN_WAIT_S * 2
+        )
+        return reply.turn
+
+    def _store(self) -> str:
+        """Return the weight store that this engine loads from."""
+        view = self._state.session.view
+        pool = view.pool_by_id.get(self._state.info.pool)
+        return pool.value.store if pool is not None else DEFAULT_STORE
+
+    async def _end_turn(self, turn: str) -> None:
+        with contextlib.suppress(wire.ServingError):
+            await self._state.session.leader.call(
+                control.TURN_END, control.TurnEnd(self._store(), turn), 1.0
+            )
+
+    async def _evict(self, name: str, wanted: _policy.Candidate) -> bool:
+        resident = self._state.residents.by_name.get(name)
+        if resident is None or resident.pinned:
+            return False
+        # From here on no run may be dispatched to it.
+        resident.confirmed = False
+        self._decide("Evict", name, f"least worth, for {wanted.name}")
+        await self._state.steps.reach(wire.Step.EVICT, wire.Phase.BEFORE)
+        try:
+            await self._state.engine.unload(self._order(), name)
+        except (wire.NotSentError, wire.StaleOrderError):
+            resident.confirmed = True
+            raise
+        except wire.ServingError:
+            self._state.residents.uncertain(name, self._state.clock.now())
+            raise
+        await self._state.steps.reach(wire.Step.EVICT, wire.Phase.AFTER)
+        self._state.residents.unloaded(name, self._state.clock.now())
+        self._state.metrics.count("evictions")
+        return True
+
+    async def _load(self, wanted: _policy.Candidate) -> bool:
+        name = wanted.name
+        weights = self._weights_of(name)
+        if weights is None:
+            return False
+        started_at = self._state.clock.now()
+        self._decide("Load", name, f"{wanted.waiting} waiting")
+        self._state.residents.loading(name, started_at)
+        await self._state.steps.reach(wire.Step.LOAD, wire.Phase.BEFORE)
+        try:
+            await self._state.engine.load(self._order(), name, weights)
+        except wire.PeerLostError:
+            self._state.residents.uncertain(name, self._state.clock.now())
+            raise
+        except wire.ServingError as error:
+            self._state.residents.not_loaded(name, self._state.clock.now())
+            self._load_failed(name, error)
+            return False
+        await self._state.steps.reach(wire.Step.LOAD, wire.Phase.AFTER)
+        now = self._state.clock.now()
+        self._state.residents.loaded(name, now)
+        self._state.used_at_by_name[name] = now
+        self._state.load_s += ((now - started_at) - self._state.load_s) * 0.2
+        self._failures_by_name.pop(name, None)
+        self._state.metrics.count("loads")
+        self._dispatch()
+        return True
+
+    def _weights_of(self, name: str) -> str | None:
+        adapter, version = targets.split_name(name)
+        entry = self._state.session.view.adapter_by_id.get(adapter)
+        if entry is None:
+            return None
+        return entry.value.versions.get(version)
+
+    def _load_failed(self, name: str, error: wire.ServingError) -> None:
+        """Back off, and fail those waiting after some tries."""
+        failures = self._failures_by_name.get(name, 0) + 1
+        self._failures_by_name[name] = failures
+        backoff_s = LOAD_BACKOFF_S * 2**failures
+        self._retry_at_by_name[name] = self._state.clock.now() + backoff_s
+        self._state.metrics.count("load_failures")
+        self._decide("Back off", name, f"load failed: {error.code}")
+        if failures < self._state.settings.load_retries:
+            return
+        for job in self._state.queue:
+            if job.adapter == name and not job.ready.done():
+                self._state.queue.remove(job)
+                job.ready.set_exception(
+                    wire.OverloadError(
+                        f"{name} could not be loaded: {error.message}",
+                        retry_after_s=backoff_s,
+                    )
+                )
+
+    def _decide(self, what: str, adapter: str, reason: str) -> None:
+        observe.log_decision(
+            observe.Decision(
+                "place",
+                what,
+                reason,
+                adapter=adapter,
+                target=self._state.info.id,
+            )
+        )
