--- a/libs/quorum/src/bergamotsail/quorum/__init__.py
+++ b/libs/quorum/src/bergamotsail/quorum/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from bergamotsail.quorum import _disk
+from bergamotsail.quorum import _machine
 from bergamotsail.quorum import _messages
 from bergamotsail.quorum import _node
 from bergamotsail.quorum import _storage
@@ -21,7 +22,7 @@
 Member = _messages.Member
 CALLS = _messages.CALLS
 
-Machine = _node.Machine
+Machine = _machine.Machine
 Node = _node.Node
 Role = _node.Role
 Timing = _node.Timing
--- /dev/null
+++ b/libs/quorum/src/bergamotsail/quorum/_log.py
@@ -0,0 +1,94 @@
+"""The part of the log that is not yet in a snapshot, in memory."""
+
+import collections.abc
+
+from bergamotsail.quorum import _messages
+from bergamotsail import wire
+
+Config = _messages.Config
+Entry = _messages.Entry
+SnapshotMeta = _messages.SnapshotMeta
+
+
+class Log:
+    """Entries after the snapshot, and the configurations they set.
+
+    A configuration counts from the moment its entry is in the log, whether
+    committed or not; when the entry is cut off, the one before counts.
+    """
+
+    def __init__(self) -> None:
+        self.snapshot = SnapshotMeta(0, 0, Config())
+        self._entries: list[Entry] = []
+        self._configs: list[tuple[int, Config]] = [(0, Config())]
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        if self._entries:
+            return self._entries[-1].index
+        return self.snapshot.index
+
+    @property
+    def config(self) -> Config:
+        """The latest configuration."""
+        return self._configs[-1][1]
+
+    @property
+    def config_index(self) -> int:
+        """Index of the entry that set the latest configuration."""
+        return self._configs[-1][0]
+
+    def config_at(self, index: int) -> Config:
+        """Return the configuration in force at an index."""
+        return [config for at, config in self._configs if at <= index][-1]
+
+    def entry_at(self, index: int) -> Entry:
+        """Return the entry at an index after the snapshot."""
+        return self._entries[index - self.snapshot.index - 1]
+
+    def term_at(self, index: int) -> int:
+        """Return the term at an index, the snapshot's included."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        return self.entry_at(index).term
+
+    def between(self, first: int, last: int) -> tuple[Entry, ...]:
+        """Return the entries from *first* to *last*, both included."""
+        return tuple(self.entry_at(i) for i in range(first, last + 1))
+
+    def matches(self, index: int, term: int) -> bool:
+        """Whether this log holds an entry of this term at an index."""
+        if index <= self.snapshot.index:
+            # A snapshot holds committed entries only, so they match.
+            return True
+        return index <= self.last_index and self.term_at(index) == term
+
+    def add(self, entry: Entry) -> None:
+        """Append an entry."""
+        self._entries.append(entry)
+        if entry.kind is _messages.EntryKind.CONFIG:
+            config = wire.decode(entry.data, Config)
+            self._configs.append((entry.index, config))
+
+    def cut_after(self, index: int) -> None:
+        """Remove all entries after an index."""
+        del self._entries[index - self.snapshot.index :]
+        self._configs = [(at, c) for at, c in self._configs if at <= index]
+
+    def compact(self, meta: SnapshotMeta) -> None:
+        """Drop what a snapshot of this log now stands for."""
+        del self._entries[: meta.index - self.snapshot.index]
+        later = [(at, c) for at, c in self._configs if at > meta.index]
+        self._configs = [(meta.index, meta.config), *later]
+        self.snapshot = meta
+
+    def restart(self, meta: SnapshotMeta) -> None:
+        """Start anew after a snapshot."""
+        self._entries.clear()
+        self._configs = [(meta.index, meta.config)]
+        self.snapshot = meta
+
+    def after(self, index: int) -> collections.abc.Sequence[Entry]:
+        """Return all entries after an index."""
+        return self._entries[index - self.snapshot.index :]
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -5,7 +5,6 @@
 applying, and one for each peer while this replica leads.
 """
 
-import abc
 import asyncio
 import collections.abc
 import contextlib
@@ -15,6 +14,9 @@
 import typing
 
 from bergamotsail.quorum import _disk
+from bergamotsail.quorum import _log
+from bergamotsail.quorum import _machine
+from bergamotsail.quorum import _membership
 from bergamotsail.quorum import _messages
 from bergamotsail.quorum import _storage
 from bergamotsail import wire
@@ -28,27 +30,6 @@
 Member = _messages.Member
 
 
-class Machine(abc.ABC):
-    """What committed commands act on. It must be deterministic."""
-
-    @abc.abstractmethod
-    def apply(self, index: int, command: bytes) -> object:
-        """Apply a committed command and return its result."""
-
-    @abc.abstractmethod
-    def snapshot(self) -> collections.abc.Iterator[bytes]:
-        """Return the state in lines.
-
-        The iterator is read later, so it holds a frozen copy.
-        """
-
-    @abc.abstractmethod
-    def restore(
-        self, index: int, lines: collections.abc.Iterable[bytes]
-    ) -> None:
-        """Replace the state by a snapshot taken at *index*."""
-
-
 class Role(enum.StrEnum):
     """The role of a replica."""
 
@@ -98,7 +79,7 @@
         seeds: collections.abc.Sequence[str],
         storage: _storage.Storage,
         transport: wire.PeerTransport,
-        machine: Machine,
+        machine: _machine.Machine,
         rng: random.Random,
         timing: Timing = Timing(),
         clock: wire.Clock = wire.LoopClock(),
@@ -121,9 +102,7 @@
         self._steps = steps
         self._me = Member("", name, address)
         self._vote = _messages.Vote()
-        self._log: list[Entry] = []
-        self._snapshot = _messages.SnapshotMeta(0, 0, Config())
-        self._configs: list[tuple[int, Config]] = [(0, Config())]
+        self._log = _log.Log()
         self._on_disk = 0
         self._heard_at = 0.0
         self._ready_index = 0
@@ -196,17 +175,17 @@
     @property
     def config(self) -> Config:
         """The latest configuration in the log."""
-        return self._configs[-1][1]
+        return self._log.config
 
     @property
     def last_index(self) -> int:
         """Index of the last entry in the log, committed or not."""
-        return self._log[-1].index if self._log else self._snapshot.index
+        return self._log.last_index
 
     @property
     def snapshot_index(self) -> int:
         """Index up to which the log was replaced by a snapshot."""
-        return self._snapshot.index
+        return self._log.snapshot.index
 
     @property
     def is_leader(self) -> bool:
@@ -359,7 +338,7 @@
             self._check_disk()
             if not await self._follow(request.term, request.leader):
                 return self._append_reply(False)
-            if not self._matches(request.prev_index, request.prev_term):
+            if not self._log.matches(request.prev_index, request.prev_term):
                 return self._append_reply(False)
             await self._take_entries(request.entries)
             await self._flush_locked()
@@ -434,7 +413,7 @@
             return False
         if self.role is Role.LEADER and request.term == self.term:
             return False
-        mine = (self._term_at(self.last_index), self.last_index)
+        mine = (self._log.term_at(self.last_index), self.last_index)
         if (request.last_term, request.last_index) < mine:
             return False
         free = self._vote.voted_for in (None, request.candidate)
@@ -522,7 +501,7 @@
             term,
             self._me.id,
             self.last_index,
-            self._term_at(self.last_index),
+            self._log.term_at(self.last_index),
             pre,
             transfer,
         )
@@ -599,10 +578,8 @@
         return entry.index
 
     def _add_entry(self, entry: Entry) -> None:
-        self._log.append(entry)
+        self._log.add(entry)
         if entry.kind is _messages.EntryKind.CONFIG:
-            config = wire.decode(entry.data, Config)
-            self._configs.append((entry.index, config))
             if self.role is Role.LEADER:
                 self._start_replicators()
 
@@ -611,33 +588,18 @@
         self._waiter_by_index[index] = _Waiter(self.term, done)
         return await done
 
-    def _entry_at(self, index: int) -> Entry:
-        return self._log[index - self._snapshot.index - 1]
-
-    def _term_at(self, index: int) -> int:
-        if index == self._snapshot.index:
-            return self._snapshot.term
-        return self._entry_at(index).term
-
-    def _matches(self, index: int, term: int) -> bool:
-        if index <= self._snapshot.index:
-            # A snapshot holds committed entries only, so they match.
-            return True
-        return index <= self.last_index and self._term_at(index) == term
-
     async def _take_entries(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
-            if entry.index <= self._snapshot.index:
+            if entry.index <= self._log.snapshot.index:
                 continue
             if entry.index <= self.last_index:
-                if self._term_at(entry.index) == entry.term:
+                if self._log.term_at(entry.index) == entry.term:
                     continue
                 await self._cut_after(entry.index - 1)
             self._add_entry(entry)
 
     async def _cut_after(self, index: int) -> None:
-        del self._log[index - self._snapshot.index :]
-        self._configs = [(at, c) for at, c in self._configs if at <= index]
+        self._log.cut_after(index)
         if self._on_disk > index:
             try:
                 await self._storage.truncate_after(index)
@@ -666,8 +628,7 @@
         stored = await self._storage.read_snapshot()
         assert stored is not None
         self._machine.restore(meta.index, stored[1])
-        self._snapshot = meta
-        self._configs = [(meta.index, meta.config)]
+        self._log.restart(meta)
         self.commit = max(self.commit, meta.index)
         self.applied = meta.index
 
@@ -678,7 +639,6 @@
         try:
             await self._storage.finish_incoming(self._incoming_lines)
             await self._restore(meta)
-            self._log.clear()
             await self._storage.rewrite_log([])
         except _disk.DiskError as error:
             self._fail(error)
@@ -708,8 +668,8 @@
         if last == self._on_disk:
             return
         self._check_disk()
-        first = max(self._on_disk, self._snapshot.index) + 1
-        entries = [self._entry_at(i) for i in range(first, last + 1)]
+        first = max(self._on_disk, self._log.snapshot.index) + 1
+        entries = self._log.between(first, last)
         try:
             await self._steps.reach(wire.Step.APPEND, wire.Phase.BEFORE)
             await self._storage.append(entries)
@@ -763,17 +723,17 @@
     async def _send_next(self, peer: Member) -> bool:
         """Send what the peer needs next; True when there is more."""
         following = self._next_by_peer[peer.id]
-        if following <= self._snapshot.index:
+        if following <= self._log.snapshot.index:
             await self._send_snapshot(peer)
             return True
         last = min(self.last_index, following + MAX_BATCH - 1)
-        entries = tuple(self._entry_at(i) for i in range(following, last + 1))
+        entries = self._log.between(following, last)
         request = _messages.AppendRequest(
             peer.id,
             self.term,
             self._me,
             following - 1,
-            self._term_at(following - 1),
+            self._log.term_at(following - 1),
             entries,
             self.commit,
         )
@@ -851,7 +811,7 @@
         ]
         matches.sort(reverse=True)
         index = matches[self.config.majority - 1]
-        if index > self.commit and self._term_at(index) == self.term:
+        if index > self.commit and self._log.term_at(index) == self.term:
             self._move_commit(index)
 
     def _move_commit(self, index: int) -> None:
@@ -875,7 +835,7 @@
             await self._maybe_snapshot()
 
     def _apply_next(self) -> None:
-        entry = self._entry_at(self.applied + 1)
+        entry = self._log.entry_at(self.applied + 1)
         result: object = None
         if entry.kind is _messages.EntryKind.COMMAND:
             result = self._machine.apply(entry.index, entry.data)
@@ -889,7 +849,7 @@
             waiter.done.set_exception(self.not_leader())
 
     async def _maybe_snapshot(self) -> None:
-        behind = self.applied - self._snapshot.index
+        behind = self.applied - self._log.snapshot.index
         if behind < self._timing.snapshot_entries or self._snapshotting:
             return
         self._snapshotting = True
@@ -902,20 +862,17 @@
 
     async def _take_snapshot(self) -> None:
         index = self.applied
-        config = [c for at, c in self._configs if at <= index][-1]
-        meta = _messages.SnapshotMeta(index, self._term_at(index), config)
+        config = self._log.config_at(index)
+        meta = _messages.SnapshotMeta(index, self._log.term_at(index), config)
         async with self._lock:
             if self._incoming is not None or self.applied != index:
                 return
             await self._steps.reach(wire.Step.SNAPSHOT, wire.Phase.BEFORE)
             await self._storage.write_snapshot(meta, self._machine.snapshot())
-            kept = self._log[index - self._snapshot.index :]
+            kept = self._log.after(index)
             await self._storage.rewrite_log(kept)
             self._on_disk = kept[-1].index if kept else index
-            del self._log[: index - self._snapshot.index]
-            self._snapshot = meta
-            later = [(at, c) for at, c in self._configs if at > index]
-            self._configs = [(index, config), *later]
+            self._log.compact(meta)
         await self._steps.reach(wire.Step.SNAPSHOT, wire.Phase.AFTER)
 
     # Membership.
@@ -951,9 +908,13 @@
         """
         with contextlib.suppress(wire.ServingError):
             await self._steps.reach(wire.Step.JOIN, wire.Phase.BEFORE)
-            await self._change(lambda config: _with_learner(config, member))
+            await self._change(
+                lambda config: _membership.with_learner(config, member)
+            )
             await self._wait_caught_up(member)
-            await self._change(lambda config: _with_voter(config, member))
+            await self._change(
+                lambda config: _membership.with_voter(config, member)
+            )
             await self._steps.reach(wire.Step.JOIN, wire.Phase.AFTER)
 
     async def _wait_caught_up(self, member: Member) -> None:
@@ -966,7 +927,7 @@
         self, edit: collections.abc.Callable[[Config], Config]
     ) -> None:
         """Commit a configuration that differs by one member at most."""
-        while self._configs[-1][0] > self.commit and self.is_leader:
+        while self._log.config_index > self.commit and self.is_leader:
             await self._clock.sleep(self._timing.heartbeat_s / 4)
         if not self.holds_lease():
             raise self.not_leader()
@@ -984,19 +945,3 @@
         return await self._transport.call(
             peer.address, call, request, self._timing.call_s
         )
-
-
-def _with_learner(config: Config, member: Member) -> Config:
-    if any(m.id == member.id for m in config.members):
-        return config
-    learners = tuple(m for m in config.learners if m.name != member.name)
-    return Config(config.voters, learners + (member,))
-
-
-def _with_voter(config: Config, member: Member) -> Config:
-    """Make a learner a voter, in the place of its old self if it has one."""
-    if config.has_voter(member.id):
-        return config
-    learners = tuple(m for m in config.learners if m.id != member.id)
-    voters = tuple(m for m in config.voters if m.name != member.name)
-    return Config(voters + (member,), learners)
