Keep a flooding member's queue from another's

Causes: an owner asked for a turn only for its single most urgent load, so that the fair queue for the store never saw the other member; a full queue refused whoever came, and the estimate of the wait counted the flood's loads before everyone's. Ruled out: the store itself, as the turns it gave were shared evenly among those that asked.

Also says with each heartbeat what waits for a load, and where a load is cheapest; not yet measured.

--- a/libs/bench/src/bergamotsail/bench/_workloads.py
+++ b/libs/bench/src/bergamotsail/bench/_workloads.py
@@ -90,9 +90,6 @@
             rng.shuffle(ranks)
             shifted = True
         adapter = ranks[rng.choices(range(shape.adapters), weights)[0]]
-        if event == "flood":
-            # The flooding member sends its own; this is the other's.
-            adapter -= adapter % 2
         yield Arrival(at, adapter, _tokens(rng))
 
 
--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -28,6 +28,7 @@
 TargetInfo = _messages.TargetInfo
 TargetStatus = _messages.TargetStatus
 TurnEnd = _messages.TurnEnd
+TurnReply = _messages.TurnReply
 TurnRequest = _messages.TurnRequest
 LeaseTiming = _messages.LeaseTiming
 COMMAND = _messages.COMMAND
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -191,8 +191,7 @@
                 _messages.TURN, request, request.wait_s + RELAY_TIMEOUT_S
             )
         queue = self._store(request.store)
-        turn = await queue.take(request, self._weights())
-        return _messages.TurnReply(turn)
+        return await queue.take(request, self._weights())
 
     async def on_turn_end(self, request: _messages.TurnEnd) -> _messages.Done:
         """Let the next load start."""
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -54,6 +54,9 @@
         queued: requests waiting at the owner.
         running: requests running now.
         batch_slots: how many can run at once.
+        pending: adapters that wait here for their load.
+        cheapest: how much the least used adapter here is used, 0 when a
+            slot is free; a load costs that much.
     """
 
     target: str
@@ -65,6 +68,8 @@
     running: int = 0
     batch_slots: int = 0
     adapter_slots: int = 0
+    pending: tuple[str, ...] = ()
+    cheapest: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -186,26 +191,24 @@
     """An owner asks for its turn at a weight store.
 
     Args:
-        score: how urgent the load is; the highest goes first within a
-            member.
+        score_by_member: how urgent the best load of each member is.
         wait_s: how long the leader may hold the answer back.
     """
 
     boot: str
     store: str
     target: str
-    adapter: str
-    member: str
-    score: float
+    score_by_member: dict[str, float]
     wait_s: float
     relayed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TurnReply:
-    """The turn's id, or None when it did not come in time."""
+    """A turn and whose load it is for; None when none came in time."""
 
-    turn: str | None
+    turn: str | None = None
+    member: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/control/src/bergamotsail/control/_turns.py
+++ b/libs/control/src/bergamotsail/control/_turns.py
@@ -44,8 +44,8 @@
         self,
         request: _messages.TurnRequest,
         weight_by_member: dict[str, float],
-    ) -> str | None:
-        """Wait for a turn; None when it does not come within ``wait_s``."""
+    ) -> _messages.TurnReply:
+        """Wait for a turn; there may be none within ``wait_s``."""
         ready = asyncio.get_running_loop().create_future()
         waiting = _Waiting(request, ready)
         self._waiting.append(waiting)
@@ -54,10 +54,10 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(request.wait_s):
                     return await ready
-            return None
+            return _messages.TurnReply()
         except asyncio.CancelledError:
             if ready.done() and not ready.cancelled():
-                self.end(ready.result(), weight_by_member)
+                self.end(ready.result().turn, weight_by_member)
             raise
         finally:
             if waiting in self._waiting:
@@ -82,21 +82,30 @@
         if not live:
             return
         self._decay(now)
-        chosen = min(live, key=lambda w: self._rank(w, weight_by_member))
+        chosen, member = min(
+            (
+                (waiting, member)
+                for waiting in live
+                for member in waiting.request.score_by_member
+            ),
+            key=lambda pair: self._rank(*pair, weight_by_member),
+        )
         self._turn = f"{chosen.request.boot}/{next(self._numbers)}"
-        self._turn_member = chosen.request.member
+        self._turn_member = member
         self._turn_since = now
         self._waiting.remove(chosen)
-        chosen.ready.set_result(self._turn)
+        chosen.ready.set_result(_messages.TurnReply(self._turn, member))
 
     def _rank(
-        self, waiting: _Waiting, weight_by_member: dict[str, float]
+        self,
+        waiting: _Waiting,
+        member: str,
+        weight_by_member: dict[str, float],
     ) -> tuple[float, float]:
-        member = waiting.request.member
         used_s = self._used_by_member.get(member, 0.0)
         # Rounding lets urgency decide between members that are about even.
         use = round(used_s / weight_by_member.get(member, 1.0))
-        return (use, -waiting.request.score)
+        return (use, -waiting.request.score_by_member[member])
 
     def _charge(self) -> None:
         held_s = self._clock.now() - self._turn_since
--- a/libs/placement/src/bergamotsail/placement/_engine_owner.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_owner.py
@@ -116,6 +116,8 @@
             self._running,
             report.batch_slots if report is not None else 0,
             report.adapter_slots if report is not None else 0,
+            self._loads.pending(),
+            self._loads.cheapest(),
         )
 
     async def hand_over(self) -> None:
@@ -219,12 +221,7 @@
         return stream
 
     def _check_room(self, job: _jobs.Job) -> None:
-        waiting = len(self._queue)
-        if waiting >= self._settings.max_queue:
-            raise wire.OverloadError(
-                f"Engine {self.info.id} has {waiting} requests waiting.",
-                retry_after_s=self._expected_wait_s(job),
-            )
+        """Refuse what can't be met, or make a flooding member give way."""
         expected_s = self._expected_wait_s(job)
         if expected_s > job.request.left_s:
             raise wire.DeadlineError(
@@ -232,18 +229,39 @@
                 "with a later deadline.",
                 retry_after_s=expected_s,
             )
+        if len(self._queue) < self._settings.max_queue:
+            return
+        full = wire.OverloadError(
+            f"Engine {self.info.id} has {len(self._queue)} requests waiting.",
+            retry_after_s=expected_s,
+        )
+        longest = self._queue.longest_member()
+        own = self._queue.waiting_of(job.request.payer)
+        if own >= self._queue.waiting_of(longest):
+            raise full
+        dropped = self._queue.newest_of(longest)
+        self._queue.remove(dropped)
+        if not dropped.ready.done():
+            dropped.ready.set_exception(full)
 
     def _expected_wait_s(self, job: _jobs.Job) -> float:
-        """Estimate the wait from the loads that go before."""
+        """Estimate the wait from the loads that go before.
+
+        Members take turns, so another member's long queue counts only as
+        far as it goes before this member's.
+        """
         if self._residents.usable(job.adapter):
             return 0.0
-        names = {
-            waiting.adapter
-            for waiting in self._queue
-            if not self._residents.usable(waiting.adapter)
-        }
-        names.add(job.adapter)
-        return self._state.load_s * len(names)
+        names_by_member: dict[str, set[str]] = {job.owner: {job.adapter}}
+        for waiting in self._queue:
+            if not self._residents.usable(waiting.adapter):
+                names = names_by_member.setdefault(waiting.owner, set())
+                names.add(waiting.adapter)
+        own = len(names_by_member[job.owner])
+        before = sum(
+            min(own, len(names)) for names in names_by_member.values()
+        )
+        return self._state.load_s * before
 
     def _give_back(self, job: _jobs.Job) -> None:
         """Undo a dispatch that its waiter did not take."""
--- a/libs/placement/src/bergamotsail/placement/_fair_queue.py
+++ b/libs/placement/src/bergamotsail/placement/_fair_queue.py
@@ -32,6 +32,17 @@
         """Return how many jobs of a member wait."""
         return len(self._jobs_by_member.get(member, ()))
 
+    def longest_member(self) -> str:
+        """Return the member with most jobs waiting."""
+        return max(
+            self._jobs_by_member,
+            key=lambda member: len(self._jobs_by_member[member]),
+        )
+
+    def newest_of(self, member: str) -> _jobs.Job:
+        """Return the job of a member that came last."""
+        return self._jobs_by_member[member][-1]
+
     def put(self, job: _jobs.Job) -> None:
         """Add a job."""
         member = job.request.payer
--- a/libs/placement/src/bergamotsail/placement/_loads.py
+++ b/libs/placement/src/bergamotsail/placement/_loads.py
@@ -13,7 +13,10 @@
 from bergamotsail import targets
 from bergamotsail import wire
 
-TURN_WAIT_S = 1.0
+TURN_WAIT_S = 0.25
+TURN_TIMEOUT_S = 2.0
+SMOOTHING = 0.2
+MOST_PENDING = 32
 LOAD_BACKOFF_S = 0.5
 DEFAULT_STORE = "default"
 
@@ -61,6 +64,23 @@
                 continue
             await wire.wait_event(self._state.work, LOAD_BACKOFF_S)
 
+    def pending(self) -> tuple[str, ...]:
+        """Return adapters that wait here for their load, or have it."""
+        residents = self._state.residents
+        names = {job.adapter for job in self._state.queue}
+        waiting = [n for n in sorted(names) if not residents.usable(n)]
+        return tuple(waiting[:MOST_PENDING])
+
+    def cheapest(self) -> float:
+        """Return the use of what would be evicted, 0 for a free slot."""
+        report = self._state.report
+        held = self._state.residents.by_name
+        if report is None or len(held) < report.adapter_slots:
+            return 0.0
+        now = self._state.clock.now()
+        uses = [self._state.uses.value(name, now) for name in held]
+        return round(min(uses, default=0.0), 1)
+
     def _candidates(self) -> list[_policy.Candidate]:
         now = self._state.clock.now()
         jobs_by_name: dict[str, list[_jobs.Job]] = {}
@@ -98,21 +118,41 @@
             self._state.residents.stop_draining()
             self._dispatch()
             return False
-        wanted = self._policy.next_load(candidates)
-        if self._slot_for(wanted) is None:
-            self._make_room(wanted)
+        best_by_member = self._best_by_member(candidates)
+        ready = {
+            member: wanted
+            for member, wanted in best_by_member.items()
+            if self._slot_for(wanted) is not None
+        }
+        for wanted in best_by_member.values():
+            if wanted.owner not in ready:
+                self._make_room(wanted)
+        if not ready:
             return False
-        turn = await self._take_turn(wanted)
-        if turn is None:
+        asked_at = self._state.clock.now()
+        turn = await self._take_turn(ready)
+        if turn.turn is None:
             return False
         try:
-            return await self._load_on_turn(wanted.owner)
+            return await self._load_on_turn(turn.member, asked_at)
         finally:
-            await self._end_turn(turn)
+            await self._end_turn(turn.turn)
+
+    def _best_by_member(
+        self, candidates: list[_policy.Candidate]
+    ) -> dict[str, _policy.Candidate]:
+        """Return the load that each member has most worth of."""
+        by_member: dict[str, list[_policy.Candidate]] = {}
+        for candidate in candidates:
+            by_member.setdefault(candidate.owner, []).append(candidate)
+        return {
+            member: self._policy.next_load(own)
+            for member, own in by_member.items()
+        }
 
-    async def _load_on_turn(self, owner: str) -> bool:
+    async def _load_on_turn(self, member: str, asked_at: float) -> bool:
         """Choose again, as the queue moved on, and load."""
-        candidates = [c for c in self._candidates() if c.owner == owner]
+        candidates = [c for c in self._candidates() if c.owner == member]
         if not candidates:
             return False
         wanted = self._policy.next_load(candidates)
@@ -124,7 +164,7 @@
                 return False
             if victim and not await self._evict(victim, wanted):
                 return False
-            return await self._load(wanted)
+            return await self._load(wanted, asked_at)
 
     def _slot_for(self, wanted: _policy.Candidate) -> str | None:
         """Return the adapter to evict, "" for a free slot, None for none."""
@@ -207,20 +247,22 @@
             self._state.residents.by_name[victim.name].draining = True
             self._decide("Drain", victim.name, f"room for {wanted.name}")
 
-    async def _take_turn(self, wanted: _policy.Candidate) -> str | None:
+    async def _take_turn(
+        self, best_by_member: dict[str, _policy.Candidate]
+    ) -> control.TurnReply:
         request = control.TurnRequest(
             self._state.session.boot,
             self._store(),
             self._state.info.id,
-            wanted.name,
-            wanted.owner,
-            self._policy.load_score(wanted),
+            {
+                member: self._policy.load_score(wanted)
+                for member, wanted in best_by_member.items()
+            },
             TURN_WAIT_S,
         )
-        reply = await self._state.session.leader.call(
-            control.TURN, request, TURN_WAIT_S * 2
+        return await self._state.session.leader.call(
+            control.TURN, request, TURN_TIMEOUT_S
         )
-        return reply.turn
 
     def _store(self) -> str:
         """Return the weight store that this engine loads from."""
@@ -255,7 +297,7 @@
         self._state.metrics.count("evictions")
         return True
 
-    async def _load(self, wanted: _policy.Candidate) -> bool:
+    async def _load(self, wanted: _policy.Candidate, asked_at: float) -> bool:
         name = wanted.name
         weights = self._weights_of(name)
         if weights is None:
@@ -277,7 +319,9 @@
         now = self._state.clock.now()
         self._state.residents.loaded(name, now)
         self._state.used_at_by_name[name] = now
-        self._state.load_s += ((now - started_at) - self._state.load_s) * 0.2
+        # The wait for the turn counts: it is what a waiting request sees.
+        spent_s = now - asked_at
+        self._state.load_s += (spent_s - self._state.load_s) * SMOOTHING
         self._failures_by_name.pop(name, None)
         self._state.metrics.count("loads")
         self._dispatch()
--- a/libs/routing/src/bergamotsail/routing/_choice.py
+++ b/libs/routing/src/bergamotsail/routing/_choice.py
@@ -9,7 +9,8 @@
 
 FULL = 1.0
 REPLICATE_QUEUE = 2.0
-COLD_CHOICES = 2
+COLD_CHOICES = 3
+PENDING_COST = 0.5
 STICKY_S = 5.0
 STICKY_KEPT = 2_000
 
@@ -53,6 +54,20 @@
     return target.status is not None and adapter in target.status.residents
 
 
+def is_pending(target: control.TargetInfo, adapter: str) -> bool:
+    """Whether requests for the adapter wait there for its load."""
+    return target.status is not None and adapter in target.status.pending
+
+
+def cost_of(target: control.TargetInfo) -> float:
+    """Return what a load there costs: what it evicts, and the queue."""
+    status = target.status
+    if status is None:
+        return 0.0
+    waiting = len(status.pending) * PENDING_COST
+    return round(status.cheapest + waiting + max(0.0, load_of(target) - 1))
+
+
 class ResidencyRouting(Routing):
     """Where the adapter is resident, else where it should be loaded.
 
@@ -106,16 +121,20 @@
         now: float,
     ) -> Choice:
         by_id = {target.id: target for target in targets}
+        pending = [t for t in targets if is_pending(t, adapter)]
+        if pending:
+            chosen = min(pending, key=lambda t: t.id)
+            return Choice(chosen, "load ordered there")
         sticky, at = self._cold_choice_by_adapter.get(adapter, ("", 0.0))
         if sticky in by_id and now - at < STICKY_S:
             return Choice(by_id[sticky], "load ordered there")
         order = control.rendezvous(adapter, by_id)[:COLD_CHOICES]
-        chosen = min(order, key=lambda name: round(load_of(by_id[name])))
+        chosen = min(order, key=lambda name: cost_of(by_id[name]))
         self._cold_choice_by_adapter[adapter] = (chosen, now)
         if len(self._cold_choice_by_adapter) > STICKY_KEPT:
             oldest = next(iter(self._cold_choice_by_adapter))
             del self._cold_choice_by_adapter[oldest]
-        return Choice(by_id[chosen], "cold, by hash")
+        return Choice(by_id[chosen], "cold, cheapest by hash")
 
 
 class HashRouting(Routing):
