--- a/libs/placement/src/bergamotsail/placement/_loads.py
+++ b/libs/placement/src/bergamotsail/placement/_loads.py
@@ -17,6 +17,7 @@
 TURN_TIMEOUT_S = 2.0
 SMOOTHING = 0.2
 MOST_PENDING = 32
+STILL_USED = 0.5
 LOAD_BACKOFF_S = 0.5
 DEFAULT_STORE = "default"
 
@@ -207,24 +208,41 @@
     def _may_displace(
         self, wanted: _policy.Candidate, victim: _policy.Candidate
     ) -> bool:
-        """Whether the slot shares let one member's adapter go for another.
+        """Whether one member's adapter may go for another's.
 
-        A member at its share of the slots makes room among its own.
+        A member at its share of the slots makes room among its own, as
+        long as the other member still uses what it holds.
         """
         if wanted.owner == victim.owner or not victim.owner:
             return True
-        entry = self._state.session.view.member_by_id.get(wanted.owner)
-        if entry is None or entry.value.limits.slot_share is None:
+        if victim.use < STILL_USED and not victim.waiting:
             return True
-        assert self._state.report is not None
-        slots = self._state.report.adapter_slots
-        allowed = max(1, int(entry.value.limits.slot_share * slots))
         held = [
             name
             for name in self._state.residents.by_name
             if self._owner_of(name) == wanted.owner
         ]
-        return len(held) < allowed
+        return len(held) < self._slots_of(wanted.owner)
+
+    def _slots_of(self, member: str) -> int:
+        """Return the slots that a member may take from others.
+
+        That is its ``slot_share``, or without one its part by weight among
+        the members that use this engine.
+        """
+        assert self._state.report is not None
+        slots = self._state.report.adapter_slots
+        members = self._state.session.view.member_by_id
+        entry = members.get(member)
+        if entry is None:
+            return slots
+        share = entry.value.limits.slot_share
+        if share is None:
+            using = {self._owner_of(n) for n in self._state.residents.by_name}
+            using |= {job.owner for job in self._state.queue}
+            weights = [members[m].value.weight for m in using if m in members]
+            share = entry.value.weight / max(sum(weights), entry.value.weight)
+        return max(1, round(share * slots))
 
     def _make_room(self, wanted: _policy.Candidate) -> None:
         """Let the least valuable busy adapter run dry for an old wait."""
