--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 format: env
 	$(BIN)/black -q libs features
 
+test: export PYTHONHASHSEED = 0
 test: env
 	$(BIN)/python features/run.py
 
--- a/features/run.py
+++ b/features/run.py
@@ -48,6 +48,9 @@
     for scenario in failed:
         line = known.get(scenario.name)
         print(f"known red: {line}" if line else f"FAILED: {scenario.name}")
+        for step in scenario.all_steps:
+            if step.error_message:
+                print(f"    {step.name}\n    {step.error_message}")
     print(f"{len(passed)} passed, {len(failed)} failed")
     if len(known) > MOST_KNOWN or not scenarios:
         return 1
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -30,6 +30,7 @@
                     daemons=5,
                     engines=3,
                     load_s=0.05,
+                    engine={"refuses_old": False},
                     daemon={
                         "answer_keep_s": 1.0,
                         "lease": {
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -249,6 +249,7 @@
         delete=st.booleans(),
     )
     def put(self, number, revision, operation, weight, delete) -> None:
+        """Set or delete a member, perhaps resent or stale."""
         name = f"member-{number}"
         stands = self.model.get(name, (0, ""))[0]
         wanted = stands if revision == "current" else revision
@@ -283,6 +284,7 @@
 
     @stateful.rule(key=st.integers(0, 3), attempt=st.integers(0, 3))
     def claim(self, key, attempt) -> None:
+        """Claim a key by some attempt."""
         name = f"key-{key}"
         claim = catalogue.Claim("m", name, 10, "digest", f"attempt-{attempt}")
         reply = self._apply(catalogue.Command(claim=claim))
@@ -292,6 +294,7 @@
 
     @stateful.rule(number=st.integers(0, 2), stale=st.booleans())
     def grant(self, number, stale) -> None:
+        """Grant a target, perhaps after a lost race."""
         name = f"target-{number}"
         epoch = self.epochs.get(name, 0)
         after = epoch - 1 if stale else epoch
@@ -304,12 +307,14 @@
 
     @stateful.rule()
     def restart(self) -> None:
+        """Restart from a snapshot."""
         lines = list(self.machine.snapshot())
         self.machine = catalogue.CatalogueMachine()
         self.machine.restore(self.index, lines)
 
     @stateful.invariant()
     def same_as_model(self) -> None:
+        """The view, and one rebuilt from effects, agree."""
         members = self.machine.view.member_by_id
         shown = {name: entry.revision for name, entry in members.items()}
         assert shown == {
@@ -340,6 +345,7 @@
         lost=st.sampled_from(("no", "request", "reply")),
     )
     def heartbeat(self, daemon, wanted, lost) -> None:
+        """Declare and be granted, with losses on the way."""
         boot = f"boot-{daemon}"
         if lost == "request":
             return
@@ -351,17 +357,20 @@
 
     @stateful.rule(daemon=st.integers(0, 4))
     def start_request(self, daemon) -> None:
+        """Use a unit if the share allows."""
         boot = f"boot-{daemon}"
         if self.used[boot] < self.held[boot]:
             self.used[boot] += 1
 
     @stateful.rule(daemon=st.integers(0, 4))
     def end_request(self, daemon) -> None:
+        """Give a unit back."""
         boot = f"boot-{daemon}"
         self.used[boot] = max(0, self.used[boot] - 1)
 
     @stateful.rule(daemon=st.integers(0, 4))
     def lease_ended(self, daemon) -> None:
+        """Lose the session of a daemon."""
         boot = f"boot-{daemon}"
         self.held[boot] = 0
         self.used[boot] = 0
@@ -369,6 +378,7 @@
 
     @stateful.invariant()
     def within_limit(self) -> None:
+        """No more units are in use than the limit."""
         assert sum(self.used.values()) <= self.LIMIT
 
 
@@ -386,6 +396,7 @@
         self._open()
 
     def teardown(self) -> None:
+        """Close the loop."""
         self.loop.close()
 
     def _do(self, work):
@@ -406,6 +417,7 @@
 
     @stateful.rule(count=st.integers(1, 4), size=st.integers(0, 200))
     def append(self, count, size) -> None:
+        """Append entries without a sync."""
         first = self._next()
         entries = [
             quorum.Entry(first + i, 1, quorum.EntryKind.COMMAND, bytes(size))
@@ -416,18 +428,21 @@
 
     @stateful.rule()
     def sync(self) -> None:
+        """Sync what was appended."""
         self._do(self.storage.sync())
         self.synced += self.pending
         self.pending = []
 
     @stateful.rule()
     def crash(self) -> None:
+        """Crash, lose or tear what was not synced, and load."""
         self.disk.crash()
         self.disk.start_again()
         self._open()
 
     @stateful.rule(keep=st.integers(0, 5))
     def truncate(self, keep) -> None:
+        """Cut the end of the log off."""
         self.sync()
         self.synced = self.synced[:keep]
         self._do(self.storage.truncate_after(self.snapshot + len(self.synced)))
--- a/features/support/matrix.py
+++ b/features/support/matrix.py
@@ -47,12 +47,14 @@
 
 
 async def kill(place: Place) -> None:
+    """Kill the process; it starts again after 2 s."""
     world = place.world
     await _later(world, 2.0, lambda: world.restart(place))
     await world.kill_here(place)
 
 
 async def freeze(place: Place) -> None:
+    """Freeze the process past its lease, then wake it."""
     world = place.world
 
     async def wake() -> None:
@@ -64,6 +66,7 @@
 
 
 async def lose_disk(place: Place) -> None:
+    """Kill a replica and start it with a blank disk."""
     world = place.world
     place = _replica(place)
 
@@ -89,14 +92,17 @@
 
 
 async def failed_sync(place: Place) -> None:
+    """Let every sync of a replica fail."""
     _replica(place).disk.fail_syncs = True
 
 
 async def full_disk(place: Place) -> None:
+    """Let every write of a replica fail."""
     _replica(place).disk.full = True
 
 
 async def torn_write(place: Place) -> None:
+    """Kill a replica in the middle of a write."""
     world = place.world
     place = _replica(place)
     place.disk.tear = True
@@ -120,22 +126,27 @@
 
 
 async def cut_both_ways(place: Place) -> None:
+    """Cut the daemon off from all others."""
     await _cut(place, PAST_LEASE_S, True, True)
 
 
 async def cut_outward(place: Place) -> None:
+    """Lose all that the daemon sends to others."""
     await _cut(place, PAST_LEASE_S, True, False)
 
 
 async def cut_inward(place: Place) -> None:
+    """Lose all that others send to the daemon."""
     await _cut(place, PAST_LEASE_S, False, True)
 
 
 async def long_partition(place: Place) -> None:
+    """Cut the daemon off for many leases."""
     await _cut(place, LONG_S, True, True)
 
 
 async def crossed_messages(place: Place) -> None:
+    """Delay, duplicate and reorder messages."""
     world = place.world
     world.network.duplicate = 0.3
     world.network.slow = 0.3
@@ -143,6 +154,8 @@
 
 
 def world_heal_network(world: World):
+    """Return work that ends faults of the network."""
+
     async def heal() -> None:
         world.network.heal()
 
@@ -150,6 +163,7 @@
 
 
 async def lost_replies(place: Place) -> None:
+    """Lose the replies of all targets for a while."""
     world = place.world
     for links in world.links.values():
         for link in links:
@@ -164,11 +178,13 @@
 
 
 async def engines_restart(place: Place) -> None:
+    """Restart all engines empty."""
     for engine in place.world.engine_by_address.values():
         engine.restart()
 
 
 async def loads_fail(place: Place) -> None:
+    """Let all loads fail for a while."""
     world = place.world
     for engine in world.engine_by_address.values():
         engine.load_fault = wire.EngineError("The load failed.")
@@ -181,6 +197,7 @@
 
 
 async def loads_hang(place: Place) -> None:
+    """Let all loads hang for a while."""
     world = place.world
     for engine in world.engine_by_address.values():
         engine.load_hang_s = 3.0
@@ -193,6 +210,7 @@
 
 
 async def target_leaves(place: Place) -> None:
+    """Mark an engine as leaving in the list."""
     world = place.world
     world.leaving.add("runner-0")
     world.publish()
@@ -201,6 +219,7 @@
 
 
 async def list_empty(place: Place) -> None:
+    """Show an empty instance list for a while."""
     world = place.world
     world.missing = {"runner-0", "runner-1", "app-0", "app-1"}
     world.publish()
@@ -213,10 +232,12 @@
 
 
 async def list_cut(place: Place) -> None:
+    """Put the instance list out of reach."""
     place.world.list_link.cut = True
 
 
 async def operators_race(place: Place) -> None:
+    """Let operators write one revision at once."""
     world = place.world
 
     async def race() -> None:
@@ -238,6 +259,7 @@
 
 
 async def second_loss_in_repair(place: Place) -> None:
+    """Lose a second replica while a lost disk is replaced."""
     world = place.world
     replicas = [p for p in world.places if p.disk is not None]
     first = _replica(place)
@@ -258,6 +280,7 @@
 
 
 async def planned_stop(place: Place) -> None:
+    """Stop the daemon as planned, then start it."""
     world = place.world
     await _later(world, 0.0, lambda: _stop_and_start(place))
 
--- a/libs/daemon/src/bergamotsail/daemon/_admin_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_admin_handlers.py
@@ -95,6 +95,7 @@
     """Lists the entries of a kind."""
 
     async def get(self, kind: str) -> None:
+        """List the entries."""
         await self.serve(self._answer(kind))
 
     async def _answer(self, kind: str) -> None:
@@ -107,12 +108,15 @@
     """Gets, sets and deletes an entry."""
 
     async def get(self, kind: str, entry_id: str) -> None:
+        """Get the entry and its revision."""
         await self.serve(self._get(kind, entry_id))
 
     async def put(self, kind: str, entry_id: str) -> None:
+        """Set the entry."""
         await self.serve(self._change(kind, entry_id, False))
 
     async def delete(self, kind: str, entry_id: str) -> None:
+        """Delete the entry."""
         await self.serve(self._change(kind, entry_id, True))
 
     async def _get(self, kind: str, entry_id: str) -> None:
@@ -196,6 +200,7 @@
     """Lists the latest changes, from a replica."""
 
     async def get(self) -> None:
+        """List the changes."""
         await self.serve(self._answer())
 
     async def _answer(self) -> None:
@@ -213,6 +218,7 @@
     """Waits for a change after a revision."""
 
     async def get(self) -> None:
+        """Answer once there is a change."""
         await self.serve(self._answer())
 
     async def _answer(self) -> None:
@@ -241,6 +247,7 @@
     """Describes replicas, daemons, targets and ownership."""
 
     async def get(self) -> None:
+        """Describe the state."""
         await self.serve(self._answer())
 
     async def _answer(self) -> None:
@@ -276,6 +283,7 @@
     """Gives the metrics, encoded for merging or readable."""
 
     async def get(self) -> None:
+        """Give the metrics."""
         await self.serve(self._answer())
 
     async def _answer(self) -> None:
@@ -291,6 +299,7 @@
     """Forms the replicated log of a new system, once."""
 
     async def post(self) -> None:
+        """Form the log."""
         await self.serve(self._answer())
 
     async def _answer(self) -> None:
@@ -305,6 +314,7 @@
     """Stops this daemon as planned, as SIGTERM does."""
 
     async def post(self) -> None:
+        """Start the planned stop."""
         await self.serve(self._answer())
 
     async def _answer(self) -> None:
--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -21,18 +21,21 @@
     prefix = "http"
 
     def initialize(self, daemon: _assembly.Daemon) -> None:
+        """Take the daemon that the routes give."""
         self.daemon = daemon
         self._pieces: list[bytes] = []
         self._size = 0
         self._task: asyncio.Task | None = None
 
     def prepare(self) -> None:
+        """Refuse a body that says it is too large."""
         limit = self.daemon.settings.http.max_body_bytes
         length = self.request.headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > limit:
             self._refuse_body(limit)
 
     def data_received(self, chunk: bytes) -> None:
+        """Collect the body, up to the limit."""
         self._size += len(chunk)
         if self._size > self.daemon.settings.http.max_body_bytes:
             if not self._finished:
@@ -52,6 +55,7 @@
         return b"".join(self._pieces)
 
     def on_connection_close(self) -> None:
+        """Cancel the work of a caller that went away."""
         if self._task is not None:
             self._task.cancel()
 
--- a/libs/daemon/src/bergamotsail/daemon/_caller_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_caller_handlers.py
@@ -103,6 +103,7 @@
     """Says whether this instance takes work."""
 
     async def get(self) -> None:
+        """Answer 200 while work is taken."""
         await self.serve(self._answer())
 
     async def _answer(self) -> None:
@@ -115,6 +116,7 @@
     """Says which addresses to use for a model or a service."""
 
     async def get(self) -> None:
+        """Answer a look-up."""
         await self.serve(self._answer())
 
     async def _answer(self) -> None:
@@ -135,6 +137,7 @@
     """Lists what the caller's member may use."""
 
     async def get(self) -> None:
+        """List models."""
         await self.serve(self._answer())
 
     async def _answer(self) -> None:
@@ -153,6 +156,7 @@
     """The completion and chat API."""
 
     async def post(self, kind: str) -> None:
+        """Answer a prompt, whole or streamed."""
         await self.serve(self._answer(kind == "chat/completions"))
 
     async def _answer(self, chat: bool) -> None:
--- a/libs/daemon/src/bergamotsail/daemon/_peer_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_peer_handlers.py
@@ -15,6 +15,7 @@
     prefix = "peer"
 
     async def post(self, name: str) -> None:
+        """Answer the call of this name."""
         await self.serve(self._answer(name))
 
     async def _answer(self, name: str) -> None:
@@ -42,6 +43,7 @@
         self.finish(wire.encode(last) + b"\n")
 
     def send_typed(self, error: wire.ServingError) -> None:
+        """Answer with the bare error, as peers read it."""
         if not self._finished:
             self.set_status(error.status)
             self.finish(wire.encode(error.body()))
--- a/libs/placement/src/bergamotsail/placement/_loads.py
+++ b/libs/placement/src/bergamotsail/placement/_loads.py
@@ -51,6 +51,7 @@
         self._retry_at_by_name: dict[str, float] = {}
 
     async def run(self) -> None:
+        """Load one adapter after another, as long as any waits."""
         while True:
             self._state.work.clear()
             try:
--- a/libs/routing/src/bergamotsail/routing/_admission.py
+++ b/libs/routing/src/bergamotsail/routing/_admission.py
@@ -5,6 +5,7 @@
 while the session asks the leader for more.
 """
 
+import abc
 import asyncio
 import collections
 import collections.abc
@@ -40,17 +41,53 @@
     ready: asyncio.Future
 
 
-class _Concurrency:
-    """A share of a concurrency limit."""
+class _Share(abc.ABC):
+    """The part of one limit that this daemon may use.
+
+    Args:
+        share: how much the leader gave.
+        wanted: how much could be used lately.
+    """
 
     def __init__(self) -> None:
         self.share = 0
-        self.used = 0
         self.wanted = 0
         self.wanted_at = float("-inf")
 
+    @abc.abstractmethod
+    def want(self, amount: int, now: float) -> None:
+        """Remember what could be used."""
+
+    @abc.abstractmethod
+    def can_take(self, now: float) -> bool:
+        """Whether there is a unit to take."""
+
+    @abc.abstractmethod
+    def take(self, now: float) -> None:
+        """Take a unit."""
+
+    @abc.abstractmethod
+    def give_back(self) -> None:
+        """Give a unit back, if units come back."""
+
+    @abc.abstractmethod
+    def held(self) -> int:
+        """Return what must count as this daemon's."""
+
+    @abc.abstractmethod
+    def set_share(self, share: int, now: float) -> None:
+        """Use another share from now on."""
+
+
+class _Concurrency(_Share):
+    """A share of a concurrency limit."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.used = 0
+
     def want(self, amount: int, now: float) -> None:
-        """Remember the peak of what was wanted lately."""
+        # The peak lately, so that the share does not flap.
         if amount >= self.wanted or now - self.wanted_at > WANTED_KEPT_S:
             self.wanted = amount
             self.wanted_at = now
@@ -71,7 +108,7 @@
         self.share = share
 
 
-class _Rate:
+class _Rate(_Share):
     """A share of a rate limit, as a token bucket that starts empty.
 
     A bucket that started full would let a limit be passed by moving the
@@ -79,9 +116,7 @@
     """
 
     def __init__(self) -> None:
-        self.share = 0
-        self.wanted = 0
-        self.wanted_at = float("-inf")
+        super().__init__()
         self._tokens = 0.0
         self._at = 0.0
 
@@ -134,7 +169,7 @@
         self._kick = kick
         self._settings = settings
         self._clock = clock
-        self._share_by_key: dict[str, _Concurrency | _Rate] = {}
+        self._share_by_key: dict[str, _Share] = {}
         self._waiting_by_member: dict[str, list[_Waiting]] = (
             collections.defaultdict(list)
         )
@@ -273,7 +308,7 @@
             retry_after_s=1.0,
         )
 
-    def _share(self, key: str) -> "_Concurrency | _Rate":
+    def _share(self, key: str) -> _Share:
         if key not in self._share_by_key:
             is_rate = key.startswith("rate/")
             self._share_by_key[key] = _Rate() if is_rate else _Concurrency()
--- a/libs/routing/src/bergamotsail/routing/_entry.py
+++ b/libs/routing/src/bergamotsail/routing/_entry.py
@@ -119,7 +119,7 @@
         self._routing = routing
         self._metrics = metrics
         self._clock = clock
-        self._budgets = _retries.RetryBudgets(self._retry_part)
+        self._budgets = _retries.RetryBudgets(lambda: session.view)
 
     async def complete(
         self, caller: Caller, completion: Completion
@@ -203,10 +203,6 @@
             self._metrics.record_s("token_gap", now - last_at, **labels)
         return now
 
-    def _retry_part(self, member: str) -> float:
-        entry = self._session.view.member_by_id.get(member)
-        return entry.value.retry_budget if entry is not None else 0.0
-
     async def _answer(
         self, attempt: "_Attempt"
     ) -> collections.abc.AsyncIterator[Part]:
--- a/libs/routing/src/bergamotsail/routing/_retries.py
+++ b/libs/routing/src/bergamotsail/routing/_retries.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 
+from bergamotsail import catalogue
+
 CAP = 10.0
 
 
@@ -10,12 +12,15 @@
 
     Every first try adds a part of a retry, up to a cap; every retry spends
     a whole one. So retries are at most that part of the traffic.
+
+    Args:
+        view: gives the catalogue, with each member's part.
     """
 
     def __init__(
-        self, part_of: collections.abc.Callable[[str], float]
+        self, view: collections.abc.Callable[[], catalogue.View]
     ) -> None:
-        self._part_of = part_of
+        self._view = view
         self._left_by_member: dict[str, float] = {}
 
     def first_try(self, member: str) -> None:
@@ -23,6 +28,10 @@
         left = self._left_by_member.get(member, CAP)
         self._left_by_member[member] = min(CAP, left + self._part_of(member))
 
+    def _part_of(self, member: str) -> float:
+        entry = self._view().member_by_id.get(member)
+        return entry.value.retry_budget if entry is not None else 0.0
+
     def spend(self, member: str) -> bool:
         """Take one retry; False when the budget is spent."""
         left = self._left_by_member.get(member, CAP)
--- a/libs/routing/src/bergamotsail/routing/_services.py
+++ b/libs/routing/src/bergamotsail/routing/_services.py
@@ -104,7 +104,7 @@
         self._metrics = metrics
         self._clock = clock
         self._steps = steps
-        self._budgets = _retries.RetryBudgets(self._retry_part)
+        self._budgets = _retries.RetryBudgets(lambda: session.view)
         self._running_by_target: collections.Counter[str] = (
             collections.Counter()
         )
@@ -172,10 +172,6 @@
             )
         return key_time_ms
 
-    def _retry_part(self, member: str) -> float:
-        entry = self._session.view.member_by_id.get(member)
-        return entry.value.retry_budget if entry is not None else 0.0
-
     # Calls that may be repeated.
 
     async def _call_freely(
