Wait for a target that moves; free what a leaving caller was given

Two faults, each with a scenario that failed first: - moving_targets: callers were refused with not_owner while a target moved between owners (about a second). Cause: four tries within 0.6 s, each paid from the retry budget. Ruled out: a wrong owner, as the next try finds the new one. An entry now looks again for up to 8 s, without cost, since nothing was run.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -24,6 +24,8 @@
       | operators_race             |
       | frozen_owner               |
       | cut_off_owner              |
+      | moving_targets             |
+      | leave_at_dispatch          |
       | limits_over_all            |
       | rate_over_all              |
 
--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -366,6 +366,60 @@
         return world.oracle.check_at_end()
 
 
+async def moving_targets(seed: int = 1) -> list[str]:
+    """Targets move between owners all the time; no caller is refused."""
+    async with World(Settings(seed=seed)) as world:
+        sending = asyncio.create_task(_send(world, 100, 0.1))
+        for _ in range(4):
+            await asyncio.sleep(2.0)
+            for place in world.places:
+                owners = place.daemon.owners
+                owners.hand_over(list(owners.by_target))
+        answers = await sending
+        faults = world.oracle.check_at_end()
+        faults += [
+            f"moving: {answer.error!r}"
+            for answer in answers
+            if answer.error is not None
+        ]
+        return faults
+
+
+async def leave_at_dispatch(seed: int = 1) -> list[str]:
+    """Callers go away at the very moment their request may run."""
+    original = placement.EngineOwner._dispatch
+    leaving = asyncio.Event()
+
+    def dispatch(self) -> None:
+        before = self.active
+        original(self)
+        started = self.active > before and leaving.is_set()
+        for task in asyncio.all_tasks() if started else ():
+            if task.get_coro().__name__ in ("_read", "_feed"):
+                task.cancel()
+
+    with patch(placement.EngineOwner, "_dispatch", dispatch):
+        async with World(Settings(seed=seed)) as world:
+            leaving.set()
+            tasks = [
+                asyncio.create_task(
+                    world.complete(n % 8, world.place(n % 5), deadline_s=2.0)
+                )
+                for n in range(30)
+            ]
+            await asyncio.wait(tasks, timeout=10.0)
+            leaving.clear()
+            for task in tasks:
+                task.cancel()
+            await asyncio.sleep(12.0)
+            faults = world.oracle.check_at_end()
+            for place in world.places:
+                for target, owner in place.daemon.owners.by_target.items():
+                    if owner.active:
+                        faults.append(f"leak: {target}: {owner.active} runs")
+            return faults
+
+
 async def cut_off_owner(seed: int = 1) -> list[str]:
     """Owners are cut off from all others, but not from their engines."""
     async with World(Settings(seed=seed)) as world:
@@ -441,6 +495,8 @@
     operators_race,
     frozen_owner,
     cut_off_owner,
+    moving_targets,
+    leave_at_dispatch,
     limits_over_all,
     rate_over_all,
 )
--- a/libs/placement/src/bergamotsail/placement/_engine_owner.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_owner.py
@@ -172,16 +172,22 @@
         self._state.work.set()
         try:
             async with asyncio.timeout_at(job.deadline):
-                return await job.ready
+                return await self._dispatched(job)
         except TimeoutError:
             raise wire.DeadlineError(
                 "The deadline passed while the request waited for "
                 f"{job.adapter}. Try again later.",
                 retry_after_s=self._expected_wait_s(job),
             ) from None
-        finally:
+
+    async def _dispatched(self, job: _jobs.Job) -> _Stream:
+        """Wait until a job may run; leave nothing behind otherwise."""
+        try:
+            return await job.ready
+        except BaseException:
             self._queue.remove(job)
             self._give_back(job)
+            raise
 
     def _job(self, request: _jobs.RunRequest) -> _jobs.Job:
         adapter, version = targets.split_name(request.adapter)
@@ -264,10 +270,16 @@
         return self._state.load_s * before
 
     def _give_back(self, job: _jobs.Job) -> None:
-        """Undo a dispatch that its waiter did not take."""
+        """Undo a dispatch that its waiter will not take.
+
+        A caller may go away at the very moment its job is dispatched; the
+        adapter's pin and the batch slot must then be free again.
+        """
         ready = job.ready
         if not ready.done():
             ready.cancel()
+        elif not ready.cancelled() and ready.exception() is None:
+            self._settle(ready.result())
 
     def _dispatch(self) -> None:
         """Start waiting jobs for which there is room, in fair order."""
--- a/libs/routing/src/bergamotsail/routing/_entry.py
+++ b/libs/routing/src/bergamotsail/routing/_entry.py
@@ -20,6 +20,7 @@
 MAX_ATTEMPTS = 4
 RETRY_PAUSE_S = 0.1
 RESUME_FOR_S = 8.0
+MOVE_FOR_S = 8.0
 WATCH_S = 0.25
 PREFIX_CHARS = 64
 SEPARATOR = "~"
@@ -238,17 +239,24 @@
             over = now - attempt.broken_since > RESUME_FOR_S
         else:
             over = number >= MAX_ATTEMPTS
+        # A target that moves between owners refuses for a moment. Nothing
+        # was run, so looking again costs no budget and no attempt.
+        moving = isinstance(error, wire.NotOwnerError)
+        if moving:
+            over = now - attempt.broken_since > MOVE_FOR_S
+            self._session.kick()
         final = over or not _worth_retrying(error, attempt)
         if final or now + RETRY_PAUSE_S >= attempt.deadline:
             raise self._final(error, attempt)
-        if not self._budgets.spend(attempt.caller.member):
+        if not moving and not self._budgets.spend(attempt.caller.member):
             self._metrics.count("retry_budget_spent")
             raise self._final(error, attempt)
         self._metrics.count("retries", code=error.code)
         self._decide("Retry", attempt, "-", error.code)
         if attempt.point is None:
             attempt.new_stream()
-        await self._clock.sleep(RETRY_PAUSE_S * number)
+        pauses = 1 if moving else number
+        await self._clock.sleep(RETRY_PAUSE_S * pauses)
         if not self._session.fresh():
             raise self._final(error, attempt)
 
@@ -368,19 +376,27 @@
                 f"{attempt.adapter} was withdrawn while the request waited."
             )
         owned = view.ownership_by_target
-        usable = [
+        live = [
             target
             for target in self._session.digest.target_by_id.values()
-            if target.pool == entry.value.pool
-            and not target.leaving
-            and target.id in owned
-            and owned[target.id].owner is not None
+            if target.pool == entry.value.pool and not target.leaving
+        ]
+        usable = [
+            target
+            for target in live
+            if target.id in owned and owned[target.id].owner is not None
         ]
         reachable = [
             target
             for target in usable
             if target.status is None or target.status.reachable
         ]
+        if live and not usable:
+            raise wire.NotOwnerError(
+                f"The engines of pool {entry.value.pool} have no owner at "
+                "the moment.",
+                retry_after_s=1.0,
+            )
         if not usable:
             raise wire.OverloadError(
                 f"No engine of pool {entry.value.pool} takes work now.",
