--- a/libs/bench/src/bergamotsail/bench/demo.py
+++ b/libs/bench/src/bergamotsail/bench/demo.py
@@ -192,6 +192,15 @@
     return {"p50": shown.get("p50_ms", 0.0), "p99": shown.get("p99_ms", 0.0)}
 
 
+def print_report(shown: dict[str, dict[str, float]]) -> None:
+    """Print what the daemons measured, merged over all of them."""
+    print(f"{'measure':62} {'count':>6} {'p50 ms':>8} {'p99 ms':>8}")
+    for name, values in shown.items():
+        p50 = values.get("p50_ms", "")
+        p99 = values.get("p99_ms", "")
+        print(f"{name:62} {values['count']:>6} {p50:>8} {p99:>8}")
+
+
 async def demonstrate() -> dict[str, object]:
     """Run the demonstration and return its figures."""
     settings = bench.SystemSettings()
@@ -207,8 +216,7 @@
         snapshot = await read_metrics(system, http)
         efficiency = await batch_efficiency(system, http)
     tally = load.tally
-    for name, values in observe.readable(snapshot).items():
-        print(f"  {name}: {values}")
+    print_report(observe.readable(snapshot))
     return {
         "requests": tally.requests,
         "answered": tally.answered,
