Refuse to resume another model's stream; cancel runs past the deadline

Found in reading: a caller could name one model and resume a stream of another of its own; and a run whose deadline passed was left to the grace time of orphans. The first is a row of the bad requests.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -80,6 +80,7 @@
       | bad deadline       | 400    | bad_request         |
       | bad priority       | 400    | bad_request         |
       | bad resume         | 400    | bad_request         |
+      | other model's resume | 400  | bad_request         |
       | unknown route      | 404    | not_found           |
       | peer route         | 401    | unauthenticated     |
       | admin as caller    | 401    | unauthenticated     |
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -629,6 +629,9 @@
         "bad deadline": run(tahi | {"X-Deadline-Ms": "soon"}),
         "bad priority": run(tahi | {"X-Priority": "urgent"}),
         "bad resume": run(tahi | {"Last-Event-ID": "a~b~c~lakeshore:1~0"}),
+        "other model's resume": run(
+            tahi | {"Last-Event-ID": "runner-0~x~adapter-2@v1~tahi:1~0"}
+        ),
         "unknown route": ("GET", "/nothing", None, tahi),
         "peer route": ("POST", "/peer/v1/heartbeat", b"{}", tahi),
         "admin as caller": ("GET", "/admin/v1/status", None, tahi),
--- a/libs/routing/src/bergamotsail/routing/_entry.py
+++ b/libs/routing/src/bergamotsail/routing/_entry.py
@@ -132,6 +132,7 @@
         """
         self._session.check_fresh()
         adapter = self.resolve(caller, completion.model)
+        _check_resume(completion)
         entry = self._session.view.adapter_by_id[adapter.partition("@")[0]]
         deadline = self._clock.now() + completion.deadline_s
         started_at = self._clock.now()
@@ -297,7 +298,9 @@
             None if point is None else point.incarnation,
         )
         ended = False
-        closed_by_caller = True
+        # Set unless the stream ends or fails by itself: a run that nobody
+        # waits for any longer is cancelled.
+        given_up = True
         chunks = wire.watched(
             self._run(owner, request),
             lambda: self._lost(owner, attempt),
@@ -310,12 +313,12 @@
                     continue
                 ended = part.end
                 yield part
-            closed_by_caller = False
-        except Exception:
-            closed_by_caller = False
+            given_up = False
+        except wire.ServingError as error:
+            given_up = isinstance(error, wire.DeadlineError)
             raise
         finally:
-            if closed_by_caller and not ended:
+            if given_up and not ended:
                 self._cancel(owner, request)
             await chunks.aclose()
         if not ended:
@@ -508,6 +511,18 @@
         self.stream_id = f"{self.caller.member}:{uuid.uuid4().hex}"
 
 
+def _check_resume(completion: Completion) -> None:
+    """Refuse to go on with a stream of another adapter or version."""
+    if completion.resume is None:
+        return
+    name, version = targets.split_name(completion.model)
+    resumed = targets.split_name(completion.resume.adapter)
+    if resumed != (name, version or resumed[1]):
+        raise wire.BadRequestError(
+            "Send Last-Event-ID only with the model whose answer it was."
+        )
+
+
 def _worth_retrying(error: wire.ServingError, attempt: _Attempt) -> bool:
     """Whether another target, or the same one later, may answer.
 
