Never take damage in the middle of the log for a torn tail

Cause: a damaged length made the record's end unknown, so that nothing good was found behind it and all later, synced entries were cut off in silence. Every later offset is now looked at. Ruled out: the checksum, which did find the record.

Errors at start end in one line that says what to do.

--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -228,6 +228,31 @@
     run.do(run.system.eventually(replaced, "the new replica to vote"))
 
 
+@behave.when("the log of a replica is damaged in the middle")
+def damage_log(context) -> None:
+    system = context.run.system
+    system.kill("entry-1")
+    log = system.data_folder("entry-1") / "log"
+    data = bytearray(log.read_bytes())
+    # The second byte of the length of the third record, so that what the
+    # header says of the record's end is wrong, too.
+    start = 0
+    for _ in range(2):
+        start += 8 + int.from_bytes(data[start : start + 4], "little")
+    data[start + 1] ^= 0xFF
+    log.write_bytes(bytes(data))
+    system.launch("entry-1")
+
+
+@behave.then("it ends with code 1 and says to remove the data folder")
+def says_what_to_do(context) -> None:
+    run = context.run
+    code = run.do(run.system.wait_exit("entry-1", 20))
+    assert code == 1, code
+    text = run.system.by_name["entry-1"].log.read_text()
+    assert "Remove the data folder" in text, text[-500:]
+
+
 @behave.when("another replica is killed")
 def kill_another(context) -> None:
     context.run.system.kill("entry-2")
--- a/libs/daemon/src/bergamotsail/daemon/main.py
+++ b/libs/daemon/src/bergamotsail/daemon/main.py
@@ -20,6 +20,7 @@
 
 _SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
 
+FAILED_EXIT = 1
 BAD_SETTINGS_EXIT = 2
 
 
@@ -72,7 +73,18 @@
         for fault in group.exceptions:
             print(f"settings: {fault}", file=sys.stderr)
         sys.exit(BAD_SETTINGS_EXIT)
-    asyncio.run(serve(settings))
+    try:
+        asyncio.run(serve(settings))
+    except wire.ServingError as error:
+        print(f"main: {error.code}: {error.message}", file=sys.stderr)
+        sys.exit(FAILED_EXIT)
+    except OSError as error:
+        print(
+            f"main: {error}. Check that {settings.address} is this "
+            "instance's and free, and that the data folder can be written.",
+            file=sys.stderr,
+        )
+        sys.exit(FAILED_EXIT)
 
 
 def run() -> None:
--- a/libs/quorum/src/bergamotsail/quorum/_storage.py
+++ b/libs/quorum/src/bergamotsail/quorum/_storage.py
@@ -84,12 +84,15 @@
 
 
 def _damaged_inside(data: bytes, offset: int) -> bool:
-    """Whether whole records follow the bad one at *offset*."""
-    if offset + _HEADER.size > len(data):
-        return False
-    length, _ = _HEADER.unpack_from(data, offset)
-    following = offset + _HEADER.size + length
-    return _record_at(data, following) is not None
+    """Whether a whole record follows the bad one at *offset*.
+
+    The length of the bad record can't be trusted, so every later offset is
+    looked at; the next good record is at most a few hundred bytes away.
+    """
+    return any(
+        _record_at(data, start) is not None
+        for start in range(offset + 1, len(data) - _HEADER.size)
+    )
 
 
 class Storage:
