Keep the leader's and owner's rounds going; doubt what an engine denies

Found in reading: an unexpected error in a round of the leader or in reading a report would have ended that task for good; and an adapter that the engine said it does not hold stayed usable until a report said the same.

--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections
 import collections.abc
-import contextlib
 import dataclasses
 
 from absl import logging
@@ -323,13 +322,28 @@
     async def _read_list(self) -> None:
         while True:
             if self._node.holds_lease():
-                term = self._current()
-                with contextlib.suppress(wire.ServingError):
-                    instances = await self._instances.read()
-                    term.fleet.update(instances, self._clock.now())
-                self._publish_fleet(term)
+                await self._guarded(self._read_list_once)
             await self._clock.sleep(self._list_interval_s)
 
+    async def _read_list_once(self) -> None:
+        term = self._current()
+        try:
+            instances = await self._instances.read()
+            term.fleet.update(instances, self._clock.now())
+        finally:
+            self._publish_fleet(term)
+
+    async def _guarded(
+        self, work: collections.abc.Callable[[], collections.abc.Awaitable]
+    ) -> None:
+        """Let no failure end a task that must go on."""
+        try:
+            await work()
+        except wire.ServingError as error:
+            logging.debug("control: Not done. %s", error.message)
+        except Exception:
+            logging.exception("control: A round broke.")
+
     def _publish_fleet(self, term: _Term) -> None:
         known = set()
         for instance, leaving in term.fleet.all():
@@ -341,15 +355,14 @@
     async def _assign(self) -> None:
         while True:
             await self._clock.sleep(ASSIGN_INTERVAL_S)
-            if not self._node.holds_lease():
-                continue
-            term = self._current()
-            self._end_sessions(term)
-            try:
-                await self._assign_once(term)
-                await self._raise_floor()
-            except wire.ServingError as error:
-                logging.info("control: No assignment. %s", error.message)
+            if self._node.holds_lease():
+                await self._guarded(self._lead_once)
+
+    async def _lead_once(self) -> None:
+        term = self._current()
+        self._end_sessions(term)
+        await self._assign_once(term)
+        await self._raise_floor()
 
     async def _raise_floor(self) -> None:
         if self._floor is None:
--- a/libs/placement/src/bergamotsail/placement/_engine_owner.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_owner.py
@@ -342,6 +342,9 @@
             raise
         except wire.ServingError as error:
             stream.ended = error.ran is not wire.Ran.UNKNOWN
+            if error.ran is wire.Ran.NOT_RUN:
+                # It may no longer be resident; the next report will tell.
+                self._residents.uncertain(job.adapter, self._clock.now())
             raise
         finally:
             await chunks.aclose()
@@ -467,10 +470,11 @@
             asked_at = self._clock.now()
             try:
                 report = await self._engine.report()
+                self._take_report(report, asked_at)
             except wire.ServingError as error:
                 logging.debug("place: No report. %s", error.message)
-            else:
-                self._take_report(report, asked_at)
+            except Exception:
+                logging.exception("place: A report broke.")
             await self._clock.sleep(self._settings.report_interval_s)
 
     def _take_report(
