--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -277,7 +277,7 @@
         if name != owner and (not avoid_owner or name not in ("entry-0",))
     )
     task = asyncio.ensure_future(
-        client._complete_at(
+        client.complete_at(
             run.system.by_name[entry].address,
             "adapter-0",
             "long",
@@ -341,7 +341,7 @@
     run = context.run
     other = next(n for n in run.running() if n != context.long["owner"])
     context.second = run.do(
-        run.client._complete_at(
+        run.client.complete_at(
             run.system.by_name[other].address,
             "adapter-0",
             "long",
--- a/features/support/matrix.py
+++ b/features/support/matrix.py
@@ -86,7 +86,7 @@
     Two disks of three lost at once are more than the log can bear.
     """
     for _ in range(200):
-        if _others_voting(world, place):
+        if others_voting(world, place):
             return
         await asyncio.sleep(0.1)
 
@@ -282,7 +282,7 @@
 async def planned_stop(place: Place) -> None:
     """Stop the daemon as planned, then start it."""
     world = place.world
-    await _later(world, 0.0, lambda: _stop_and_start(place))
+    await _later(world, 0.0, lambda: stop_and_start(place))
 
 
 FAULTS: tuple[Fault, ...] = (
@@ -432,7 +432,7 @@
             await leader.daemon.node.transfer()
     await asyncio.sleep(1.0)
     blank = world.place(2)
-    if blank.up and not blank.frozen and _others_voting(world, blank):
+    if blank.up and not blank.frozen and others_voting(world, blank):
         await world.kill(blank)
         blank.disk.lose()
         await world.start(blank)
@@ -443,10 +443,10 @@
         if place.up and not place.frozen and place.daemon.owners.by_target
     ]
     if owners:
-        await _stop_and_start(owners[-1])
+        await stop_and_start(owners[-1])
 
 
-def _others_voting(world: World, blank: Place) -> bool:
+def others_voting(world: World, blank: Place) -> bool:
     """Whether the log survives the loss of this disk."""
     return all(
         place.up
@@ -459,7 +459,7 @@
     )
 
 
-async def _stop_and_start(place: Place) -> None:
+async def stop_and_start(place: Place) -> None:
     """Stop a daemon as planned; no request in it may be cut off."""
     world = place.world
     if not place.up or place.frozen or place.daemon.stopping:
@@ -473,7 +473,7 @@
         await world.restart(place)
 
 
-async def _check_whole(world: World) -> None:
+async def check_whole(world: World) -> None:
     """Everything works again once the faults are over."""
     await world.heal()
     await asyncio.sleep(2.0)
@@ -503,7 +503,7 @@
         arm(world, case)
         await _load(world)
         fired = bool(world.fired)
-        await _check_whole(world)
+        await check_whole(world)
         faults = world.oracle.check_at_end()
     seconds = time.perf_counter() - started
     return CaseResult(case, fired, tuple(faults), seconds)
--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -13,6 +13,7 @@
 
 from bergamotsail import catalogue
 from bergamotsail import control
+from bergamotsail import daemon as daemon_lib
 from bergamotsail import placement
 from bergamotsail.placement import _residents
 from bergamotsail import quorum
@@ -609,9 +610,7 @@
     async def stop(self) -> None:
         self.accepting = False
 
-    from bergamotsail import daemon
-
-    with patch(daemon.Daemon, "_stop", stop):
+    with patch(daemon_lib.Daemon, "_stop", stop):
         yield
 
 
--- a/libs/bench/src/bergamotsail/bench/_client.py
+++ b/libs/bench/src/bergamotsail/bench/_client.py
@@ -99,7 +99,7 @@
                 [address] if address else await self.where("model", model)
             )
             for chosen in addresses:
-                result = await self._complete_at(
+                result = await self.complete_at(
                     chosen, model, prompt, max_tokens, deadline_s, headers
                 )
                 if result.code not in ("cut_off", "stopping", "not_sent"):
@@ -108,7 +108,7 @@
             await asyncio.sleep(0.2)
         return result
 
-    async def _complete_at(
+    async def complete_at(
         self,
         address: str,
         model: str,
@@ -117,6 +117,7 @@
         deadline_s: float,
         headers: dict[str, str] | None,
     ) -> Result:
+        """Ask a model at this address, once."""
         body = {
             "model": model,
             "prompt": prompt,
