Say once which answers should have been no refusal

Three scenarios repeated it. moving_targets, moving_leader and planned_stop pass as before, and stop_at_once is noticed as before.

--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -43,6 +43,15 @@
     return await asyncio.gather(*tasks)
 
 
+def _refusals(promise: str, answers: list) -> list[str]:
+    """Return a fault for each answer that should have been none."""
+    return [
+        f"{promise}: {answer.error!r}"
+        for answer in answers
+        if answer.error is not None
+    ]
+
+
 async def exact_adapter(seed: int = 1) -> list[str]:
     """Engines that answer from any adapter restart empty all the time."""
     engine = standins.EngineSettings(
@@ -245,12 +254,7 @@
         answers = await asyncio.gather(*tasks)
         await asyncio.gather(*stops)
         faults = world.oracle.check_at_end()
-        faults += [
-            f"planned_stop: {answer.error!r}"
-            for answer in answers
-            if answer.error is not None
-        ]
-        return faults
+        return faults + _refusals("planned_stop", answers)
 
 
 async def _stop(world: World, place: world_lib.Place) -> None:
@@ -378,12 +382,7 @@
                 owners.hand_over(list(owners.by_target))
         answers = await sending
         faults = world.oracle.check_at_end()
-        faults += [
-            f"moving: {answer.error!r}"
-            for answer in answers
-            if answer.error is not None
-        ]
-        return faults
+        return faults + _refusals("moving", answers)
 
 
 async def moving_leader(seed: int = 1) -> list[str]:
@@ -398,12 +397,7 @@
                 await leader.daemon.node.transfer()
         answers = await sending
         faults = world.oracle.check_at_end()
-        faults += [
-            f"moving: {answer.error!r}"
-            for answer in answers
-            if answer.error is not None
-        ]
-        return faults
+        return faults + _refusals("moving", answers)
 
 
 async def leave_at_dispatch(seed: int = 1) -> list[str]:
