--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -19,6 +19,7 @@
     """Bounds the body, types every error, and notices lost callers."""
 
     prefix = "http"
+    refusal_level = logging.INFO
 
     def initialize(self, daemon: _assembly.Daemon) -> None:
         """Take the daemon that the routes give."""
@@ -74,7 +75,8 @@
         except iostream.StreamClosedError:
             logging.info("%s: Caller went away.", self.prefix)
         except wire.ServingError as error:
-            logging.info(
+            logging.log(
+                self.refusal_level,
                 "%s: Refused. code=%s ran=%s %s",
                 self.prefix,
                 error.code,
--- a/libs/daemon/src/bergamotsail/daemon/_peer_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_peer_handlers.py
@@ -3,6 +3,8 @@
 import contextlib
 import hmac
 
+from absl import logging
+
 from bergamotsail.daemon import _base_handler
 from bergamotsail import wire
 
@@ -13,6 +15,8 @@
     """Answers a call of a peer."""
 
     prefix = "peer"
+    # The peer that is refused knows why, and says so where it matters.
+    refusal_level = logging.DEBUG
 
     async def post(self, name: str) -> None:
         """Answer the call of this name."""
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -200,17 +200,29 @@
         victim: _holding.AdapterName | None,
     ) -> None:
         async with self._lock:
+            # Meanwhile the engine may have been settled, and the ledger no
+            # longer counts on this load.
+            if not self._still_planned(name, slot):
+                return
             if victim is not None:
                 out = self._order(victim, None, self.holding.sequence)
                 if not self._accepted(
                     await self._send(self._engine.unload, out)
                 ):
                     return
+                if not self._still_planned(name, slot):
+                    return
             order = self._order(name, slot.version, self.holding.sequence)
             if not self._accepted(await self._send(self._engine.load, order)):
                 return
         await self._confirm(name, slot)
 
+    def _still_planned(
+        self, name: _holding.AdapterName, slot: _holding.Slot
+    ) -> bool:
+        holds = self.holding.slot_by_name.get(name) is slot
+        return self.holding.known and holds
+
     def _accepted(self, outcome: Order | None) -> bool:
         """Follow an order's outcome; anything but a yes must be settled."""
         if outcome in (Order.STARTED, Order.HOLDS):
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -13,6 +13,8 @@
 import random
 import typing
 
+from absl import logging
+
 from bergamotsail.quorum import _disk
 from bergamotsail.quorum import _log
 from bergamotsail.quorum import _machine
@@ -478,9 +480,18 @@
     def _check_quorum(self) -> None:
         silent_s = self._clock.now() - self._quorum_acked_at()
         if silent_s > self._timing.election_s:
+            logging.info(
+                "quorum: No majority answers. silent_s=%.3f", silent_s
+            )
             self._become_follower(None)
 
     async def _stand(self, transfer: bool) -> None:
+        logging.info(
+            "quorum: Stands. term=%d heard_s=%.3f transfer=%s",
+            self.term,
+            self._clock.now() - self._heard_at,
+            transfer,
+        )
         if not transfer and not await self._ask_votes(True, False):
             self._heard_at = max(
                 self._heard_at, self._clock.now() - self._timing.election_s
@@ -554,6 +565,13 @@
         await self._adopt_term(term)
         if self.role is Role.CANDIDATE:
             self._become_follower(leader)
+        if self.leader is None or self.leader.id != leader.id:
+            logging.info(
+                "quorum: Follows %s. term=%d last=%d",
+                leader.id,
+                term,
+                self.last_index,
+            )
         self.leader = leader
         self._heard_at = self._clock.now()
         return True
@@ -565,6 +583,11 @@
         self.leader = leader
         self._ready_index = 0
         if was_leader:
+            logging.info(
+                "quorum: Leads no more. term=%d commit=%d",
+                self.term,
+                self.commit,
+            )
             self._heard_at = self._clock.now()
             self._fail_waiters()
             self._stop_replicators()
@@ -572,6 +595,12 @@
     def _become_leader(self) -> None:
         self.role = Role.LEADER
         self.leader = self._me
+        logging.info(
+            "quorum: Leads. term=%d last=%d commit=%d",
+            self.term,
+            self.last_index,
+            self.commit,
+        )
         self._transferring = False
         now = self._clock.now()
         self._next_by_peer.clear()
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -9,6 +9,7 @@
 from bergamotsail import wire
 
 ASK_RETRY_S = 0.05
+MOST_PAUSE_S = 0.4
 SLACK_S = 0.25
 RELEASE_SPACING_S = 0.01
 RELEASE_TIMEOUT_S = 0.5
@@ -60,6 +61,7 @@
         deadline = self._clock.now() + request.patience_s
         last: wire.ServingError | None = None
         address = self._leader.address
+        pause_s = ASK_RETRY_S
         while (left_s := deadline - self._clock.now()) > 0:
             asked = dataclasses.replace(request, patience_s=left_s)
             try:
@@ -68,12 +70,17 @@
                 )
             except wire.NotLeaderError as error:
                 last = error
-                address = error.use or self._leader.address
-                await self._clock.sleep(min(ASK_RETRY_S, left_s))
+                if error.use is not None and error.use != address:
+                    address = error.use
+                    continue
+                await self._clock.sleep(min(pause_s, left_s))
+                pause_s = min(pause_s * 2, MOST_PAUSE_S)
+                address = self._leader.address
                 continue
             except (wire.NotSentError, wire.PeerLostError) as error:
                 last = error
-                await self._clock.sleep(min(ASK_RETRY_S, left_s))
+                await self._clock.sleep(min(pause_s, left_s))
+                pause_s = min(pause_s * 2, MOST_PAUSE_S)
                 address = self._leader.address
                 continue
             self._use_by_request[request.request] = control.Use(
