Bound the placement decisions' part of the leader's time; resend lost orders

Cause: each event weighed every waiter against every engine, so that with 100 waiters the leader missed its own heartbeats (no majority answered for 0.8 s while both followers were idle).

--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -68,6 +68,12 @@
         self._transport = transport
         self._seeds = list(seeds)
         self._leader = self._seeds[0]
+        self._moved = asyncio.Event()
+
+    @property
+    def moved(self) -> asyncio.Event:
+        """Set when another leader is found; a new event each time."""
+        return self._moved
 
     @property
     def address(self) -> str:
@@ -76,6 +82,9 @@
 
     def found(self, address: str) -> None:
         """Remember where the leader is."""
+        if address != self._leader:
+            self._moved.set()
+            self._moved = asyncio.Event()
         self._leader = address
 
     def learn(self, addresses: collections.abc.Sequence[str]) -> None:
--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -71,7 +71,9 @@
         try:
             await self._task
         except asyncio.CancelledError:
-            logging.info("%s: Caller went away.", self.prefix)
+            logging.log(
+                self.refusal_level, "%s: Caller went away.", self.prefix
+            )
         except iostream.StreamClosedError:
             logging.info("%s: Caller went away.", self.prefix)
         except wire.ServingError as error:
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -276,6 +276,7 @@
     ) -> None:
         self.metrics = observe.Metrics()
         self.stopping = False
+        self.accepting = True
         boot = f"{settings.name}#{uuid.uuid4().hex[:12]}"
         info = control.DaemonInfo(
             settings.name, boot, caller_address, settings.datacentre
@@ -284,7 +285,7 @@
         self.session = control.Session(
             info, self.leader, transport, settings.lease, clock=clock
         )
-        self._places = routing.Places(boot, self.leader, transport, clock)
+        self._places = routing.Places(self.session, transport, clock)
         self.session.attach(_EntryParticipant(self._places, changed))
         self._address = caller_address
         self.forwarder = routing.Forwarder(
@@ -348,6 +349,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         await asyncio.sleep(kept_s)
+        self.accepting = False
         while loop.time() < started_at + finish_s:
             if self.forwarder.active == 0:
                 break
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -17,6 +17,7 @@
 STORE_LOAD_S = 0.25
 CONFIRM_S = 0.02
 MOST_CONFIRMS = 60
+MOST_RESENDS = 3
 MODEL_POLL_S = 0.4
 STORE_WINDOW_S = 5.0
 
@@ -245,6 +246,9 @@
             async with self._lock:
                 order = self._order(name, slot.version, self.holding.sequence)
                 outcome = await self._send(self._engine.load, order)
+            if outcome is None and not self._stopped and self._gate():
+                # The order was lost, and carried out late it does nothing.
+                continue
             if outcome is Order.HOLDS:
                 slot.state = State.READY
                 self.holding.remember_copy(name)
@@ -281,18 +285,23 @@
         ],
         order: targets.EngineOrder,
     ) -> Order | None:
-        """Send an order; None when its answer was lost."""
-        if self._stopped or not self._gate():
-            return None
-        self._ordered_at = self._clock.now()
-        try:
-            return await send(order)
-        except wire.ServingError as error:
-            self.holding.add_fault(self._clock.now(), 0.5)
-            self._log("order_lost", error=error.message)
-            return None
-        finally:
+        """Send an order until it is answered; None when it was not.
+
+        Two of the same order can't both be carried out: the first that is
+        moves the sequence on, and the other then expects another one.
+        """
+        for _ in range(MOST_RESENDS):
+            if self._stopped or not self._gate():
+                return None
             self._ordered_at = self._clock.now()
+            try:
+                return await send(order)
+            except wire.ServingError as error:
+                self.holding.add_fault(self._clock.now(), 0.2)
+                self._log("order_lost", error=error.message)
+            finally:
+                self._ordered_at = self._clock.now()
+        return None
 
     def _log(self, what: str, **fields: object) -> None:
         observe.log_event(
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -20,6 +20,7 @@
         priority: 0 is the most urgent.
         patience_s: how long the caller of this call waits.
         avoid: targets that have refused or failed this request.
+        waited_s: how long it has waited before this call.
     """
 
     boot: str
@@ -34,6 +35,7 @@
     patience_s: float
     datacentre: str
     avoid: tuple[str, ...] = ()
+    waited_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -25,7 +25,11 @@
 USE_GRACE_S = 1.5
 EVICT_GRACE_S = 0.8
 MOST_IN_TRANSIT = 4
+SECOND_COPY_COST_S = 0.3
 SECOND_COPY_GAIN_S = 0.15
+PUMP_S = 0.002
+# A decision waits so many times as long as the last one took.
+PUMP_SPACING = 3.0
 OLD_VERSION_S = 1.0
 MEMORY_SHARE = 0.97
 RETRY_AFTER_S = 0.5
@@ -107,6 +111,8 @@
         self._named_at: dict[_holding.AdapterName, tuple[int, float]] = {}
         self._store = _engine_orders.StoreRate()
         self._task: asyncio.Task | None = None
+        self._pump_due: asyncio.TimerHandle | None = None
+        self._pump_took_s = 0.0
 
     async def __aenter__(self) -> "Placer":
         self._task = asyncio.create_task(self._tick())
@@ -131,10 +137,12 @@
         """Find a place, waiting for a load where that is needed."""
         self._check_leading()
         done = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(request, self._clock.now(), done)
+        arrived_at = self._clock.now() - request.waited_s
+        waiter = _Waiter(request, arrived_at, done)
         self._waiters.append(waiter)
         try:
-            self._pump()
+            if not self._try_grant(waiter, self._clock.now()):
+                self._pump_soon()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(request.patience_s):
                     return await done
@@ -154,7 +162,7 @@
         self._check_leading()
         for ended in request.ended:
             self._end_use(request.boot, ended)
-        self._pump()
+        self._pump_soon()
         return _place_messages.Released()
 
     def _end_use(self, boot: str, ended: _place_messages.EndedUse) -> None:
@@ -220,7 +228,7 @@
             self._orders_by_target[info.id].holding.leaving = info.leaving
         for target in set(self._orders_by_target) - seen:
             self._orders_by_target.pop(target).stop()
-        self._pump()
+        self._pump_soon()
 
     def _add_target(
         self, info: control.TargetInfo, spec: catalogue.EngineSpec
@@ -236,7 +244,7 @@
             lambda: self._leadership.holds()
             and self._leadership.term == self._term,
             self._store,
-            self._pump,
+            self._pump_soon,
             self._clock,
         )
         self._orders_by_target[info.id] = orders
@@ -275,54 +283,82 @@
         while True:
             await self._clock.sleep(TICK_S)
             if self._leadership.holds():
-                self._pump()
+                self._pump_soon()
             elif self._waiters:
                 self._fail_waiters()
 
     # Decisions.
 
+    def _pump_soon(self) -> None:
+        """Decide soon, at a bounded part of the processor's time."""
+        if self._pump_due is None:
+            delay_s = max(PUMP_S, PUMP_SPACING * self._pump_took_s)
+            loop = asyncio.get_running_loop()
+            self._pump_due = loop.call_later(delay_s, self._pump)
+
     def _pump(self) -> None:
         """Grant what can be granted and start the loads that are due."""
+        if self._pump_due is not None:
+            self._pump_due.cancel()
+            self._pump_due = None
         if not self._leadership.holds():
             return
         now = self._clock.now()
         self._waiters.sort(key=lambda w: (w.request.priority, w.arrived_at))
-        for waiter in list(self._waiters):
-            if waiter.done.done() or not self._try_grant(waiter, now):
-                continue
-            self._waiters.remove(waiter)
-        wanted: set[_holding.AdapterName] = {w.name for w in self._waiters}
-        tried: set[_holding.AdapterName] = set()
+        waiters_by_name: dict[_holding.AdapterName, list[_Waiter]] = {}
         for waiter in self._waiters:
-            if waiter.name not in tried:
-                tried.add(waiter.name)
-                self._want_load(waiter, now, wanted, float("inf"))
+            waiters_by_name.setdefault(waiter.name, []).append(waiter)
+        wanted = set(waiters_by_name)
+        for waiters in waiters_by_name.values():
+            self._serve_name(waiters, wanted, now)
+        self._waiters = [w for w in self._waiters if not w.done.done()]
         self._refresh_versions(now)
+        self._pump_took_s = self._clock.now() - now
+
+    def _serve_name(
+        self,
+        waiters: list[_Waiter],
+        wanted: set[_holding.AdapterName],
+        now: float,
+    ) -> None:
+        """Grant those who wait for one adapter, and load it if need be."""
+        for waiter in waiters:
+            if waiter.done.done():
+                continue
+            if not self._try_grant(waiter, now):
+                self._want_load(waiter, now, wanted, float("inf"))
+                return
 
     def _usable(self, waiter: _Waiter) -> list[_engine_orders.EngineOrders]:
         request = waiter.request
         return [
             orders
             for orders in self._orders_by_target.values()
-            if orders.holding.info.pool == request.pool
-            and orders.holding.info.id not in request.avoid
-            and not orders.holding.leaving
+            if not orders.holding.leaving
             and request.model in orders.holding.models
+            and orders.holding.info.pool == request.pool
+            and orders.holding.info.id not in request.avoid
             and orders.has_room(waiter.tokens, MEMORY_SHARE)
         ]
 
     def _try_grant(self, waiter: _Waiter, now: float) -> bool:
-        usable = self._usable(waiter)
-        wish = waiter.wish(now)
         ready = [
-            (self._policy.run_cost_s(orders.holding, wish, now), orders)
-            for orders in usable
+            orders
+            for orders in self._usable(waiter)
             if self._is_ready(orders.holding, waiter.name, now)
         ]
         if not ready:
             return False
-        cost_s, orders = min(ready, key=lambda pair: pair[0])
-        if waiter.request.adapter:
+        wish = waiter.wish(now)
+        cost_s, _, orders = min(
+            (
+                self._policy.run_cost_s(orders.holding, wish, now),
+                number,
+                orders,
+            )
+            for number, orders in enumerate(ready)
+        )
+        if waiter.request.adapter and cost_s > SECOND_COPY_COST_S:
             limit_s = cost_s - SECOND_COPY_GAIN_S
             self._want_load(waiter, now, {waiter.name}, limit_s)
         self._grant(waiter, orders.holding, now)
@@ -411,17 +447,13 @@
         name = waiter.name
         if not name[1]:
             return
-        usable = [
-            orders
-            for orders in self._usable(waiter)
-            if name not in orders.holding.slot_by_name
-        ]
-        if any(
-            name in orders.holding.slot_by_name
-            and orders.holding.slot_by_name[name].state is not State.READY
-            for orders in self._usable(waiter)
-        ):
-            return
+        usable = []
+        for orders in self._usable(waiter):
+            slot = orders.holding.slot_by_name.get(name)
+            if slot is None:
+                usable.append(orders)
+            elif slot.state is not State.READY:
+                return
         wish = waiter.wish(now)
         costs = []
         for orders in usable:
@@ -429,10 +461,10 @@
             cost_s = self._policy.load_cost_s(
                 orders.holding, wish, now, bool(room)
             )
-            costs.append((cost_s, orders, room))
+            costs.append((cost_s, len(costs), orders, room))
         if not costs:
             return
-        cost_s, orders, room = min(costs, key=lambda item: item[0])
+        cost_s, _, orders, room = min(costs)
         if cost_s > limit_s or not room:
             return
         version = self._wanted_version(name)
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -5,35 +5,57 @@
 import dataclasses
 
 from bergamotsail import control
+from bergamotsail import observe
 from bergamotsail import placement
 from bergamotsail import wire
 
+ASK_S = 1.5
+SLACK_S = 0.15
 ASK_RETRY_S = 0.05
-MOST_PAUSE_S = 0.4
-SLACK_S = 0.25
+MOST_PAUSE_S = 0.3
 RELEASE_SPACING_S = 0.01
 RELEASE_TIMEOUT_S = 0.5
-MOST_RELEASES = 200
+MOST_RELEASES = 500
+REMEMBERED = 500
+REMEMBERED_S = 20.0
+MOST_REDIRECTS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Remembered:
+    reply: placement.PlaceReply
+    at: float
+
+
+class LeaderMovedError(wire.ServingError):
+    """Another leader was found while an answer of the old one was awaited."""
+
+    code = "leader_moved"
 
 
 class Places:
-    """Places that this daemon's requests use; an async context manager."""
+    """Places that this daemon's requests use; an async context manager.
+
+    Without a leader it falls back on the places it was given before: the
+    engine itself refuses what it no longer holds.
+    """
 
     def __init__(
         self,
-        boot: str,
-        leader: control.Leader,
+        session: control.Session,
         transport: wire.PeerTransport,
         clock: wire.Clock = wire.LoopClock(),
     ) -> None:
-        self._boot = boot
-        self._leader = leader
+        self._session = session
         self._transport = transport
         self._clock = clock
         self._use_by_request: dict[str, control.Use] = {}
         self._ended: collections.deque[placement.EndedUse] = collections.deque(
             maxlen=MOST_RELEASES
         )
+        self._remembered: collections.OrderedDict[
+            tuple[str, str, str], _Remembered
+        ] = collections.OrderedDict()
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
 
@@ -58,49 +80,127 @@
         Raises:
             OverloadError: there was none in time.
         """
-        deadline = self._clock.now() + request.patience_s
-        last: wire.ServingError | None = None
-        address = self._leader.address
+        started_at = self._clock.now()
+        deadline = started_at + request.patience_s
         pause_s = ASK_RETRY_S
+        last: wire.ServingError | None = None
         while (left_s := deadline - self._clock.now()) > 0:
-            asked = dataclasses.replace(request, patience_s=left_s)
+            asked = dataclasses.replace(
+                request,
+                patience_s=min(left_s, ASK_S),
+                waited_s=self._clock.now() - started_at,
+            )
             try:
-                reply = await self._transport.call(
-                    address, placement.PLACE, asked, left_s + SLACK_S
-                )
-            except wire.NotLeaderError as error:
-                last = error
-                if error.use is not None and error.use != address:
-                    address = error.use
-                    continue
-                await self._clock.sleep(min(pause_s, left_s))
-                pause_s = min(pause_s * 2, MOST_PAUSE_S)
-                address = self._leader.address
+                reply = await self._ask(asked)
+                return self._took(request, reply)
+            except LeaderMovedError:
                 continue
-            except (wire.NotSentError, wire.PeerLostError) as error:
+            except wire.OverloadError as error:
                 last = error
-                await self._clock.sleep(min(pause_s, left_s))
-                pause_s = min(pause_s * 2, MOST_PAUSE_S)
-                address = self._leader.address
                 continue
-            self._use_by_request[request.request] = control.Use(
-                request.request,
-                reply.target,
-                request.model,
-                request.adapter,
-                request.prompt_tokens + request.output_tokens,
-            )
-            return reply
+            except wire.ServingError as error:
+                last = error
+            remembered = self._recall(request)
+            if remembered is not None:
+                return self._took(request, remembered)
+            await self._clock.sleep(min(pause_s, left_s))
+            pause_s = min(pause_s * 2, MOST_PAUSE_S)
         raise wire.OverloadError(
             "No place was found in time. Come back later.",
             retry_after_s=1.0,
         ) from last
 
+    async def _ask(
+        self, asked: placement.PlaceRequest
+    ) -> placement.PlaceReply:
+        """Ask the leader, and whom it names instead of itself."""
+        address: str | None = self._session.leader.address
+        last: wire.ServingError | None = None
+        for _ in range(MOST_REDIRECTS + 1):
+            try:
+                return await self._ask_at(address, asked)
+            except wire.NotLeaderError as error:
+                last = error
+                if error.use is None or error.use == address:
+                    raise
+                address = error.use
+        assert last is not None
+        raise last
+
+    async def _ask_at(
+        self, address: str, asked: placement.PlaceRequest
+    ) -> placement.PlaceReply:
+        """Ask one replica; stop when another leader is found meanwhile."""
+        call = asyncio.ensure_future(
+            self._transport.call(
+                address, placement.PLACE, asked, asked.patience_s + SLACK_S
+            )
+        )
+        moved = asyncio.ensure_future(self._session.leader.moved.wait())
+        try:
+            await asyncio.wait(
+                (call, moved), return_when=asyncio.FIRST_COMPLETED
+            )
+            if call.done():
+                return call.result()
+            raise LeaderMovedError("Another leader was found. Ask it.")
+        finally:
+            call.cancel()
+            moved.cancel()
+
+    def _took(
+        self, request: placement.PlaceRequest, reply: placement.PlaceReply
+    ) -> placement.PlaceReply:
+        self._use_by_request[request.request] = control.Use(
+            request.request,
+            reply.target,
+            request.model,
+            request.adapter,
+            request.prompt_tokens + request.output_tokens,
+        )
+        key = (request.pool, request.model, request.adapter)
+        self._remembered[key] = _Remembered(reply, self._clock.now())
+        self._remembered.move_to_end(key)
+        while len(self._remembered) > REMEMBERED:
+            self._remembered.popitem(last=False)
+        return reply
+
+    def _recall(
+        self, request: placement.PlaceRequest
+    ) -> placement.PlaceReply | None:
+        """Return a place given before that may still hold the adapter."""
+        key = (request.pool, request.model, request.adapter)
+        found = self._remembered.get(key)
+        if found is None or found.reply.target in request.avoid:
+            return None
+        age_s = self._clock.now() - found.at
+        info = self._session.digest.target_by_id.get(found.reply.target)
+        if age_s > REMEMBERED_S or info is None or info.leaving:
+            return None
+        named = self._session.view.named_version(
+            request.model, request.adapter
+        )
+        if named is not None and (found.reply.version or 0) < named:
+            return None
+        observe.log_event(
+            "route",
+            "recall",
+            request=request.request,
+            target=found.reply.target,
+            age_s=round(age_s, 3),
+            leader_silent_s=round(self._session.silent_s(), 3),
+        )
+        return dataclasses.replace(found.reply, reason="remembered")
+
     def give_back(
         self, request: str, target: str, outcome: placement.UseOutcome
     ) -> None:
         """Say that a request no longer runs."""
-        self._use_by_request.pop(request, None)
+        use = self._use_by_request.pop(request, None)
+        if use is not None and outcome is placement.UseOutcome.ABSENT:
+            for key in list(self._remembered):
+                if key[1:] == (use.model, use.adapter):
+                    del self._remembered[key]
         self._ended.append(placement.EndedUse(request, target, outcome))
         self._wake.set()
 
@@ -114,10 +214,10 @@
             self._ended.clear()
             if not ended:
                 continue
-            message = placement.ReleaseRequest(self._boot, ended)
+            message = placement.ReleaseRequest(self._session.boot, ended)
             try:
                 await self._transport.call(
-                    self._leader.address,
+                    self._session.leader.address,
                     placement.RELEASE,
                     message,
                     RELEASE_TIMEOUT_S,
