--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -439,6 +439,8 @@
     def _end_sessions(self, term: _Term) -> None:
         now = self._clock.now()
         for boot, session in list(term.session_by_boot.items()):
+            if now - session.seen_at > self._timing.listed_s:
+                term.digest.drop_daemon(boot)
             if now - session.seen_at > self._timing.surely_ended_s:
                 del term.session_by_boot[boot]
                 term.ledger.drop(boot)
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -15,6 +15,8 @@
         heartbeat_s: how often it sends one.
         drift: largest relative difference between two clocks.
         call_s: how long an answer of the leader is waited for.
+        listed_s: a daemon that is silent for longer is not named to
+            callers any more, though its session goes on.
         order_flight_s: the longest that an order may stay on its way to a
             target after its sender's lease ended.
     """
@@ -24,6 +26,7 @@
     drift: float = 0.05
     order_flight_s: float = 0.5
     call_s: float = 1.0
+    listed_s: float = 60.0
 
     @property
     def usable_s(self) -> float:
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -28,6 +28,7 @@
 PEER_BODY_BYTES = 32 * 1024 * 1024
 FAILED_WAIT_S = 1.0
 STOP_POLL_S = 0.05
+CUT_OFF_S = 2.5
 CONFIRM_TIMEOUT_S = 0.8
 PROPOSE_TIMEOUT_S = 3.0
 
@@ -318,7 +319,11 @@
     def ready(self) -> bool:
         """Whether callers should be sent here."""
         has_routes = self.session.view.routes.table.version > 0
-        return has_routes and not self.stopping
+        return has_routes and not self.stopping and not self._cut_off()
+
+    def _cut_off(self) -> bool:
+        """Whether the leader was silent for longer than an election."""
+        return self.session.silent_s() > CUT_OFF_S
 
     def addresses(self, datacentre: str) -> list[str]:
         """Return where callers of a data centre may connect.
@@ -332,7 +337,8 @@
             if not info.leaving and info.address != self._address
         ]
         known.sort(key=lambda info: info.datacentre != datacentre)
-        mine = [] if self.stopping else [self._address]
+        away = self.stopping or (known and self._cut_off())
+        mine = [] if away else [self._address]
         found = mine + [info.address for info in known]
         return found or [self._address]
 
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -13,11 +13,13 @@
 
 REPORT_LAG_S = 0.3
 SETTLE_RETRY_S = 0.3
+MOST_SETTLE_RETRY_S = 1.5
 COPY_LOAD_S = 0.025
 STORE_LOAD_S = 0.25
 CONFIRM_S = 0.02
 MOST_CONFIRMS = 60
 MOST_RESENDS = 3
+MOST_LOST_CONFIRMS = 2
 MODEL_POLL_S = 0.4
 STORE_WINDOW_S = 5.0
 
@@ -116,6 +118,7 @@
             self._settling = asyncio.create_task(self._settle())
 
     async def _settle(self) -> None:
+        retry_s = SETTLE_RETRY_S
         while not self._stopped:
             since_s = self._clock.now() - self._ordered_at
             await self._clock.sleep(max(0.0, REPORT_LAG_S - since_s))
@@ -123,7 +126,9 @@
                 report = await self._engine.report()
             except wire.ServingError as error:
                 self._log("report_failed", error=error.message)
-                await self._clock.sleep(SETTLE_RETRY_S)
+                self.holding.add_fault(self._clock.now())
+                await self._clock.sleep(retry_s)
+                retry_s = min(retry_s * 2, MOST_SETTLE_RETRY_S)
                 continue
             recent = self._clock.now() - self._ordered_at < REPORT_LAG_S
             if report.busy or recent:
@@ -240,6 +245,7 @@
     ) -> None:
         """Order the same load until the engine says that it holds."""
         await self._clock.sleep(max(0.0, slot.ready_at - self._clock.now()))
+        lost = 0
         for _ in range(MOST_CONFIRMS):
             if self.holding.slot_by_name.get(name) is not slot:
                 return
@@ -248,7 +254,9 @@
                 outcome = await self._send(self._engine.load, order)
             if outcome is None and not self._stopped and self._gate():
                 # The order was lost, and carried out late it does nothing.
-                continue
+                lost += 1
+                if lost <= MOST_LOST_CONFIRMS:
+                    continue
             if outcome is Order.HOLDS:
                 slot.state = State.READY
                 self.holding.remember_copy(name)
--- a/libs/placement/src/bergamotsail/placement/_place_policy.py
+++ b/libs/placement/src/bergamotsail/placement/_place_policy.py
@@ -94,7 +94,10 @@
             price_s = max(0.0, self.store_price_s - wish.waited_s)
             cost_s += self.store_load_s + price_s
             cost_s += self.home_rank_s * _rank(holding.info.id, wish.name)
-        return cost_s if room else cost_s + self.no_room_s
+        if room:
+            return cost_s
+        # Who has waited long for room at home goes elsewhere.
+        return cost_s + self.no_room_s + wish.waited_s
 
 
 def _rank(target: str, name: _holding.AdapterName) -> float:
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -50,6 +50,7 @@
 
     *drift* is the largest relative difference between two clocks.
     *snapshot_entries* is how many entries are kept before a snapshot.
+    A replica stands after *election_s* to *election_spread* times it.
     """
 
     election_s: float = 1.0
@@ -57,6 +58,7 @@
     call_s: float = 1.0
     drift: float = 0.05
     snapshot_entries: int = 4000
+    election_spread: float = 2.0
 
 
 class _Waiter(typing.NamedTuple):
@@ -451,7 +453,9 @@
 
     async def _elect(self) -> None:
         while True:
-            wait_s = self._timing.election_s * self._rng.uniform(1.0, 2.0)
+            wait_s = self._timing.election_s * self._rng.uniform(
+                1.0, self._timing.election_spread
+            )
             await self._wait_for_election(wait_s)
             if self.role is Role.LEADER:
                 self._check_quorum()
