--- /dev/null
+++ b/features/growth.feature
@@ -0,0 +1,41 @@
+Feature: Routes, a log that forms itself, and retry budgets
+
+  Scenario Outline: A table of routes with <fault> is refused
+    Then the table with <fault> is refused with what to do
+
+    Examples:
+      | fault           |
+      | unknown_pool    |
+      | no_weight       |
+      | negative_weight |
+      | no_pool         |
+      | no_timeout      |
+      | same_place      |
+      | no_slash        |
+      | no_attempts     |
+      | no_host         |
+      | no_version      |
+
+  Scenario: The longest prefix of the host selects the route
+    Then the longest prefix selects the route
+
+  Scenario: A split follows its weights
+    Then a split follows its weights
+
+  Scenario: The highest version wins, over restarts too
+    When 150 random histories of versions are tried
+    Then every one agrees with the oracle
+
+  Scenario Outline: <scenario> holds
+    When the scenario <scenario> of the log runs
+    Then no promise is broken
+
+    Examples:
+      | scenario                |
+      | forms_by_itself         |
+      | never_forms_twice       |
+      | successor_takes_a_place |
+      | reads_are_the_newest    |
+
+  Scenario: Repeats over all daemons keep to one budget
+    Then repeats keep to the budget
--- /dev/null
+++ b/features/ledger.feature
@@ -0,0 +1,23 @@
+Feature: The holder of an engine's orders
+  Orders get no answer, are carried out late, or their answers are lost.
+  The engine is the oracle: it may never be ordered beyond its room.
+
+  Scenario Outline: <scenario> keeps the ledger true
+    When the ledger scenario <scenario> runs
+    Then no promise is broken
+
+    Examples:
+      | scenario              |
+      | dropped_load          |
+      | no_order_without_lead |
+      | full_home             |
+      | storm_of_waiters      |
+      | named_version         |
+
+  Scenario: Random loads with late and lost orders keep the ledger true
+    When 24 random loads are tried
+    Then no promise is broken
+
+  Scenario: Every guard of the ledger that is switched off is noticed
+    When each guard of the ledger is switched off
+    Then each is noticed there
--- /dev/null
+++ b/features/steps/growth.py
@@ -0,0 +1,49 @@
+"""Steps of routes, the forming of the log, and budgets."""
+
+import behave
+import hypothesis
+
+from features.support import growth
+
+
+@behave.then("the table with {fault} is refused with what to do")
+def table_refused(context, fault: str) -> None:
+    assert growth.refused(fault)
+
+
+@behave.then("the longest prefix selects the route")
+def longest_prefix(context) -> None:
+    faults = growth.longest_prefix()
+    assert not faults, faults
+
+
+@behave.then("a split follows its weights")
+def split_by_weight(context) -> None:
+    faults = growth.split_by_weight()
+    assert not faults, faults
+
+
+@behave.when("{count:d} random histories of versions are tried")
+def versions(context, count: int) -> None:
+    context.fault = None
+    check = hypothesis.settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+    )(hypothesis.given(growth.VERSIONS)(growth.versions_agree))
+    try:
+        check()
+    except AssertionError as error:
+        context.fault = error
+
+
+@behave.when("the scenario {name} of the log runs")
+def log_scenario(context, name: str) -> None:
+    context.faults = growth.run_scenario(name)
+
+
+@behave.then("repeats keep to the budget")
+def budgets(context) -> None:
+    faults = growth.budgets_keep()
+    assert not faults, faults[:3]
--- /dev/null
+++ b/features/steps/ledger.py
@@ -0,0 +1,38 @@
+"""Steps of the ledger of orders."""
+
+import multiprocessing
+
+import behave
+
+from features.support import ledger
+
+JOBS = 6
+
+
+@behave.when("the ledger scenario {name} runs")
+def run_scenario(context, name: str) -> None:
+    context.faults = ledger.run_scenario(name)
+
+
+@behave.when("{count:d} random loads are tried")
+def run_random(context, count: int) -> None:
+    with multiprocessing.get_context("fork").Pool(JOBS) as pool:
+        found = pool.map(ledger.run_random, range(count), chunksize=1)
+    context.faults = [fault for faults in found for fault in faults]
+
+
+@behave.when("each guard of the ledger is switched off")
+def run_mutants(context) -> None:
+    numbers = range(len(ledger.MUTANTS))
+    with multiprocessing.get_context("fork").Pool(JOBS) as pool:
+        context.found = pool.map(ledger.run_mutant, numbers, chunksize=1)
+
+
+@behave.then("each is noticed there")
+def each_noticed(context) -> None:
+    missed = [
+        mutant[0]
+        for mutant, faults in zip(ledger.MUTANTS, context.found)
+        if not faults
+    ]
+    assert not missed, missed
--- /dev/null
+++ b/features/support/growth.py
@@ -0,0 +1,314 @@
+"""Scenarios of routes, the log that forms itself, and retry budgets."""
+
+import asyncio
+import random
+
+from hypothesis import strategies as st
+
+from bergamotsail import catalogue
+from bergamotsail import quorum
+from bergamotsail import routing
+from bergamotsail import standins
+from bergamotsail import wire
+from features.support import ledger
+
+KIND = catalogue.RouteKind
+POOLS = (
+    catalogue.RoutePool("llm", "/health", 64),
+    catalogue.RoutePool("app", "/health", 64),
+)
+
+
+def route(name: str = "r1", **changes) -> catalogue.Route:
+    """Return a sound route with some fields changed."""
+    fields = {
+        "host": "shop.example",
+        "prefix": f"/{name}/",
+        "kind": KIND.ONCE,
+        "splits": (catalogue.Split("llm"),),
+        "timeout_s": 5.0,
+    } | changes
+    return catalogue.Route(name, **fields)
+
+
+def table(*routes: catalogue.Route, version: int = 1) -> catalogue.RouteTable:
+    """Return a table of routes."""
+    return catalogue.RouteTable(version, routes, POOLS)
+
+
+BAD_TABLES = {
+    "unknown_pool": table(route(splits=(catalogue.Split("nowhere"),))),
+    "no_weight": table(route(splits=(catalogue.Split("llm", 0),))),
+    "negative_weight": table(route(splits=(catalogue.Split("llm", -1),))),
+    "no_pool": table(route(splits=())),
+    "no_timeout": table(route(timeout_s=0)),
+    "same_place": table(route("r1"), route("r2", prefix="/r1/")),
+    "no_slash": table(route(prefix="/quotes")),
+    "no_attempts": table(route(attempts=0)),
+    "no_host": table(route(host="")),
+    "no_version": table(route(), version=0),
+}
+
+
+def refused(name: str) -> bool:
+    """Whether a table is refused with a typed error that says what to do."""
+    try:
+        catalogue.check_table(BAD_TABLES[name])
+    except wire.BadRequestError as error:
+        return bool(error.message)
+    return False
+
+
+def longest_prefix() -> list[str]:
+    """The longest prefix counts, hosts apart, ports and case aside."""
+    index = catalogue.RouteIndex(
+        table(
+            route("a", prefix="/a/"),
+            route("ab", prefix="/a/b/"),
+            route("other", host="other.example", prefix="/a/"),
+        )
+    )
+    wanted = {
+        ("shop.example", "/a/x"): "a",
+        ("shop.example:80", "/a/b/x"): "ab",
+        ("SHOP.example", "/a/bx"): "a",
+        ("other.example", "/a/b/x"): "other",
+        ("shop.example", "/b/"): None,
+        ("nowhere.example", "/a/"): None,
+    }
+    found = {}
+    for host, path in wanted:
+        match = index.find(host, path)
+        found[(host, path)] = match.name if match else None
+    return [] if found == wanted else [str(found)]
+
+
+def split_by_weight() -> list[str]:
+    """A split follows its weights, and weight 0 gets nothing."""
+    splits = (
+        catalogue.Split("llm", 0),
+        catalogue.Split("app", 9),
+        catalogue.Split("llm", 1),
+    )
+    index = catalogue.RouteIndex(table(route(splits=splits)))
+    (only,) = index.table.routes
+    names = [index.pool_of(only, f"q{n}").name for n in range(2000)]
+    share = names.count("llm") / len(names)
+    return [] if 0.07 < share < 0.13 else [f"llm got {share}"]
+
+
+VERSIONS = st.lists(
+    st.one_of(
+        st.tuples(st.just("routes"), st.integers(1, 6), st.integers(0, 2)),
+        st.tuples(st.just("version"), st.integers(1, 6), st.integers(0, 1)),
+        st.just(("restart", 0, 0)),
+    ),
+    max_size=25,
+)
+
+
+def versions_agree(history: list[tuple[str, int, int]]) -> None:
+    """The highest version wins, over snapshots too, as a plain model says."""
+    machine = catalogue.CatalogueMachine()
+    version, document = 0, None
+    named: dict[str, int] = {}
+    for index, (what, number, content) in enumerate(history, 1):
+        if what == "routes":
+            text = f"{number}.{content}"
+            command = catalogue.Command(
+                replace_routes=catalogue.ReplaceRoutes(
+                    table(version=number), text
+                )
+            )
+            reply = machine.apply(index, wire.encode(command))
+            if number > version:
+                version, document = number, text
+            assert reply.version == version
+        elif what == "version":
+            command = catalogue.Command(
+                name_version=catalogue.NameVersion(
+                    "base", f"a{content}", number
+                )
+            )
+            machine.apply(index, wire.encode(command))
+            key = f"a{content}"
+            named[key] = max(named.get(key, 0), number)
+        else:
+            lines = list(machine.snapshot())
+            machine = catalogue.CatalogueMachine()
+            machine.restore(index, lines)
+        assert machine.view.routes.table.version == version
+        assert machine.routes_document == document
+        for key, newest in named.items():
+            assert machine.view.named_version("base", key) == newest
+
+
+class Replicas:
+    """Nodes of a log on a network in memory."""
+
+    def __init__(self, count: int, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.network = standins.MemoryNetwork(self.rng)
+        self.addresses = [f"10.0.0.{n + 1}:7000" for n in range(count)]
+        self.node_by_address: dict[str, quorum.Node] = {}
+        self.machine_by_address: dict[str, catalogue.CatalogueMachine] = {}
+
+    async def start(
+        self, address: str, disk: standins.MemoryDisk, forms: bool
+    ) -> quorum.Node:
+        """Start a replica that knows the first three as seeds."""
+        server = wire.PeerServer()
+        self.network.join(address, server)
+        transport = standins.MemoryTransport(self.network, address)
+        machine = catalogue.CatalogueMachine()
+        node = quorum.Node(
+            address,
+            address,
+            self.addresses[:3],
+            quorum.Storage(disk),
+            transport,
+            machine,
+            self.rng,
+            quorum.Timing(0.6, 0.15, 0.5),
+            forms=forms,
+            max_voters=3,
+        )
+        node.serve(server)
+        self.machine_by_address[address] = machine
+        self.node_by_address[address] = node
+        await node.__aenter__()
+        return node
+
+    async def stop(self, address: str) -> None:
+        """Kill a replica."""
+        self.network.kill(address)
+        await self.node_by_address.pop(address).__aexit__()
+
+    async def leader(self) -> quorum.Node:
+        """Wait for a leader."""
+        for _ in range(400):
+            for node in self.node_by_address.values():
+                if node.holds_lease():
+                    return node
+            await asyncio.sleep(0.05)
+        raise AssertionError("There is no leader.")
+
+
+async def _formed(count: int = 3) -> Replicas:
+    replicas = Replicas(count)
+    for address in replicas.addresses[:3]:
+        disk = standins.MemoryDisk(replicas.rng)
+        await replicas.start(address, disk, True)
+    await replicas.leader()
+    return replicas
+
+
+def _change(version: int) -> bytes:
+    replace = catalogue.ReplaceRoutes(table(version=version), str(version))
+    return wire.encode(catalogue.Command(replace_routes=replace))
+
+
+async def forms_by_itself() -> list[str]:
+    """Three blank replicas that know the seeds form one log."""
+    replicas = await _formed()
+    voters = {len(n.config.voters) for n in replicas.node_by_address.values()}
+    leader = await replicas.leader()
+    await leader.propose(_change(1))
+    return [] if voters == {3} else [f"voters {voters}"]
+
+
+async def never_forms_twice() -> list[str]:
+    """Blank replicas that are told it is not the first start form nothing."""
+    replicas = Replicas(3)
+    for address in replicas.addresses:
+        await replicas.start(address, standins.MemoryDisk(replicas.rng), False)
+    await asyncio.sleep(10)
+    formed = [n for n in replicas.node_by_address.values() if n.config.voters]
+    return [f"{len(formed)} formed"] if formed else []
+
+
+async def successor_takes_a_place() -> list[str]:
+    """A replica under a new name takes the place of one that is gone."""
+    replicas = await _formed(4)
+    leader = await replicas.leader()
+    await leader.propose(_change(1))
+    gone = next(
+        a for a, node in replicas.node_by_address.items() if node is not leader
+    )
+    new = replicas.addresses[3]
+    disk = standins.MemoryDisk(replicas.rng)
+    successor = await replicas.start(new, disk, False)
+    await asyncio.sleep(4)
+    early = successor.config.has_voter(successor.member.id)
+    await replicas.stop(gone)
+    await asyncio.sleep(12)
+    leader = await replicas.leader()
+    await leader.propose(_change(2))
+    await asyncio.sleep(1)
+    names = {member.name for member in leader.config.voters}
+    faults = ["It voted before a place was free."] if early else []
+    if names != (set(replicas.addresses) - {gone}):
+        faults.append(f"voters {names}")
+    if replicas.machine_by_address[new].routes_document != "2":
+        faults.append("The successor lacks the newest.")
+    return faults
+
+
+async def reads_are_the_newest() -> list[str]:
+    """A leader that was cut off can't confirm that it leads."""
+    replicas = await _formed()
+    leader = await replicas.leader()
+    await leader.confirm_lead(1.0)
+    replicas.network.isolate(leader.member.address)
+    try:
+        await leader.confirm_lead(1.0)
+    except wire.NotLeaderError:
+        return []
+    return ["A leader without a majority answered a read."]
+
+
+def budgets_keep() -> list[str]:
+    """However requests fall on daemons, repeats keep to the whole."""
+    faults = []
+    for seed in range(30):
+        faults += ledger.run(_budget_history(random.Random(seed)))
+    return faults
+
+
+async def _budget_history(rng: random.Random) -> list[str]:
+    ratio, slack, count = 0.14, 36.0, rng.randrange(1, 10)
+    daemons = [
+        routing.RepeatBudgets(ratio, slack, lambda: count)
+        for _ in range(count)
+    ]
+    requests: list[float] = []
+    repeats: list[float] = []
+    faults = []
+    loop = asyncio.get_running_loop()
+    for _ in range(1500):
+        daemon = daemons[int(rng.triangular(0, count, 0)) % count]
+        if rng.random() < 0.5:
+            daemon.count("app")
+            requests.append(loop.time())
+        elif daemon.take("app"):
+            repeats.append(loop.time())
+        await asyncio.sleep(rng.expovariate(40))
+        since = loop.time() - 10.0
+        used = sum(at >= since for at in repeats)
+        asked = sum(at >= since for at in requests)
+        if used > 0.2 * asked + 52:
+            faults.append(f"{used} repeats for {asked} requests")
+    return faults
+
+
+SCENARIOS = {
+    "forms_by_itself": forms_by_itself,
+    "never_forms_twice": never_forms_twice,
+    "successor_takes_a_place": successor_takes_a_place,
+    "reads_are_the_newest": reads_are_the_newest,
+}
+
+
+def run_scenario(name: str) -> list[str]:
+    """Run a scenario in virtual time."""
+    return ledger.run(SCENARIOS[name]())
--- /dev/null
+++ b/features/support/ledger.py
@@ -0,0 +1,509 @@
+"""An engine whose orders get lost, late and doubled, and its ledger.
+
+The engine is a simple oracle: it knows what it holds and what it was ever
+ordered beyond its room. The holder of the orders and its ledger are real,
+and run in virtual time.
+"""
+
+import asyncio
+import dataclasses
+import random
+import unittest.mock
+
+import looptime
+
+from bergamotsail import catalogue
+from bergamotsail import control
+from bergamotsail import observe
+from bergamotsail import placement
+from bergamotsail.placement import _place_policy
+from bergamotsail.placement import _placer
+from bergamotsail import targets
+from bergamotsail import wire
+
+MODEL = "base"
+LAG_S = 0.2
+STORE_S = 0.25
+COPY_S = 0.025
+POOL = "sastre-llm"
+Outcome = targets.OrderOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Luck:
+    """How badly things go.
+
+    Args:
+        late: share of orders that get no answer and are done later.
+        lost: share of orders that are done, their answer lost.
+    """
+
+    late: float = 0.0
+    lost: float = 0.0
+    latest_s: float = 12.0
+
+
+class EngineOracle(targets.AdapterEngine):
+    """Holds adapters by order and notes each order beyond its room."""
+
+    def __init__(
+        self, spec: catalogue.EngineSpec, luck: Luck, rng: random.Random
+    ) -> None:
+        self.faults: list[str] = []
+        self.sequence = 0
+        self.ready: dict[str, int] = {}
+        self.pending: dict[str, int] = {}
+        self.running: dict[str, int] = {}
+        self._copies: set[str] = set()
+        self._fence = 0
+        self._spec = spec
+        self.luck = luck
+        self._rng = rng
+        self._leaving: set[str] = set()
+        self._history: list[tuple[float, targets.AdapterReport]] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._note()
+
+    async def report(self) -> targets.AdapterReport:
+        await asyncio.sleep(0.002)
+        now = asyncio.get_running_loop().time()
+        old = [r for at, r in self._history if at <= now - LAG_S]
+        return old[-1] if old else self._history[0][1]
+
+    async def load(self, order: targets.EngineOrder) -> Outcome:
+        return await self._take(order, self._load)
+
+    async def unload(self, order: targets.EngineOrder) -> Outcome:
+        return await self._take(order, self._unload)
+
+    async def _take(self, order, carry_out) -> Outcome:
+        await asyncio.sleep(0.001)
+        if not order.gate():
+            raise wire.NotSentError("The gate was shut.")
+        luck = self._rng.random()
+        if luck < self.luck.late:
+            delay_s = self._rng.uniform(2.0, self.luck.latest_s)
+            self._later(delay_s, carry_out, order)
+            await asyncio.sleep(0.2)
+            raise wire.PeerLostError("No answer came.")
+        outcome = carry_out(order)
+        if luck < self.luck.late + self.luck.lost:
+            await asyncio.sleep(0.2)
+            raise wire.PeerLostError("The answer was lost.")
+        await asyncio.sleep(0.001)
+        return outcome
+
+    def _later(self, delay_s: float, work, *args) -> None:
+        async def wait() -> None:
+            await asyncio.sleep(delay_s)
+            work(*args)
+
+        task = asyncio.create_task(wait())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _expected(self, order: targets.EngineOrder) -> Outcome | None:
+        if order.fence < self._fence:
+            return Outcome.FENCED
+        self._fence = order.fence
+        if self._leaving:
+            return Outcome.OTHERWISE
+        if order.expected not in (None, self.sequence):
+            return Outcome.OTHERWISE
+        return None
+
+    def _load(self, order: targets.EngineOrder) -> Outcome:
+        refused = self._expected(order)
+        if refused is not None:
+            return refused
+        name, version = order.adapter, order.version or 1
+        if self.ready.get(name) == version:
+            return Outcome.HOLDS
+        if name in self.pending:
+            return Outcome.STARTED
+        taken = len(set(self.ready) | set(self.pending) | {name})
+        if taken > self._spec.adapter_slots:
+            self.faults.append(f"{name} is one too many: {taken}")
+        self.sequence += 1
+        self.pending[name] = version
+        delay_s = COPY_S if name in self._copies else STORE_S
+        self._later(delay_s, self._loaded, name, version)
+        self._note()
+        return Outcome.STARTED
+
+    def _loaded(self, name: str, version: int) -> None:
+        if self.pending.get(name) == version:
+            del self.pending[name]
+            self.ready[name] = version
+            self._copies.add(name)
+            self._note()
+
+    def _unload(self, order: targets.EngineOrder) -> Outcome:
+        refused = self._expected(order)
+        if refused is not None:
+            return refused
+        self.sequence += 1
+        if self.running.get(order.adapter):
+            self._leaving.add(order.adapter)
+            self._note()
+            return Outcome.STARTED
+        self.ready.pop(order.adapter, None)
+        self._note()
+        return Outcome.HOLDS
+
+    def begin(self, name: str) -> bool:
+        """Begin a run; False when the adapter is not there."""
+        if name not in self.ready or name in self._leaving:
+            return False
+        self.running[name] = self.running.get(name, 0) + 1
+        return True
+
+    def end(self, name: str) -> None:
+        """End a run; an unload that waited for it is then done."""
+        self.running[name] -= 1
+        if not self.running[name] and name in self._leaving:
+            self._leaving.discard(name)
+            self.ready.pop(name, None)
+            self._note()
+
+    def _note(self) -> None:
+        def held(adapters: dict[str, int]) -> tuple[targets.HeldAdapter, ...]:
+            return tuple(
+                targets.HeldAdapter(MODEL, name, version)
+                for name, version in adapters.items()
+            )
+
+        report = targets.AdapterReport(
+            (MODEL,),
+            held(self.ready),
+            held(self.pending),
+            bool(self._leaving),
+            self.sequence,
+        )
+        try:
+            now = asyncio.get_running_loop().time()
+        except RuntimeError:
+            now = 0.0
+        self._history.append((now, report))
+
+
+class StandingLeader(placement.Leadership):
+    """A leader that leads until a test says otherwise."""
+
+    def __init__(self) -> None:
+        self.number = 1
+        self.leads = True
+
+    @property
+    def term(self) -> int:
+        return self.number
+
+    def holds(self) -> bool:
+        return self.leads
+
+    def refusal(self) -> wire.ServingError:
+        return wire.NotLeaderError("Ask another.")
+
+
+class Ledger:
+    """A placer before some engines; an async context manager."""
+
+    def __init__(
+        self, seed: int, luck: Luck, engines: int = 2, slots: int = 3
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.spec = catalogue.EngineSpec(
+            64, 100_000, 1e6, slots, 4.0, (catalogue.BaseModel(MODEL, 1, 1),)
+        )
+        self.leader = StandingLeader()
+        self.machine = catalogue.CatalogueMachine()
+        self.engine_by_id: dict[str, EngineOracle] = {}
+        self.infos = tuple(
+            control.TargetInfo(f"e{n}", POOL, f"10.1.0.{n + 1}:1", "mnl-a")
+            for n in range(engines)
+        )
+        for info in self.infos:
+            engine = EngineOracle(self.spec, luck, self.rng)
+            self.engine_by_id[info.id] = engine
+        self._put_routes()
+        self.placer = placement.Placer(
+            self.leader,
+            lambda: self.machine.view,
+            lambda instance: self.engine_by_id[instance.id],
+            placement.HomePolicy(),
+            observe.Metrics(),
+        )
+        self.served = 0
+        self.refused = 0
+        self.faults: list[str] = []
+        self._index = 1
+        self._number = 0
+
+    def _put_routes(self) -> None:
+        pool = catalogue.RoutePool(POOL, "/health", 64, self.spec)
+        table = catalogue.RouteTable(1, (), (pool,))
+        replace = catalogue.ReplaceRoutes(table, "{}")
+        command = catalogue.Command(replace_routes=replace)
+        self.machine.apply(1, wire.encode(command))
+
+    def name_version(self, adapter: str, version: int) -> None:
+        """Name a newer version of an adapter."""
+        self._index += 1
+        name = catalogue.NameVersion(MODEL, adapter, version)
+        command = catalogue.Command(name_version=name)
+        self.machine.apply(self._index, wire.encode(command))
+
+    async def __aenter__(self) -> "Ledger":
+        await self.placer.__aenter__()
+        self.placer.targets_changed(self.infos)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.placer.__aexit__()
+
+    async def request(
+        self, adapter: str, work_s: float, patience_s: float = 3.0
+    ) -> None:
+        """Ask for a place, run there, and give it back."""
+        self._number += 1
+        name = f"r{self._number}"
+        ask = placement.PlaceRequest(
+            "entry-1",
+            name,
+            POOL,
+            MODEL,
+            adapter,
+            100,
+            20,
+            (),
+            0,
+            patience_s,
+            "mnl-a",
+        )
+        try:
+            place = await self.placer.on_place(ask)
+        except wire.ServingError:
+            self.refused += 1
+            return
+        engine = self.engine_by_id[place.target]
+        ran = engine.begin(adapter)
+        if ran:
+            self.served += 1
+            await asyncio.sleep(work_s)
+            engine.end(adapter)
+        outcome = placement.UseOutcome.DONE
+        if not ran:
+            outcome = placement.UseOutcome.ABSENT
+        ended = placement.EndedUse(name, place.target, outcome)
+        await self.placer.on_release(
+            placement.ReleaseRequest("entry-1", (ended,))
+        )
+
+    def check(self) -> list[str]:
+        """Return what the engines were ordered wrongly."""
+        return self.faults + [
+            f"{name}: {fault}"
+            for name, engine in self.engine_by_id.items()
+            for fault in engine.faults
+        ]
+
+
+async def random_load(seed: int, luck: Luck) -> list[str]:
+    """Random requests for more adapters than there are slots."""
+    async with Ledger(seed, luck) as ledger:
+        await asyncio.sleep(2.0)
+        tasks = []
+        for number in range(80):
+            adapter = f"a{ledger.rng.randrange(12)}"
+            if number % 17 == 16:
+                ledger.name_version(adapter, 2 + number)
+            tasks.append(
+                asyncio.create_task(
+                    ledger.request(adapter, ledger.rng.uniform(0.05, 0.6))
+                )
+            )
+            await asyncio.sleep(ledger.rng.uniform(0.0, 0.25))
+        await asyncio.gather(*tasks)
+        for engine in ledger.engine_by_id.values():
+            engine.luck = Luck()
+        await asyncio.sleep(14.0)
+        served = ledger.served
+        await asyncio.gather(
+            *(ledger.request(f"a{n}", 0.05) for n in range(12))
+        )
+        faults = ledger.check()
+        if ledger.served < served + 12:
+            faults.append(f"After all was well, only {ledger.served} ran.")
+        return faults
+
+
+async def dropped_load() -> list[str]:
+    """A load still waits for its turn when the ledger is settled anew.
+
+    It is no longer in the ledger then, so it must not be sent.
+    """
+    async with Ledger(1, Luck(), engines=1, slots=2) as ledger:
+        await asyncio.sleep(2.0)
+        (orders,) = ledger.placer._orders_by_target.values()
+        now = asyncio.get_running_loop().time()
+        async with orders._lock:
+            orders.start_load((MODEL, "a1"), None, None, now)
+            orders.settle()
+            await asyncio.sleep(1.5)
+        await asyncio.sleep(0.5)
+        sent = ledger.engine_by_id["e0"].sequence
+        return [f"{sent} orders were sent."] if sent else []
+
+
+async def no_order_without_lead() -> list[str]:
+    """A holder that lost the lead sends nothing, whatever it planned."""
+    async with Ledger(1, Luck(), engines=1) as ledger:
+        await asyncio.sleep(2.0)
+        (orders,) = ledger.placer._orders_by_target.values()
+        now = asyncio.get_running_loop().time()
+        orders.start_load((MODEL, "a1"), None, None, now)
+        ledger.leader.leads = False
+        await asyncio.sleep(2.0)
+        sent = ledger.engine_by_id["e0"].sequence
+        return [f"{sent} orders were sent."] if sent else []
+
+
+async def full_home() -> list[str]:
+    """Room elsewhere is taken when home has none for long."""
+    async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
+        await asyncio.sleep(2.0)
+        long = [
+            asyncio.create_task(ledger.request("a1", 10.0)),
+        ]
+        await asyncio.sleep(0.5)
+        for orders in ledger.placer._orders_by_target.values():
+            if orders.holding.slot_by_name:
+                orders.holding.remember_copy((MODEL, "a2"))
+        before = asyncio.get_running_loop().time()
+        await ledger.request("a2", 0.0)
+        took_s = asyncio.get_running_loop().time() - before
+        await asyncio.gather(*long)
+        if ledger.refused or took_s > 1.5:
+            return [f"It waited {took_s:.1f} s for a full home."]
+        return []
+
+
+async def storm_of_waiters() -> list[str]:
+    """Many who wait cost few decisions, so that the leader keeps its time."""
+    async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
+        await asyncio.sleep(2.0)
+        decided = 0
+        pump = ledger.placer._pump
+
+        def counted() -> None:
+            nonlocal decided
+            decided += 1
+            pump()
+            ledger.placer._pump_took_s = 0.02
+
+        ledger.placer._pump = counted
+        ledger.placer._pump_took_s = 0.02
+        tasks = [
+            asyncio.create_task(ledger.request(f"a{n}", 0.1, 1.0))
+            for n in range(200)
+        ]
+        await asyncio.gather(*tasks)
+        return [f"{decided} decisions"] if decided > 17 else []
+
+
+async def named_version() -> list[str]:
+    """A named version is in force for new runs soon after."""
+    async with Ledger(1, Luck()) as ledger:
+        await asyncio.sleep(2.0)
+        await ledger.request("a1", 0.1)
+        ledger.name_version("a1", 7)
+        busy = asyncio.create_task(ledger.request("a1", 3.0))
+        await asyncio.sleep(2.0)
+        ask = placement.PlaceRequest(
+            "entry-1", "late", POOL, MODEL, "a1", 9, 9, (), 0, 4.0, "mnl-a"
+        )
+        place = await ledger.placer.on_place(ask)
+        await busy
+        return [] if place.version == 7 else [f"{place} after 2 s"]
+
+
+def _blind(orders, name, version, expected) -> targets.EngineOrder:
+    """Order without saying what is expected, as a mutant does."""
+    return _ORDER(orders, name, version, None)
+
+
+_ORDER = placement.EngineOrders._order
+
+# Each switches a guard off: its name, its scenario, what it patches.
+MUTANTS = (
+    (
+        "send what was settled away",
+        "dropped_load",
+        (placement.EngineOrders, "_still_planned", lambda *_: True),
+    ),
+    (
+        "order after the lead is lost",
+        "no_order_without_lead",
+        (placement.EngineOrders, "_gate_open", lambda _: True),
+    ),
+    (
+        "wait at home for ever",
+        "full_home",
+        (_place_policy, "WAITING_WEIGHT", 0.0),
+    ),
+    (
+        "decide at once, always",
+        "storm_of_waiters",
+        (_placer, "PUMP_SPACING", 0.0),
+    ),
+    (
+        "begin on an old version",
+        "named_version",
+        (_placer, "OLD_VERSION_S", 1e9),
+    ),
+    (
+        "say nothing of what is expected",
+        "random",
+        (placement.EngineOrders, "_order", _blind),
+    ),
+)
+
+
+SCENARIOS = {
+    "dropped_load": dropped_load,
+    "no_order_without_lead": no_order_without_lead,
+    "full_home": full_home,
+    "storm_of_waiters": storm_of_waiters,
+    "named_version": named_version,
+}
+
+
+def run(work) -> list[str]:
+    """Run a scenario in virtual time."""
+    loop = looptime.new_event_loop()
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        loop.close()
+
+
+def run_scenario(name: str) -> list[str]:
+    """Run a scenario by its name."""
+    return run(SCENARIOS[name]())
+
+
+def run_mutant(number: int) -> list[str]:
+    """Run a scenario with its guard switched off."""
+    _, scenario, (owner, attribute, value) = MUTANTS[number]
+    with unittest.mock.patch.object(owner, attribute, value):
+        if scenario != "random":
+            return run_scenario(scenario)
+        return [fault for seed in range(12) for fault in run_random(seed)]
+
+
+def run_random(seed: int) -> list[str]:
+    """Run random loads with bad luck of every mix."""
+    rng = random.Random(seed)
+    luck = Luck(rng.choice((0, 0.1, 0.35)), rng.choice((0, 0.1, 0.3)))
+    faults = run(random_load(seed, luck))
+    return [f"seed {seed}, {luck}: {fault}" for fault in faults]
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -252,7 +252,7 @@
             async with self._lock:
                 order = self._order(name, slot.version, self.holding.sequence)
                 outcome = await self._send(self._engine.load, order)
-            if outcome is None and not self._stopped and self._gate():
+            if outcome is None and self._gate_open():
                 # The order was lost, and carried out late it does nothing.
                 lost += 1
                 if lost <= MOST_LOST_CONFIRMS:
@@ -283,7 +283,7 @@
             version,
             expected,
             self._fence,
-            lambda: self._gate() and not self._stopped,
+            self._gate_open,
         )
 
     async def _send(
@@ -299,7 +299,7 @@
         moves the sequence on, and the other then expects another one.
         """
         for _ in range(MOST_RESENDS):
-            if self._stopped or not self._gate():
+            if not self._gate_open():
                 return None
             self._ordered_at = self._clock.now()
             try:
@@ -311,6 +311,9 @@
                 self._ordered_at = self._clock.now()
         return None
 
+    def _gate_open(self) -> bool:
+        return self._gate() and not self._stopped
+
     def _log(self, what: str, **fields: object) -> None:
         observe.log_event(
             "order",
--- a/libs/placement/src/bergamotsail/placement/_place_policy.py
+++ b/libs/placement/src/bergamotsail/placement/_place_policy.py
@@ -11,6 +11,9 @@
 
 from bergamotsail.placement import _holding
 
+# How much a wait at a full home counts against it.
+WAITING_WEIGHT = 1.0
+
 PREFILL = _holding.PREFILL_TOKENS_PER_S
 
 
@@ -97,7 +100,8 @@
         if room:
             return cost_s
         # Who has waited long for room at home goes elsewhere.
-        return cost_s + self.no_room_s + wish.waited_s
+        waited_s = wish.waited_s * WAITING_WEIGHT
+        return cost_s + self.no_room_s + waited_s
 
 
 def _rank(target: str, name: _holding.AdapterName) -> float:
