--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -101,6 +101,7 @@
     st.one_of(
         st.tuples(st.just("routes"), st.integers(1, 6), st.integers(0, 2)),
         st.tuples(st.just("version"), st.integers(1, 6), st.integers(0, 1)),
+        st.tuples(st.just("copies"), st.integers(1, 3), st.integers(0, 60)),
         st.just(("restart", 0, 0)),
     ),
     max_size=25,
@@ -112,6 +113,7 @@
     machine = catalogue.CatalogueMachine()
     version, document = 0, None
     named: dict[str, int] = {}
+    copies: dict[str, list[str]] = {}
     for index, (what, number, content) in enumerate(history, 1):
         if what == "routes":
             text = f"{number}.{content}"
@@ -133,12 +135,26 @@
             machine.apply(index, wire.encode(command))
             key = f"a{content}"
             named[key] = max(named.get(key, 0), number)
+        elif what == "copies":
+            target, adapter = f"e{number}", f"base/a{content}"
+            note = catalogue.NoteCopies(
+                (catalogue.Copies(target, (adapter,)),)
+            )
+            command = catalogue.Command(note_copies=note)
+            machine.apply(index, wire.encode(command))
+            known = copies.setdefault(target, [])
+            if adapter in known:
+                known.remove(adapter)
+            known.append(adapter)
         else:
             lines = list(machine.snapshot())
             machine = catalogue.CatalogueMachine()
             machine.restore(index, lines)
         assert machine.view.routes.table.version == version
         assert machine.routes_document == document
+        for target, known in copies.items():
+            found = machine.copies_by_target[target]
+            assert list(found) == known[-36:]
         for key, newest in named.items():
             assert machine.view.named_version("base", key) == newest
 
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -482,11 +482,22 @@
     """Run a scenario in virtual time."""
     loop = looptime.new_event_loop()
     try:
-        return loop.run_until_complete(work)
+        return loop.run_until_complete(_then_cancel_all(work))
     finally:
         loop.close()
 
 
+async def _then_cancel_all(work) -> list[str]:
+    """Return what the work returns, and leave no task behind."""
+    try:
+        return await work
+    finally:
+        left = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in left:
+            task.cancel()
+        await asyncio.gather(*left, return_exceptions=True)
+
+
 def run_scenario(name: str) -> list[str]:
     """Run a scenario by its name."""
     return run(SCENARIOS[name]())
--- a/libs/catalogue/src/bergamotsail/catalogue/__init__.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -39,6 +39,8 @@
 Release = _commands.Release
 ReplaceRoutes = _commands.ReplaceRoutes
 NameVersion = _commands.NameVersion
+Copies = _commands.Copies
+NoteCopies = _commands.NoteCopies
 VersionReply = _commands.VersionReply
 
 AdapterVersion = _routes.AdapterVersion
--- a/libs/catalogue/src/bergamotsail/catalogue/_commands.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_commands.py
@@ -164,6 +164,32 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copies:
+    """Adapters of which an engine keeps a copy at hand.
+
+    Args:
+        names: as MODEL/ADAPTER, the latest last.
+    """
+
+    target: str
+    names: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteCopies:
+    """Remember where copies are, for whoever orders loads next.
+
+    It is a hint: an engine that lost a copy loads from the store instead.
+
+    Args:
+        gone: targets that are no more.
+    """
+
+    copies: tuple[Copies, ...]
+    gone: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionReply:
     """Which version stands after a command that sets one.
@@ -188,3 +214,4 @@
     raise_floor: RaiseFloor | None = None
     replace_routes: ReplaceRoutes | None = None
     name_version: NameVersion | None = None
+    note_copies: NoteCopies | None = None
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -14,6 +14,7 @@
 KEPT_OPERATIONS = 10_000
 KEPT_CHANGES = 2_000
 KEPT_EFFECTS = 4_000
+KEPT_COPIES = 36
 
 Command = _commands.Command
 State = _commands.ClaimState
@@ -46,6 +47,7 @@
     change: _commands.Change | None = None
     floor_ms: int | None = None
     document: str | None = None
+    copies: _commands.Copies | None = None
 
 
 class CatalogueMachine(quorum.Machine):
@@ -55,6 +57,7 @@
         self.view = _view.View()
         self.floor_ms = 0
         self.routes_document: str | None = None
+        self.copies_by_target: dict[str, tuple[str, ...]] = {}
         self.changes: collections.deque[_commands.Change] = collections.deque(
             maxlen=KEPT_CHANGES
         )
@@ -89,6 +92,8 @@
             result = self._replace_routes(index, parsed.replace_routes)
         elif parsed.name_version is not None:
             result = self._name_version(index, parsed.name_version)
+        elif parsed.note_copies is not None:
+            self._note_copies(parsed.note_copies)
         self.view.index = index
         return result
 
@@ -286,6 +291,15 @@
         )
         return _commands.VersionReply(name.version, True)
 
+    def _note_copies(self, note: _commands.NoteCopies) -> None:
+        for target in note.gone:
+            self.copies_by_target.pop(target, None)
+        for copies in note.copies:
+            known = self.copies_by_target.get(copies.target, ())
+            older = [name for name in known if name not in copies.names]
+            names = (*older, *copies.names)[-KEPT_COPIES:]
+            self.copies_by_target[copies.target] = names
+
     def _set_versioned(
         self, index: int, kind: _entries.Kind, entry_id: str, value: object
     ) -> None:
@@ -311,6 +325,7 @@
             operations,
             changes,
             _Line(floor_ms=self.floor_ms, document=self.routes_document),
+            dict(self.copies_by_target),
         )
 
     def restore(
@@ -328,6 +343,9 @@
             elif line.operation is not None:
                 operation = line.operation
                 self._operation_by_id[operation.id] = operation.reply
+            elif line.copies is not None:
+                copies = line.copies
+                self.copies_by_target[copies.target] = copies.names
             elif line.change is not None:
                 self.changes.append(line.change)
             elif line.floor_ms is not None:
@@ -343,6 +361,7 @@
     operations: list[tuple[str, _commands.PutReply]],
     changes: list[_commands.Change],
     first: _Line,
+    copies_by_target: dict[str, tuple[str, ...]],
 ) -> collections.abc.Iterator[bytes]:
     yield wire.encode(first)
     for effect in effects:
@@ -354,6 +373,8 @@
         yield wire.encode(_Line(operation=operation))
     for change in changes:
         yield wire.encode(_Line(change=change))
+    for target, names in copies_by_target.items():
+        yield wire.encode(_Line(copies=_commands.Copies(target, names)))
 
 
 def _reply_of(claimed: _Claimed) -> _commands.ClaimReply:
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -102,6 +102,24 @@
         return self._node.not_leader()
 
 
+class _LogNotes(placement.CopyNotes):
+    """Remembers copies in the log, so that the next leader knows them."""
+
+    def __init__(
+        self, node: quorum.Node, machine: catalogue.CatalogueMachine
+    ) -> None:
+        self._node = node
+        self._machine = machine
+
+    def names(self, target: str) -> tuple[str, ...]:
+        return self._machine.copies_by_target.get(target, ())
+
+    async def note(self, note: catalogue.NoteCopies) -> None:
+        command = catalogue.Command(note_copies=note)
+        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+            await self._node.propose(wire.encode(command))
+
+
 class Replica:
     """A replica of the log; an async context manager.
 
@@ -146,6 +164,7 @@
             placement.HomePolicy(),
             self.metrics,
             clock,
+            _LogNotes(self.node, self.machine),
         )
         self.coordinator = control.Coordinator(
             settings.address,
--- a/libs/placement/src/bergamotsail/placement/__init__.py
+++ b/libs/placement/src/bergamotsail/placement/__init__.py
@@ -41,6 +41,7 @@
 StoreRate = _engine_orders.StoreRate
 Holding = _holding.Holding
 HomePolicy = _place_policy.HomePolicy
+CopyNotes = _placer.CopyNotes
 Leadership = _placer.Leadership
 PlacePolicy = _place_policy.PlacePolicy
 Placer = _placer.Placer
--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -1,6 +1,7 @@
 """What one engine holds, as the holder of its orders knows it."""
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 
@@ -72,6 +73,7 @@
         self._copies: collections.OrderedDict[AdapterName, None] = (
             collections.OrderedDict()
         )
+        self.new_copies: dict[AdapterName, None] = {}
         self._prefixes: collections.OrderedDict[
             tuple[AdapterName, str], None
         ] = collections.OrderedDict()
@@ -111,11 +113,20 @@
 
     def remember_copy(self, name: AdapterName) -> None:
         """Note that the engine keeps a copy of an adapter at hand."""
+        if name not in self._copies:
+            self.new_copies[name] = None
         self._copies[name] = None
         self._copies.move_to_end(name)
         while len(self._copies) > KEPT_COPIES:
             self._copies.popitem(last=False)
 
+    def recall_copies(self, names: collections.abc.Iterable[str]) -> None:
+        """Take what an earlier holder of the orders remembered."""
+        for text in names:
+            model, _, adapter = text.partition("/")
+            self.remember_copy((model, adapter))
+        self.new_copies.clear()
+
     def has_copy(self, name: AdapterName) -> bool:
         """Whether a load of an adapter here is quick and free."""
         return name in self._copies
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -23,7 +23,8 @@
 
 TICK_S = 0.05
 USE_GRACE_S = 1.5
-EVICT_GRACE_S = 0.8
+EVICT_GRACE_S = 0.45
+NOTE_S = 0.5
 MOST_IN_TRANSIT = 4
 SECOND_COPY_COST_S = 0.3
 SECOND_COPY_GAIN_S = 0.15
@@ -38,6 +39,22 @@
 Outcome = _place_messages.UseOutcome
 
 
+class CopyNotes(abc.ABC):
+    """Remembers, beyond this process, where copies of adapters are."""
+
+    @abc.abstractmethod
+    def names(self, target: str) -> tuple[str, ...]:
+        """Return what is remembered of a target, the latest last."""
+
+    @abc.abstractmethod
+    async def note(self, note: catalogue.NoteCopies) -> None:
+        """Remember more.
+
+        Raises:
+            ServingError: it may be forgotten.
+        """
+
+
 class Leadership(abc.ABC):
     """Whether this process may give orders, right now."""
 
@@ -85,6 +102,7 @@
     Args:
         view: gives the catalogue as it stands.
         make_engine: gives the engine of a listed target.
+        notes: where copies are remembered for the next holder.
     """
 
     def __init__(
@@ -97,7 +115,9 @@
         policy: _place_policy.PlacePolicy,
         metrics: observe.Metrics,
         clock: wire.Clock = wire.LoopClock(),
+        notes: CopyNotes | None = None,
     ) -> None:
+        self._notes = notes
         self._leadership = leadership
         self._view = view
         self._make_engine = make_engine
@@ -110,19 +130,21 @@
         self._waiters: list[_Waiter] = []
         self._named_at: dict[_holding.AdapterName, tuple[int, float]] = {}
         self._store = _engine_orders.StoreRate()
-        self._task: asyncio.Task | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._gone: set[str] = set()
         self._pump_due: asyncio.TimerHandle | None = None
         self._pump_took_s = 0.0
 
     async def __aenter__(self) -> "Placer":
-        self._task = asyncio.create_task(self._tick())
+        for work in (self._tick, self._note):
+            self._tasks.append(asyncio.create_task(work()))
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-        await self._forget_all()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._forget_all()
 
     def serve(self, server: wire.PeerServer) -> None:
         """Answer the calls of entries."""
@@ -228,6 +250,7 @@
             self._orders_by_target[info.id].holding.leaving = info.leaving
         for target in set(self._orders_by_target) - seen:
             self._orders_by_target.pop(target).stop()
+            self._gone.add(target)
         self._pump_soon()
 
     def _add_target(
@@ -248,6 +271,8 @@
             self._clock,
         )
         self._orders_by_target[info.id] = orders
+        if self._notes is not None:
+            orders.holding.recall_copies(self._notes.names(info.id))
         orders.settle()
 
     # Terms.
@@ -273,7 +298,7 @@
                 waiter.done.set_exception(self._leadership.refusal())
         self._waiters.clear()
 
-    async def _forget_all(self) -> None:
+    def _forget_all(self) -> None:
         for orders in self._orders_by_target.values():
             orders.stop()
         self._orders_by_target.clear()
@@ -287,6 +312,26 @@
             elif self._waiters:
                 self._fail_waiters()
 
+    async def _note(self) -> None:
+        """Remember new copies for whoever holds the orders next."""
+        while True:
+            await self._clock.sleep(NOTE_S)
+            if self._notes is None or not self._leadership.holds():
+                continue
+            copies = tuple(self._new_copies())
+            gone, self._gone = tuple(self._gone), set()
+            if copies or gone:
+                with contextlib.suppress(wire.ServingError, TimeoutError):
+                    note = catalogue.NoteCopies(copies, gone)
+                    await self._notes.note(note)
+
+    def _new_copies(self) -> collections.abc.Iterator[catalogue.Copies]:
+        for target, orders in self._orders_by_target.items():
+            names = tuple(map("/".join, orders.holding.new_copies))
+            orders.holding.new_copies.clear()
+            if names:
+                yield catalogue.Copies(target, names)
+
     # Decisions.
 
     def _pump_soon(self) -> None:
