--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -92,6 +92,18 @@
             for slot in self.slot_by_name.values()
         )
 
+    def summary(self, now: float) -> str:
+        """Return its state in a few figures, for the log."""
+        slots = self.slot_by_name.values()
+        return (
+            f"running={self.running} tokens={self.tokens}"
+            f" used={sum(slot.uses > 0 for slot in slots)}"
+            f" slots={len(slots)} in_transit={self.in_transit()}"
+            f" known={int(self.known)} leaving={int(self.leaving)}"
+            f" faults={self.faults(now):.1f}"
+            f" backlog_s={max(0.0, self.busy_until - now):.2f}"
+        )
+
     def take_report(self, report: targets.AdapterReport, now: float) -> None:
         """Start from a report that shows all accepted orders."""
         self.sequence = report.sequence
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -21,6 +21,7 @@
         patience_s: how long the caller of this call waits.
         avoid: targets that have refused or failed this request.
         waited_s: how long it has waited before this call.
+        objective_s: the time until the first token that is worth most.
     """
 
     boot: str
@@ -36,6 +37,7 @@
     datacentre: str
     avoid: tuple[str, ...] = ()
     waited_s: float = 0.0
+    objective_s: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -25,6 +25,9 @@
 USE_GRACE_S = 1.5
 EVICT_GRACE_S = 0.45
 NOTE_S = 0.5
+# What a load and the first token take, about.
+FIRST_TOKEN_S = 0.4
+TELL_S = 1.0
 MOST_IN_TRANSIT = 4
 SECOND_COPY_COST_S = 0.3
 SECOND_COPY_GAIN_S = 0.15
@@ -86,6 +89,16 @@
     def tokens(self) -> int:
         return self.request.prompt_tokens + self.request.output_tokens
 
+    def rank(self, now: float) -> tuple[bool, int, float]:
+        """Order waiters: first those who can still be on time.
+
+        When places are short, serving in order of arrival makes everyone
+        late in the end.
+        """
+        due_at = self.arrived_at + self.request.objective_s
+        late = due_at - FIRST_TOKEN_S < now
+        return late, self.request.priority, self.arrived_at
+
     def wish(self, now: float) -> _place_policy.Wish:
         return _place_policy.Wish(
             self.name,
@@ -305,13 +318,40 @@
         self._fail_waiters()
 
     async def _tick(self) -> None:
+        told_at = self._clock.now()
         while True:
             await self._clock.sleep(TICK_S)
             if self._leadership.holds():
                 self._pump_soon()
+                if self._clock.now() - told_at > TELL_S:
+                    told_at = self._clock.now()
+                    self._tell()
             elif self._waiters:
                 self._fail_waiters()
 
+    def _tell(self) -> None:
+        """Log what this holder believes of all engines."""
+        observe.log_event(
+            "place",
+            "state",
+            term=self._term,
+            waiting=len(self._waiters),
+            oldest_s=round(
+                max(
+                    (
+                        self._clock.now() - waiter.arrived_at
+                        for waiter in self._waiters
+                    ),
+                    default=0.0,
+                ),
+                3,
+            ),
+            engines={
+                target: orders.holding.summary(self._clock.now())
+                for target, orders in self._orders_by_target.items()
+            },
+        )
+
     async def _note(self) -> None:
         """Remember new copies for whoever holds the orders next."""
         while True:
@@ -349,7 +389,7 @@
         if not self._leadership.holds():
             return
         now = self._clock.now()
-        self._waiters.sort(key=lambda w: (w.request.priority, w.arrived_at))
+        self._waiters.sort(key=lambda waiter: waiter.rank(now))
         waiters_by_name: dict[_holding.AdapterName, list[_Waiter]] = {}
         for waiter in self._waiters:
             waiters_by_name.setdefault(waiter.name, []).append(waiter)
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -262,6 +262,8 @@
                 self._patience_s(attempt),
                 self._datacentre,
                 tuple(attempt.avoid),
+                self._clock.now() - request.arrived_at,
+                attempt.route.objective_s,
             )
         )
         outcome = Outcome.LEFT
@@ -365,6 +367,18 @@
         head: wire.ReplyHead,
     ) -> None:
         reading = self._dialect.read(attempt.request, head)
+        observe.log_event(
+            "route",
+            "answer",
+            request=attempt.request.id,
+            target=attempt.target,
+            status=head.status,
+            own=reading.own,
+            not_run=reading.not_run,
+            since_arrival_s=round(
+                self._clock.now() - attempt.request.arrived_at, 4
+            ),
+        )
         if reading.not_run:
             code = "absent" if reading.absent else "refused"
             error = wire.OverloadError(f"The target said: {code}.")
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -88,7 +88,7 @@
             asked = dataclasses.replace(
                 request,
                 patience_s=min(left_s, ASK_S),
-                waited_s=self._clock.now() - started_at,
+                waited_s=request.waited_s + self._clock.now() - started_at,
             )
             try:
                 reply = await self._ask(asked)
