--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -12,6 +12,7 @@
       | no_order_without_lead |
       | full_home             |
       | storm_of_waiters      |
+      | models_in_turn        |
       | named_version         |
 
   Scenario: Random loads with late and lost orders keep the ledger true
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import unittest.mock
@@ -25,6 +26,7 @@
 LAG_S = 0.2
 STORE_S = 0.25
 COPY_S = 0.025
+MODEL_S = 1.0
 POOL = "sastre-llm"
 Outcome = targets.OrderOutcome
 
@@ -62,6 +64,30 @@
         self._leaving: set[str] = set()
         self._history: list[tuple[float, targets.AdapterReport]] = []
         self._tasks: set[asyncio.Task] = set()
+        self.model_loaded = True
+        self.model_at = 0.0
+        self.fetching = False
+        self._on_disk = False
+        self._note()
+
+    def forget_model(self, on_disk: bool) -> None:
+        """Begin without the base model."""
+        self.model_loaded = False
+        self._on_disk = on_disk
+        self._history.clear()
+        self._note()
+
+    def _load_model(self) -> Outcome:
+        if self.model_loaded:
+            return Outcome.HOLDS
+        self.fetching = not self._on_disk
+        self._later(MODEL_S, self._model_loaded)
+        return Outcome.STARTED
+
+    def _model_loaded(self) -> None:
+        self.model_loaded, self.fetching = True, False
+        self.model_at = asyncio.get_running_loop().time()
+        self.sequence += 1
         self._note()
 
     async def report(self) -> targets.AdapterReport:
@@ -116,6 +142,8 @@
         refused = self._expected(order)
         if refused is not None:
             return refused
+        if not order.adapter:
+            return self._load_model()
         name, version = order.adapter, order.version or 1
         if self.ready.get(name) == version:
             return Outcome.HOLDS
@@ -174,11 +202,12 @@
             )
 
         report = targets.AdapterReport(
-            (MODEL,),
+            (MODEL,) if self.model_loaded else (),
             held(self.ready),
             held(self.pending),
             bool(self._leaving),
             self.sequence,
+            at_hand=(MODEL,) if self._on_disk else (),
         )
         try:
             now = asyncio.get_running_loop().time()
@@ -388,6 +417,24 @@
         return []
 
 
+async def models_in_turn() -> list[str]:
+    """Base models come from the store one at a time, from disks at once."""
+    async with Ledger(1, Luck(), engines=5) as ledger:
+        engines = list(ledger.engine_by_id.values())
+        for number, engine in enumerate(engines):
+            engine.forget_model(on_disk=number >= 3)
+        most = 0
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            most = max(most, sum(e.fetching for e in engines))
+        faults = [f"{most} at once from the store"] if most != 1 else []
+        if not all(engine.model_loaded for engine in engines):
+            faults.append("An engine is left without a model.")
+        if engines[4].model_at > 3.0:
+            faults.append("A copy on disk waited for the store.")
+        return faults
+
+
 async def storm_of_waiters() -> list[str]:
     """Many who wait cost few decisions, so that the leader keeps its time."""
     async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
@@ -461,6 +508,11 @@
         "named_version",
         (_placer, "OLD_VERSION_S", 1e9),
     ),
+    (
+        "load all models at once",
+        "models_in_turn",
+        (placement.StoreTurns, "turn", lambda _: contextlib.AsyncExitStack()),
+    ),
     (
         "say nothing of what is expected",
         "random",
@@ -473,6 +525,7 @@
     "dropped_load": dropped_load,
     "no_order_without_lead": no_order_without_lead,
     "full_home": full_home,
+    "models_in_turn": models_in_turn,
     "storm_of_waiters": storm_of_waiters,
     "named_version": named_version,
 }
--- a/libs/placement/src/bergamotsail/placement/__init__.py
+++ b/libs/placement/src/bergamotsail/placement/__init__.py
@@ -38,7 +38,7 @@
 Residents = _residents.Residents
 
 EngineOrders = _engine_orders.EngineOrders
-StoreRate = _engine_orders.StoreRate
+StoreTurns = _engine_orders.StoreTurns
 Holding = _holding.Holding
 HomePolicy = _place_policy.HomePolicy
 CopyNotes = _placer.CopyNotes
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -1,8 +1,8 @@
 """Orders to one engine: one after the other, each with what it expects."""
 
 import asyncio
-import collections
 import collections.abc
+import contextlib
 import dataclasses
 
 from bergamotsail import catalogue
@@ -21,7 +21,7 @@
 MOST_RESENDS = 3
 MOST_LOST_CONFIRMS = 2
 MODEL_POLL_S = 0.4
-STORE_WINDOW_S = 5.0
+MODEL_LOAD_TIMES = 2.5
 
 State = _holding.SlotState
 Order = targets.OrderOutcome
@@ -34,20 +34,21 @@
     victim: _holding.AdapterName | None
 
 
-class StoreRate:
-    """Bounds loads of base models from the store over all engines."""
+class StoreTurns:
+    """Lets base models come from the store one after the other.
+
+    Loads at the same time slow each other down, so that one after the
+    other the first are done sooner and the last no later.
+    """
 
     def __init__(self) -> None:
-        self._started_at: collections.deque[float] = collections.deque()
+        self._turn = asyncio.Lock()
 
-    def take(self, loads_per_s: float, now: float) -> bool:
-        """Count a load that starts now; False when it must wait."""
-        while self._started_at and now - self._started_at[0] > STORE_WINDOW_S:
-            self._started_at.popleft()
-        if len(self._started_at) >= max(1.0, loads_per_s * STORE_WINDOW_S):
-            return False
-        self._started_at.append(now)
-        return True
+    @contextlib.asynccontextmanager
+    async def turn(self) -> collections.abc.AsyncIterator[None]:
+        """Wait for the turn and hold it."""
+        async with self._turn:
+            yield
 
 
 class EngineOrders:
@@ -66,7 +67,7 @@
         engine: targets.AdapterEngine,
         fence: int,
         gate: collections.abc.Callable[[], bool],
-        store: StoreRate,
+        store: StoreTurns,
         changed: collections.abc.Callable[[], None],
         clock: wire.Clock,
     ) -> None:
@@ -134,7 +135,7 @@
             if report.busy or recent:
                 await self._clock.sleep(SETTLE_RETRY_S)
                 continue
-            if not report.models and await self._load_model():
+            if not report.models and await self._load_model(report):
                 continue
             self.holding.take_report(report, self._clock.now())
             self._log(
@@ -152,20 +153,33 @@
             if slot.state is State.DOUBTFUL:
                 self._run(self._confirm(name, slot))
 
-    async def _load_model(self) -> bool:
+    async def _load_model(self, report: targets.AdapterReport) -> bool:
         """Order a base model for an engine that holds none."""
         if not self._spec.models or self.holding.leaving:
             return False
         model = self._spec.models[0]
-        now = self._clock.now()
-        if not self._store.take(self._spec.loads_per_s, now):
-            await self._clock.sleep(SETTLE_RETRY_S)
+        if model.name in report.at_hand:
+            await self._load_and_wait(model)
             return True
+        async with self._store.turn():
+            if not self.holding.leaving:
+                await self._load_and_wait(model)
+        return True
+
+    async def _load_and_wait(self, model: catalogue.BaseModel) -> None:
+        """Order a load and wait for it, within reason."""
         order = self._order((model.name, ""), None, None)
         outcome = await self._send(self._engine.load, order)
         self._log("load_model", model=model.name, outcome=str(outcome))
-        await self._clock.sleep(MODEL_POLL_S)
-        return True
+        gives_up_at = self._clock.now() + MODEL_LOAD_TIMES * model.load_s
+        while outcome is not None and self._clock.now() < gives_up_at:
+            await self._clock.sleep(MODEL_POLL_S)
+            try:
+                report = await self._engine.report()
+            except wire.ServingError:
+                return
+            if report.models or self.holding.leaving:
+                return
 
     def start_load(
         self,
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -142,7 +142,7 @@
         self._orders_by_target: dict[str, _engine_orders.EngineOrders] = {}
         self._waiters: list[_Waiter] = []
         self._named_at: dict[_holding.AdapterName, tuple[int, float]] = {}
-        self._store = _engine_orders.StoreRate()
+        self._store = _engine_orders.StoreTurns()
         self._tasks: list[asyncio.Task] = []
         self._gone: set[str] = set()
         self._pump_due: asyncio.TimerHandle | None = None
--- a/libs/targets/src/bergamotsail/targets/_adapter_engine.py
+++ b/libs/targets/src/bergamotsail/targets/_adapter_engine.py
@@ -64,6 +64,8 @@
         busy: whether an order on a base model is in progress.
         sequence: how many orders it has accepted.
         remaining_s: time until it is gone, when it said so.
+        at_hand: base models of which it keeps a copy, so that a load takes
+            nothing from the store.
     """
 
     models: tuple[str, ...]
@@ -74,6 +76,7 @@
     queued: int = 0
     running: int = 0
     remaining_s: float | None = None
+    at_hand: tuple[str, ...] = ()
 
 
 class AdapterEngine(abc.ABC):
