--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -12,6 +12,7 @@
 from bergamotsail.control import _floor
 from bergamotsail.control import _ledger
 from bergamotsail.control import _messages
+from bergamotsail.control import _relay
 from bergamotsail.control import _session
 from bergamotsail.control import _turns
 
@@ -44,6 +45,8 @@
 Status = _messages.Status
 StatusReply = _messages.StatusReply
 
+HEARTBEAT = _messages.HEARTBEAT
+Relay = _relay.Relay
 Leader = _session.Leader
 Session = _session.Session
 Participant = _session.Participant
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -41,13 +41,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DaemonInfo:
-    """A daemon with a session. *boot* is new with every start."""
+    """A daemon with a session. *boot* is new with every start.
+
+    Args:
+        peer_address: where other daemons reach it, if it passes calls on.
+    """
 
     id: str
     boot: str
     address: str
     datacentre: str
     leaving: bool = False
+    peer_address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 
 from absl import logging
@@ -18,6 +19,9 @@
 STATE_TIMEOUT_S = 30.0
 KICK_SPACING_S = 0.02
 MOST_REPLICAS = 9
+NEIGHBOUR_AFTER_S = 0.8
+MOST_NEIGHBOURS = 2
+DIRECT_EVERY_S = 2.0
 CATCH_UP_POLL_S = 0.01
 
 
@@ -68,6 +72,7 @@
         self._transport = transport
         self._seeds = list(seeds)
         self._leader = self._seeds[0]
+        self._neighbour: str | None = None
         self._moved = asyncio.Event()
 
     @property
@@ -77,8 +82,15 @@
 
     @property
     def address(self) -> str:
-        """Where the leader was last."""
-        return self._leader
+        """Where calls for the leader go: to it, or to a neighbour."""
+        return self._neighbour or self._leader
+
+    def go_through(self, neighbour: str | None) -> None:
+        """Let calls go through another daemon, or directly again."""
+        if neighbour != self._neighbour:
+            self._neighbour = neighbour
+            self._moved.set()
+            self._moved = asyncio.Event()
 
     def found(self, address: str) -> None:
         """Remember where the leader is."""
@@ -177,6 +189,9 @@
         self._kicked = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._was_fresh = False
+        self._through: str | None = None
+        self._direct_at = float("-inf")
+        self._neighbours_tried = 0
         self._former_by_boot: dict[str, _messages.DaemonInfo] = {}
         self._former_until = float("-inf")
 
@@ -226,6 +241,11 @@
         sent_at = self._lease_until - self._timing.usable_s
         return self._clock.now() - sent_at
 
+    @property
+    def goes_through_neighbour(self) -> bool:
+        """Whether calls for the leader go through another daemon."""
+        return self._through is not None
+
     def fresh(self) -> bool:
         """Whether the lease holds at this moment."""
         return self._clock.now() < self._lease_until
@@ -300,9 +320,7 @@
         )
         sent_at = self._clock.now()
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.BEFORE)
-        reply = await self.leader.call(
-            _messages.HEARTBEAT, request, self._timing.call_s
-        )
+        reply = await self._send(request)
         self.leader.found(reply.leader)
         self.leader.learn(reply.replicas)
         await self._catch_up(reply)
@@ -318,6 +336,69 @@
             self._participant.hand_over(reply.hand_over)
         self._participant.view_changed()
 
+    async def _send(
+        self, request: _messages.Heartbeat
+    ) -> _messages.HeartbeatReply:
+        """Send a heartbeat to the leader, through a neighbour if need be.
+
+        An instance that is cut off from the replicas may reach others that
+        are not.
+        """
+        now = self._clock.now()
+        if self._through and now - self._direct_at < DIRECT_EVERY_S:
+            with contextlib.suppress(wire.ServingError):
+                return await self._transport.call(
+                    self._through,
+                    _messages.HEARTBEAT,
+                    request,
+                    self._timing.call_s,
+                )
+        self._direct_at = now
+        try:
+            reply = await self.leader.call(
+                _messages.HEARTBEAT, request, self._timing.call_s
+            )
+            self._go_through(None)
+            return reply
+        except wire.ServingError:
+            if self.silent_s() < NEIGHBOUR_AFTER_S:
+                raise
+            reply = await self._send_through_any(request)
+            if reply is None:
+                raise
+            return reply
+
+    async def _send_through_any(
+        self, request: _messages.Heartbeat
+    ) -> _messages.HeartbeatReply | None:
+        """Try some neighbours, each time others first."""
+        neighbours = [
+            info.peer_address
+            for info in self.daemon_by_boot.values()
+            if info.peer_address and info.boot != self.boot
+        ]
+        self._neighbours_tried += 1
+        start = self._neighbours_tried * MOST_NEIGHBOURS
+        for number in range(min(MOST_NEIGHBOURS, len(neighbours))):
+            address = neighbours[(start + number) % len(neighbours)]
+            with contextlib.suppress(wire.ServingError):
+                reply = await self._transport.call(
+                    address,
+                    _messages.HEARTBEAT,
+                    request,
+                    self._timing.call_s / 2,
+                )
+                self._go_through(address)
+                return reply
+        self._go_through(None)
+        return None
+
+    def _go_through(self, neighbour: str | None) -> None:
+        if neighbour != self._through:
+            logging.info("session: Calls go through %s.", neighbour)
+        self._through = neighbour
+        self.leader.go_through(neighbour)
+
     async def _catch_up(self, reply: _messages.HeartbeatReply) -> None:
         """Bring the view up to the commit index of the reply."""
         if self._node is not None:
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -299,12 +299,24 @@
         self.accepting = True
         boot = f"{settings.name}#{uuid.uuid4().hex[:12]}"
         info = control.DaemonInfo(
-            settings.name, boot, caller_address, settings.datacentre
+            settings.name,
+            boot,
+            caller_address,
+            settings.datacentre,
+            peer_address=settings.address,
         )
+        self.server = wire.PeerServer()
         self.leader = control.Leader(transport, settings.seeds)
         self.session = control.Session(
             info, self.leader, transport, settings.lease, clock=clock
         )
+        relay = control.Relay(self.session, transport)
+        relay.serve(
+            self.server,
+            control.HEARTBEAT,
+            placement.PLACE,
+            placement.RELEASE,
+        )
         self._places = routing.Places(self.session, transport, clock)
         self.session.attach(_EntryParticipant(self._places, changed))
         self._address = caller_address
