Lead sooner after a restart

Cause (closing faults): 1.4 s from the start of the processes to a leader that has read the list. Elections now take 0.5 to 0.9 s, counted from the start of the process; a new leader reads the list at once; entries ask thrice as often while they have no lease.

--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -27,6 +27,7 @@
 STATE_BATCH = 500
 RELAY_TIMEOUT_S = 2.0
 ASSIGN_INTERVAL_S = 0.25
+LEAD_POLL_S = 0.05
 MILLI = 1000
 
 
@@ -378,10 +379,16 @@
     # Tasks while leading.
 
     async def _read_list(self) -> None:
+        """Read the list at intervals, and at once with a new lead."""
+        read_at = float("-inf")
+        read_in = -1
         while True:
-            if self._node.holds_lease():
+            due = self._clock.now() - read_at >= self._list_interval_s
+            leads = self._node.holds_lease()
+            if leads and (due or read_in != self._node.term):
+                read_at, read_in = self._clock.now(), self._node.term
                 await self._guarded(self._read_list_once)
-            await self._clock.sleep(self._list_interval_s)
+            await self._clock.sleep(min(LEAD_POLL_S, self._list_interval_s))
 
     async def _read_list_once(self) -> None:
         term = self._current()
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -22,6 +22,7 @@
 NEIGHBOUR_AFTER_S = 0.8
 MOST_NEIGHBOURS = 2
 DIRECT_EVERY_S = 2.0
+STALE_PACE = 3
 CATCH_UP_POLL_S = 0.01
 
 
@@ -295,7 +296,10 @@
                 logging.exception("session: A heartbeat broke.")
             self._log_freshness()
             await self._clock.sleep(KICK_SPACING_S)
-            await wire.wait_event(self._kicked, self._timing.heartbeat_s)
+            pause_s = self._timing.heartbeat_s
+            if not self.fresh():
+                pause_s /= STALE_PACE
+            await wire.wait_event(self._kicked, pause_s)
             self._kicked.clear()
 
     def _log_freshness(self) -> None:
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -126,6 +126,7 @@
     Args:
         forms: at the very first start, form the log with the seeds.
         make_engine: gives the engine of a listed target.
+        started_at: when this process started, on the clock.
     """
 
     def __init__(
@@ -140,6 +141,7 @@
         forms: bool,
         list_interval_s: float,
         clock: wire.Clock,
+        started_at: float | None = None,
     ) -> None:
         self.server = wire.PeerServer()
         self.metrics = observe.Metrics()
@@ -156,6 +158,7 @@
             clock,
             forms=forms,
             max_voters=max(len(settings.seeds), 1),
+            started_at=started_at,
         )
         self.placer = placement.Placer(
             _NodeLeadership(self.node),
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -23,7 +23,7 @@
 
 TICK_S = 0.05
 USE_GRACE_S = 1.5
-EVICT_GRACE_S = 0.45
+EVICT_GRACE_S = 0.35
 NOTE_S = 0.5
 # What a load and the first token take, about.
 FIRST_TOKEN_S = 0.4
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -81,6 +81,8 @@
             them are there and blank. True at the very first start only.
         max_voters: a further replica waits as a learner until a voter
             falls silent, and then takes its place.
+        started_at: when this process started, on the clock; the time of
+            the first load when None.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         steps: wire.Steps = wire.NoSteps(),
         forms: bool = False,
         max_voters: int | None = None,
+        started_at: float | None = None,
     ) -> None:
         self.name = name
         self.role = Role.FOLLOWER
@@ -135,6 +138,7 @@
         self._joining: dict[str, asyncio.Task] = {}
         self._snapshotting = False
         self._forms = forms
+        self._started_at = started_at
         self._max_voters = max_voters
         self._tasks: list[asyncio.Task] = []
 
@@ -682,8 +686,11 @@
             self._add_entry(entry)
         self._on_disk = self.last_index
         # A vote may have been refused just before the restart because a
-        # leader had been heard, so wait as if it had been heard now.
+        # leader had been heard, so wait as if it had been heard when this
+        # process started; nothing was heard or promised after that.
         self._heard_at = self._clock.now()
+        if self._started_at is not None:
+            self._heard_at = min(self._heard_at, self._started_at)
 
     async def _restore(self, meta: _messages.SnapshotMeta) -> None:
         stored = await self._storage.read_snapshot()
