--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -10,7 +10,9 @@
       | scenario              |
       | dropped_load          |
       | no_order_without_lead |
+      | lead_in_doubt         |
       | full_home             |
+      | deposed_in_a_load     |
       | storm_of_waiters      |
       | models_in_turn        |
       | named_version         |
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -64,6 +64,7 @@
         self._leaving: set[str] = set()
         self._history: list[tuple[float, targets.AdapterReport]] = []
         self._tasks: set[asyncio.Task] = set()
+        self.reports = 0
         self.model_loaded = True
         self.model_at = 0.0
         self.fetching = False
@@ -92,6 +93,7 @@
 
     async def report(self) -> targets.AdapterReport:
         await asyncio.sleep(0.002)
+        self.reports += 1
         now = asyncio.get_running_loop().time()
         old = [r for at, r in self._history if at <= now - LAG_S]
         return old[-1] if old else self._history[0][1]
@@ -397,6 +399,37 @@
         return [f"{sent} orders were sent."] if sent else []
 
 
+async def deposed_in_a_load() -> list[str]:
+    """A holder that loses the lead during loads asks no more reports."""
+    async with Ledger(1, Luck(), engines=1) as ledger:
+        await asyncio.sleep(2.0)
+        asking = asyncio.create_task(ledger.request("a1", 0.1))
+        await asyncio.sleep(0.1)
+        ledger.leader.leads = False
+        engine = ledger.engine_by_id["e0"]
+        before = engine.reports
+        await asyncio.sleep(5.0)
+        await asking
+        asked = engine.reports - before
+        return [f"{asked} reports"] if asked > 2 else []
+
+
+async def lead_in_doubt() -> list[str]:
+    """A holder that was not sure of its lead for a moment goes on."""
+    async with Ledger(1, Luck(), engines=1) as ledger:
+        await asyncio.sleep(2.0)
+        asking = asyncio.create_task(ledger.request("a1", 0.1))
+        await asyncio.sleep(0.1)
+        ledger.leader.leads = False
+        await asyncio.sleep(0.6)
+        ledger.leader.leads = True
+        await asking
+        await asyncio.sleep(1.0)
+        for number in range(1, 6):
+            await ledger.request(f"a{number}", 0.1)
+        return [] if ledger.served >= 5 else [f"{ledger.served} served"]
+
+
 async def full_home() -> list[str]:
     """Room elsewhere is taken when home has none for long."""
     async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
@@ -508,6 +541,11 @@
         "named_version",
         (_placer, "OLD_VERSION_S", 1e9),
     ),
+    (
+        "never tend to what was left open",
+        "lead_in_doubt",
+        (placement.EngineOrders, "tend", lambda _: None),
+    ),
     (
         "load all models at once",
         "models_in_turn",
@@ -524,6 +562,8 @@
 SCENARIOS = {
     "dropped_load": dropped_load,
     "no_order_without_lead": no_order_without_lead,
+    "deposed_in_a_load": deposed_in_a_load,
+    "lead_in_doubt": lead_in_doubt,
     "full_home": full_home,
     "models_in_turn": models_in_turn,
     "storm_of_waiters": storm_of_waiters,
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -110,17 +110,24 @@
             and not self._stopped
         )
 
+    def tend(self) -> None:
+        """Settle what was left open while the lead was in doubt."""
+        if not self.holding.known:
+            self.settle()
+
     def settle(self) -> None:
         """Learn anew what the engine holds, from its report."""
         self.holding.known = False
-        if self._stopped:
+        if not self._gate_open():
+            # Another holder starts a ledger of its own; when the lead comes
+            # back to this one, it is asked to tend to it.
             return
         if self._settling is None or self._settling.done():
             self._settling = asyncio.create_task(self._settle())
 
     async def _settle(self) -> None:
         retry_s = SETTLE_RETRY_S
-        while not self._stopped:
+        while self._gate_open():
             since_s = self._clock.now() - self._ordered_at
             await self._clock.sleep(max(0.0, REPORT_LAG_S - since_s))
             try:
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -322,6 +322,8 @@
         while True:
             await self._clock.sleep(TICK_S)
             if self._leadership.holds():
+                for orders in self._orders_by_target.values():
+                    orders.tend()
                 self._pump_soon()
                 if self._clock.now() - told_at > TELL_S:
                     told_at = self._clock.now()
