--- a/features/growth.feature
+++ b/features/growth.feature
@@ -33,6 +33,8 @@
     Examples:
       | scenario                |
       | forms_by_itself         |
+      | split_votes_end         |
+      | two_restart_at_once     |
       | never_forms_twice       |
       | successor_takes_a_place |
       | reads_are_the_newest    |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -170,7 +170,10 @@
         self.machine_by_address: dict[str, catalogue.CatalogueMachine] = {}
 
     async def start(
-        self, address: str, disk: standins.MemoryDisk, forms: bool
+        self,
+        address: str,
+        disk: standins.MemoryDisk,
+        forms: bool,
     ) -> quorum.Node:
         """Start a replica that knows the first three as seeds."""
         server = wire.PeerServer()
@@ -317,7 +320,62 @@
     return faults
 
 
+async def two_restart_at_once() -> list[str]:
+    """Two of three that restart together elect a leader soon.
+
+    Each needs the other's vote, so that standing at the same moment again
+    and again elects nobody.
+    """
+    faults = []
+    for seed in range(40):
+        replicas = Replicas(3, seed)
+        disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
+        for address, disk in zip(replicas.addresses, disks):
+            await replicas.start(address, disk, True)
+        await replicas.leader()
+        for address in replicas.addresses:
+            await replicas.stop(address)
+        for address, disk in list(zip(replicas.addresses, disks))[:2]:
+            disk.crash()
+            disk.start_again()
+            await replicas.start(address, disk, False)
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        await replicas.leader()
+        took_s = loop.time() - before
+        if took_s > 4:
+            faults.append(f"seed {seed}: {took_s:.1f} s without a leader")
+        for address in list(replicas.node_by_address):
+            await replicas.stop(address)
+    return faults
+
+
+async def split_votes_end() -> list[str]:
+    """A replica whose vote was split waits at random before the next.
+
+    Here every real vote is split: others would stand at the same moment.
+    """
+    replicas = await _formed()
+    node = await replicas.leader()
+    others = [n for n in replicas.node_by_address.values() if n is not node]
+    await replicas.stop(others[0].member.address)
+    await replicas.stop(others[1].member.address)
+
+    async def always_split(pre: bool, transfer: bool) -> bool:
+        await asyncio.sleep(0.004)
+        return pre
+
+    node._ask_votes = always_split
+    await asyncio.sleep(2.0)
+    before = node.term
+    await asyncio.sleep(6.0)
+    stood = node.term - before
+    return [f"It stood {stood} times in 6 s."] if stood > 20 else []
+
+
 SCENARIOS = {
+    "split_votes_end": split_votes_end,
+    "two_restart_at_once": two_restart_at_once,
     "forms_by_itself": forms_by_itself,
     "never_forms_twice": never_forms_twice,
     "successor_takes_a_place": successor_takes_a_place,
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -121,6 +121,7 @@
         self._log = _log.Log()
         self._on_disk = 0
         self._heard_at = 0.0
+        self._stands_after = float("-inf")
         self._ready_index = 0
         self._transferring = False
         self._incoming: tuple[_messages.SnapshotMeta, int] | None = None
@@ -469,6 +470,8 @@
             heard_s = self._clock.now() - self._heard_at
             if heard_s < wait_s and not transfer:
                 continue
+            if self._clock.now() < self._stands_after and not transfer:
+                continue
             if self.role is Role.FAILED:
                 continue
             if not self.config.has_voter(self._me.id):
@@ -480,7 +483,8 @@
         if self.role is Role.LEADER:
             await self._clock.sleep(self._timing.heartbeat_s)
             return
-        left_s = self._heard_at + wait_s - self._clock.now()
+        now = self._clock.now()
+        left_s = max(self._heard_at + wait_s, self._stands_after) - now
         await wire.wait_event(
             self._stand_now, max(left_s, self._timing.heartbeat_s)
         )
@@ -518,6 +522,15 @@
                 self._become_leader()
             else:
                 self.role = Role.FOLLOWER
+                self._back_off()
+
+    def _back_off(self) -> None:
+        """Wait at random before standing again after a split vote.
+
+        Replicas that stand at the same moment would else do so for ever.
+        """
+        pause_s = self._timing.election_s * self._rng.uniform(0.1, 1.2)
+        self._stands_after = self._clock.now() + pause_s
 
     async def _ask_votes(self, pre: bool, transfer: bool) -> bool:
         term = self.term + 1 if pre else self.term
