--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -16,5 +16,6 @@
 EntryPoint = _roles.EntryPoint
 Replica = _roles.Replica
 RoleSettings = _roles.RoleSettings
+metrics_application = _roles.metrics_application
 peer_application = _roles.peer_application
 peer_routes = _roles.peer_routes
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -85,6 +85,26 @@
     )
 
 
+class MetricsHandler(web.RequestHandler):
+    """Counters and histograms as text, and what was not written to logs."""
+
+    def initialize(self, metrics: observe.Metrics) -> None:
+        """Take what the application gives."""
+        self._metrics = metrics
+
+    def get(self) -> None:
+        """Return one line for each figure."""
+        self.set_header("Content-Type", "text/plain")
+        text = observe.as_text(self._metrics.snapshot())
+        self.finish(f"{text}log_lines_dropped {observe.lines_dropped()}\n")
+
+
+def metrics_application(metrics: observe.Metrics) -> web.Application:
+    """Return an application that shows the metrics of this process."""
+    routes = [(r"/metrics", MetricsHandler, {"metrics": metrics})]
+    return web.Application(routes, log_function=lambda _: None)
+
+
 class _NodeLeadership(placement.Leadership):
     """Leadership of the log, as the holder of orders asks for it."""
 
--- a/libs/observe/src/bergamotsail/observe/__init__.py
+++ b/libs/observe/src/bergamotsail/observe/__init__.py
@@ -9,9 +9,11 @@
 
 EventHandler = _events.EventHandler
 EventLog = _events.EventLog
+lines_dropped = _events.lines_dropped
 log_event = _events.log_event
 
 Metrics = _metrics.Metrics
 MetricsSnapshot = _metrics.MetricsSnapshot
+as_text = _metrics.as_text
 merge = _metrics.merge
 readable = _metrics.readable
--- a/libs/observe/src/bergamotsail/observe/_events.py
+++ b/libs/observe/src/bergamotsail/observe/_events.py
@@ -23,6 +23,7 @@
         self._stream = stream if stream is not None else sys.stdout
         self._lines: queue.Queue[str | None] = queue.Queue(MAX_QUEUED)
         self._dropped = 0
+        self.dropped_ever = 0
         self._thread = threading.Thread(target=self._write, daemon=True)
 
     def __enter__(self) -> "EventLog":
@@ -51,6 +52,7 @@
             self._dropped = 0
         except queue.Full:
             self._dropped += 1
+            self.dropped_ever += 1
 
     def _write(self) -> None:
         while (line := self._lines.get()) is not None:
@@ -79,6 +81,11 @@
         _Current.log.add(part, what, fields)
 
 
+def lines_dropped() -> int:
+    """Return how many lines were dropped since the start."""
+    return 0 if _Current.log is None else _Current.log.dropped_ever
+
+
 class EventHandler(std_logging.Handler):
     """Turns lines of the logging library into events."""
 
--- a/libs/observe/src/bergamotsail/observe/_metrics.py
+++ b/libs/observe/src/bergamotsail/observe/_metrics.py
@@ -101,5 +101,18 @@
     return shown
 
 
+def as_text(snapshot: MetricsSnapshot) -> str:
+    """Return one line for each figure: its name, its labels, its value.
+
+    Example: ``request_p99_ms{code=done} 812.5``
+    """
+    lines = []
+    for name, figures in readable(snapshot).items():
+        base, brace, labels = name.partition("{")
+        for figure, value in figures.items():
+            lines.append(f"{base}_{figure}{brace}{labels} {value}")
+    return "\n".join(lines) + "\n"
+
+
 def _new_histogram() -> histogram.HdrHistogram:
     return histogram.HdrHistogram(LOWEST, HIGHEST, DIGITS)
