--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -177,6 +177,7 @@
         self._waiters.append(waiter)
         try:
             if not self._try_grant(waiter, self._clock.now()):
+                self._log_waiter("wait", waiter)
                 self._pump_soon()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(request.patience_s):
@@ -185,11 +186,34 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
         self._metrics.count("placements_refused", reason="no_place")
+        self._log_waiter("refuse", waiter)
         raise wire.OverloadError(
             "No engine can take this request in time. Come back later.",
             retry_after_s=RETRY_AFTER_S,
         )
 
+    def _log_waiter(self, what: str, waiter: _Waiter) -> None:
+        """Log that a request waits or is refused, and what stood then."""
+        where = {
+            target: str(orders.holding.slot_by_name[waiter.name].state)
+            for target, orders in self._orders_by_target.items()
+            if waiter.name in orders.holding.slot_by_name
+        }
+        usable = self._usable(waiter)
+        observe.log_event(
+            "place",
+            what,
+            request=waiter.request.request,
+            adapter="/".join(waiter.name),
+            waited_s=round(self._clock.now() - waiter.arrived_at, 4),
+            waiting=len(self._waiters),
+            held_at=where,
+            usable=len(usable),
+            settled=sum(orders.holding.known for orders in usable),
+            avoid=waiter.request.avoid or None,
+            term=self._term,
+        )
+
     async def on_release(
         self, request: _place_messages.ReleaseRequest
     ) -> _place_messages.Released:
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -28,6 +28,7 @@
 ID_FIELD = b"id:"
 SERVER_ERROR = 500
 LATE_S = 0.03
+BROKEN_OFF = "broken_off"
 
 CallerAnswer = _forward_types.CallerAnswer
 CallerRequest = _forward_types.CallerRequest
@@ -60,6 +61,12 @@
     last_event: str | None = None
     event_tail: bytes = b""
     target: str = ""
+    broken: bool = False
+
+    def break_off(self) -> None:
+        """Close the caller's connection so that nothing looks complete."""
+        self.broken = True
+        self.answer.abort()
 
 
 class Forwarder:
@@ -109,6 +116,8 @@
         try:
             attempt = self._begin(request, answer)
             await self._serve_in_time(attempt)
+            if attempt.broken:
+                code = BROKEN_OFF
         except wire.ServingError as error:
             code = error.code
             raise
@@ -152,6 +161,7 @@
             "end",
             request=request.id,
             route=route,
+            adapter=_adapter_of(request),
             routes_version=self._session.view.routes.table.version,
             leader_silent_s=round(self._session.silent_s(), 3),
             code=code,
@@ -171,7 +181,7 @@
 
     def _give_up(self, attempt: _Attempt) -> None:
         if attempt.answer.started:
-            attempt.answer.abort()
+            attempt.break_off()
             return
         if attempt.runs == 0:
             raise wire.OverloadError(
@@ -207,7 +217,7 @@
 
     def _fail(self, attempt: _Attempt, last: wire.ServingError | None) -> None:
         if attempt.answer.started:
-            attempt.answer.abort()
+            attempt.break_off()
             return
         if attempt.runs == 0:
             raise wire.OverloadError(
@@ -272,7 +282,7 @@
         )
         try:
             await self._send(attempt, destination)
-            outcome = Outcome.DONE
+            outcome = Outcome.FAILED if attempt.broken else Outcome.DONE
         except _TryNextError as error:
             outcome = _outcome_of(error)
             raise
@@ -356,7 +366,7 @@
         if attempt.answer.started and not (
             resumable and attempt.route.repeatable
         ):
-            attempt.answer.abort()
+            attempt.break_off()
             return
         raise _next(error, wire.Ran.UNKNOWN) from error
 
@@ -419,6 +429,12 @@
         )
 
 
+def _adapter_of(request: CallerRequest) -> str | None:
+    if request.model is None:
+        return None
+    return f"{request.model.model}/{request.model.adapter}"
+
+
 def _next(error: wire.ServingError, ran: wire.Ran) -> _TryNextError:
     following = _TryNextError(error.message, ran=ran)
     following.code = error.code
