--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -22,6 +22,7 @@
         avoid: targets that have refused or failed this request.
         waited_s: how long it has waited before this call.
         objective_s: the time until the first token that is worth most.
+        hope_s: refuse it after this wait unless a load is on its way.
     """
 
     boot: str
@@ -38,6 +39,7 @@
     avoid: tuple[str, ...] = ()
     waited_s: float = 0.0
     objective_s: float = 1.0
+    hope_s: float = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -179,19 +179,40 @@
             if not self._try_grant(waiter, self._clock.now()):
                 self._log_waiter("wait", waiter)
                 self._pump_soon()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(request.patience_s):
-                    return await done
+            return await self._wait(waiter)
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
-        self._metrics.count("placements_refused", reason="no_place")
-        self._log_waiter("refuse", waiter)
+
+    async def _wait(self, waiter: _Waiter) -> _place_messages.PlaceReply:
+        """Wait for a grant as long as there is hope and patience."""
+        request = waiter.request
+        hope_s = min(request.hope_s - request.waited_s, request.patience_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(hope_s, 0.0)):
+                return await asyncio.shield(waiter.done)
+        if not self._on_its_way(waiter):
+            self._metrics.count("placements_refused", reason="no_place")
+            self._log_waiter("refuse", waiter)
+            raise wire.NoPlaceError(
+                "No engine can take this request in time. Come back later.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(request.patience_s - max(hope_s, 0.0)):
+                return await waiter.done
         raise wire.OverloadError(
-            "No engine can take this request in time. Come back later.",
+            "No engine took this request so far. Ask again.",
             retry_after_s=RETRY_AFTER_S,
         )
 
+    def _on_its_way(self, waiter: _Waiter) -> bool:
+        """Whether an engine is loading what a waiter needs."""
+        return waiter.done.done() or any(
+            waiter.name in orders.holding.slot_by_name
+            for orders in self._usable(waiter)
+        )
+
     def _log_waiter(self, what: str, waiter: _Waiter) -> None:
         """Log that a request waits or is refused, and what stood then."""
         where = {
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -23,7 +23,8 @@
 NO_ROUTES_RETRY_S = 1.5
 DEFAULT_PATIENCE_S = 30.0
 PLACE_SHARE = 0.7
-PLACE_OBJECTIVES = 1.5
+PLACE_OBJECTIVES = 3.0
+HOPE_OBJECTIVES = 1.5
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 SERVER_ERROR = 500
@@ -274,6 +275,7 @@
                 tuple(attempt.avoid),
                 self._clock.now() - request.arrived_at,
                 attempt.route.objective_s,
+                attempt.route.objective_s * HOPE_OBJECTIVES,
             )
         )
         outcome = Outcome.LEFT
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -95,6 +95,8 @@
                 return self._took(request, reply)
             except LeaderMovedError:
                 continue
+            except wire.NoPlaceError:
+                raise
             except wire.OverloadError as error:
                 last = error
                 continue
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -57,6 +57,7 @@
 InternalError = _errors.InternalError
 KeyReusedError = _errors.KeyReusedError
 LimitError = _errors.LimitError
+NoPlaceError = _errors.NoPlaceError
 NotFoundError = _errors.NotFoundError
 NotLeaderError = _errors.NotLeaderError
 NotOwnerError = _errors.NotOwnerError
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -153,6 +153,12 @@
     status = 503
 
 
+class NoPlaceError(OverloadError):
+    """No target will have room in time, so there is no use in waiting."""
+
+    code = "no_place"
+
+
 class DeadlineError(ServingError):
     """The deadline passed, or can't be met."""
 
