Take a tail torn in any order for a torn tail; probe the direct way shortly

Each record now says how much was synced before it. The fuzzing of storage, with holes, failed first (append of two, crash). Cause 2 (scenario cut_off_entry): while it looked for the direct way, an entry behind a cut was silent for 1.8 s.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -34,6 +34,7 @@
       | scenario                |
       | forms_by_itself         |
       | split_votes_end         |
+      | cut_off_entry           |
       | two_restart_at_once     |
       | never_forms_twice       |
       | successor_takes_a_place |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -1,14 +1,17 @@
 """Scenarios of routes, the log that forms itself, and retry budgets."""
 
 import asyncio
+import contextlib
 import random
 
 from hypothesis import strategies as st
 
 from bergamotsail import catalogue
+from bergamotsail import control
 from bergamotsail import quorum
 from bergamotsail import routing
 from bergamotsail import standins
+from bergamotsail import targets
 from bergamotsail import wire
 from features.support import ledger
 
@@ -167,6 +170,7 @@
         self.network = standins.MemoryNetwork(self.rng)
         self.addresses = [f"10.0.0.{n + 1}:7000" for n in range(count)]
         self.node_by_address: dict[str, quorum.Node] = {}
+        self.server_by_address: dict[str, wire.PeerServer] = {}
         self.machine_by_address: dict[str, catalogue.CatalogueMachine] = {}
 
     async def start(
@@ -195,6 +199,7 @@
         node.serve(server)
         self.machine_by_address[address] = machine
         self.node_by_address[address] = node
+        self.server_by_address[address] = server
         await node.__aenter__()
         return node
 
@@ -320,6 +325,93 @@
     return faults
 
 
+class EmptyList(targets.InstanceList):
+    """A list without targets."""
+
+    async def read(self) -> tuple[targets.Instance, ...]:
+        return ()
+
+
+class Quiet(control.Participant):
+    """A daemon that holds and wants nothing."""
+
+    def held_by_key(self) -> dict[str, int]:
+        return {}
+
+    def wanted_by_key(self) -> dict[str, int]:
+        return {}
+
+    def take_shares(self, share_by_key: dict[str, int]) -> None:
+        return None
+
+    def statuses(self) -> tuple[control.TargetStatus, ...]:
+        return ()
+
+    def hand_over(self, targets: tuple[str, ...]) -> None:
+        return None
+
+    def view_changed(self) -> None:
+        return None
+
+
+def _entry(
+    replicas: Replicas, number: int, lease: control.LeaseTiming
+) -> control.Session:
+    """Return the session of an entry that passes its neighbours' calls on."""
+    address = f"10.0.1.{number}:7000"
+    server = wire.PeerServer()
+    replicas.network.join(address, server)
+    transport = standins.MemoryTransport(replicas.network, address)
+    info = control.DaemonInfo(
+        address, f"{address}#1", address, "mnl-a", peer_address=address
+    )
+    leader = control.Leader(transport, replicas.addresses)
+    session = control.Session(info, leader, transport, lease)
+    session.attach(Quiet())
+    relay = control.Relay(session, transport)
+    relay.serve(server, control.HEARTBEAT)
+    return session
+
+
+async def cut_off_entry() -> list[str]:
+    """An entry that is cut off from all replicas goes by a neighbour."""
+    replicas = await _formed()
+    lease = control.LeaseTiming(2.0, 0.3, call_s=0.6)
+    async with contextlib.AsyncExitStack() as stack:
+        for address in replicas.addresses:
+            coordinator = control.Coordinator(
+                address,
+                replicas.node_by_address[address],
+                replicas.machine_by_address[address],
+                EmptyList(),
+                standins.MemoryTransport(replicas.network, address),
+                lease,
+            )
+            coordinator.serve(replicas.server_by_address[address])
+            await stack.enter_async_context(coordinator)
+        sessions = [_entry(replicas, number, lease) for number in (1, 2, 3)]
+        for session in sessions:
+            await stack.enter_async_context(session)
+        await asyncio.sleep(3.0)
+        faults = [] if all(s.fresh() for s in sessions) else ["no leases"]
+        cut = sessions[0]
+        for address in replicas.addresses:
+            replicas.network.cut(cut.daemon.address, address)
+        await asyncio.sleep(4.0)
+        leader = await replicas.leader()
+        await leader.propose(_change(7))
+        await asyncio.sleep(2.5)
+        if not (cut.fresh() and cut.goes_through_neighbour):
+            faults.append("The entry that is cut off found no way.")
+        if cut.view.routes.table.version != 7:
+            faults.append("It does not hear of changes.")
+        replicas.network.heal()
+        await asyncio.sleep(4.0)
+        if not cut.fresh() or cut.goes_through_neighbour:
+            faults.append("It does not go directly again.")
+    return faults
+
+
 async def two_restart_at_once() -> list[str]:
     """Two of three that restart together elect a leader soon.
 
@@ -374,6 +466,7 @@
 
 
 SCENARIOS = {
+    "cut_off_entry": cut_off_entry,
     "split_votes_end": split_votes_end,
     "two_restart_at_once": two_restart_at_once,
     "forms_by_itself": forms_by_itself,
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -86,6 +86,11 @@
         """Where calls for the leader go: to it, or to a neighbour."""
         return self._neighbour or self._leader
 
+    @property
+    def direct_address(self) -> str:
+        """Where the leader itself was last."""
+        return self._leader
+
     def go_through(self, neighbour: str | None) -> None:
         """Let calls go through another daemon, or directly again."""
         if neighbour != self._neighbour:
@@ -348,16 +353,10 @@
         An instance that is cut off from the replicas may reach others that
         are not.
         """
-        now = self._clock.now()
-        if self._through and now - self._direct_at < DIRECT_EVERY_S:
-            with contextlib.suppress(wire.ServingError):
-                return await self._transport.call(
-                    self._through,
-                    _messages.HEARTBEAT,
-                    request,
-                    self._timing.call_s,
-                )
-        self._direct_at = now
+        if self._through is not None:
+            reply = await self._send_as_before(request)
+            if reply is not None:
+                return reply
         try:
             reply = await self.leader.call(
                 _messages.HEARTBEAT, request, self._timing.call_s
@@ -372,6 +371,26 @@
                 raise
             return reply
 
+    async def _send_as_before(
+        self, request: _messages.Heartbeat
+    ) -> _messages.HeartbeatReply | None:
+        """Send through the same neighbour; now and then try directly."""
+        calls = [(self._through, self._timing.call_s)]
+        if self._clock.now() - self._direct_at > DIRECT_EVERY_S:
+            self._direct_at = self._clock.now()
+            # Shortly, since the lease runs on meanwhile.
+            direct = (self.leader.direct_address, self._timing.call_s / 2)
+            calls.insert(0, direct)
+        for address, timeout_s in calls:
+            with contextlib.suppress(wire.ServingError):
+                reply = await self._transport.call(
+                    address, _messages.HEARTBEAT, request, timeout_s
+                )
+                if address != self._through:
+                    self._go_through(None)
+                return reply
+        return None
+
     async def _send_through_any(
         self, request: _messages.Heartbeat
     ) -> _messages.HeartbeatReply | None:
--- a/libs/quorum/src/bergamotsail/quorum/_storage.py
+++ b/libs/quorum/src/bergamotsail/quorum/_storage.py
@@ -1,9 +1,11 @@
 """Log, vote and snapshot of one replica on its disk.
 
-A file is a run of records: length, CRC-32C and a JSON payload. A record
-that is cut short or fails its checksum at the end of the log was never
-acknowledged and is cut off. The same in the middle of the log is damage,
-and the replica refuses to start on it.
+A file is a run of records: length, CRC-32C, how much of the file was synced
+when the record was written, and a JSON payload. After a loss of power what
+was not synced is present, missing or torn, in any order. So a bad record is
+the end of the log when nothing after it knows it as synced: it was never
+acknowledged and is cut off. Else it is damage, and the replica refuses to
+start on it.
 """
 
 import collections.abc
@@ -24,6 +26,7 @@
 IDENTITY = "identity"
 
 _HEADER = struct.Struct("<II")
+_SYNCED = struct.Struct("<Q")
 _WRITE_BYTES = 256 * 1024
 
 
@@ -58,41 +61,48 @@
     entries: list[_messages.Entry]
 
 
-def pack(payload: bytes) -> bytes:
-    """Return a record around the payload."""
-    return _HEADER.pack(len(payload), google_crc32c.value(payload)) + payload
+def pack(payload: bytes, synced: int = 0) -> bytes:
+    """Return a record around the payload.
+
+    Args:
+        synced: bytes of the file that were synced before it is written.
+    """
+    body = _SYNCED.pack(synced) + payload
+    return _HEADER.pack(len(body), google_crc32c.value(body)) + body
 
 
 def unpack(
     data: bytes, offset: int = 0
 ) -> collections.abc.Iterator[tuple[int, bytes]]:
     """Yield (end offset, payload) of each whole record, up to a bad one."""
-    while (payload := _record_at(data, offset)) is not None:
-        offset += _HEADER.size + len(payload)
-        yield offset, payload
+    while (body := _body_at(data, offset)) is not None:
+        offset += _HEADER.size + len(body)
+        yield offset, body[_SYNCED.size :]
 
 
-def _record_at(data: bytes, offset: int) -> bytes | None:
+def _body_at(data: bytes, offset: int) -> bytes | None:
+    """Return what follows the header of a whole record, or None."""
     if offset + _HEADER.size > len(data):
         return None
     length, checksum = _HEADER.unpack_from(data, offset)
     start = offset + _HEADER.size
-    payload = data[start : start + length]
-    if length == 0 or len(payload) < length:
+    body = data[start : start + length]
+    if length < _SYNCED.size or len(body) < length:
         return None
-    return payload if google_crc32c.value(payload) == checksum else None
+    return body if google_crc32c.value(body) == checksum else None
 
 
 def _damaged_inside(data: bytes, offset: int) -> bool:
-    """Whether a whole record follows the bad one at *offset*.
+    """Whether a later record knows the bad one at *offset* as synced.
 
     The length of the bad record can't be trusted, so every later offset is
     looked at; the next good record is at most a few hundred bytes away.
     """
-    return any(
-        _record_at(data, start) is not None
-        for start in range(offset + 1, len(data) - _HEADER.size)
-    )
+    for start in range(offset + 1, len(data) - _HEADER.size):
+        body = _body_at(data, start)
+        if body is not None and _SYNCED.unpack_from(body)[0] > offset:
+            return True
+    return False
 
 
 class Storage:
@@ -106,6 +116,7 @@
         self._disk = disk
         self._end_by_index: dict[int, int] = {}
         self._size = 0
+        self._synced = 0
 
     async def identity(self, name: str) -> Identity:
         """Return this folder's replica id, made when it is blank."""
@@ -155,6 +166,7 @@
                     "data folder; the replica then joins anew."
                 )
             await self._disk.truncate(LOG, self._size)
+        self._synced = self._size
         return entries
 
     async def save_vote(self, vote: _messages.Vote) -> None:
@@ -165,7 +177,7 @@
         self, entries: collections.abc.Sequence[_messages.Entry]
     ) -> None:
         """Append entries; they last only after ``sync``."""
-        records = [pack(wire.encode(entry)) for entry in entries]
+        records = [pack(wire.encode(e), self._synced) for e in entries]
         await self._disk.append(LOG, b"".join(records))
         for entry, record in zip(entries, records):
             self._size += len(record)
@@ -173,13 +185,15 @@
 
     async def sync(self) -> None:
         """Make all appended entries last."""
+        size = self._size
         await self._disk.sync(LOG)
+        self._synced = size
 
     async def truncate_after(self, index: int) -> None:
         """Remove all entries after *index*."""
         size = self._end_by_index.get(index, 0)
         await self._disk.truncate(LOG, size)
-        self._size = size
+        self._size = self._synced = size
         self._end_by_index = {
             at: end for at, end in self._end_by_index.items() if at <= index
         }
@@ -188,13 +202,16 @@
         self, entries: collections.abc.Sequence[_messages.Entry]
     ) -> None:
         """Replace the whole log by these entries."""
-        records = [pack(wire.encode(entry)) for entry in entries]
-        await self._disk.replace(LOG, b"".join(records))
+        records = []
         self._size = 0
         self._end_by_index.clear()
-        for entry, record in zip(entries, records):
-            self._size += len(record)
+        for entry in entries:
+            # The whole file is in place at once, so all before is synced.
+            records.append(pack(wire.encode(entry), self._size))
+            self._size += len(records[-1])
             self._end_by_index[entry.index] = self._size
+        await self._disk.replace(LOG, b"".join(records))
+        self._synced = self._size
 
     async def write_snapshot(
         self,
--- a/libs/standins/src/bergamotsail/standins/_disk.py
+++ b/libs/standins/src/bergamotsail/standins/_disk.py
@@ -29,13 +29,21 @@
         for name, pending in self._pending_by_name.items():
             kept = b""
             if self.tear and pending:
-                kept = pending[: self._rng.randrange(len(pending))]
+                kept = self._torn(pending)
             synced = self._synced_by_name.get(name)
             if synced is not None or kept:
                 self._synced_by_name[name] = (synced or b"") + kept
         self._pending_by_name.clear()
         self.dead = True
 
+    def _torn(self, pending: bytes) -> bytes:
+        """Return a write whose end, or some part of it, is missing."""
+        first = self._rng.randrange(len(pending))
+        if self._rng.random() < 0.5:
+            return pending[:first]
+        last = self._rng.randint(first + 1, len(pending))
+        return pending[:first] + bytes(last - first) + pending[last:]
+
     def start_again(self) -> None:
         """Make the disk usable by the next process."""
         self.dead = False
