--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -11,6 +11,7 @@
       | dropped_load          |
       | no_order_without_lead |
       | lead_in_doubt         |
+      | quiet_new_holder      |
       | full_home             |
       | deposed_in_a_load     |
       | storm_of_waiters      |
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -240,7 +240,12 @@
     """A placer before some engines; an async context manager."""
 
     def __init__(
-        self, seed: int, luck: Luck, engines: int = 2, slots: int = 3
+        self,
+        seed: int,
+        luck: Luck,
+        engines: int = 2,
+        slots: int = 3,
+        quiet_s: float = 0.0,
     ) -> None:
         self.rng = random.Random(seed)
         self.spec = catalogue.EngineSpec(
@@ -263,6 +268,7 @@
             lambda instance: self.engine_by_id[instance.id],
             placement.HomePolicy(),
             observe.Metrics(),
+            quiet_s=quiet_s,
         )
         self.served = 0
         self.refused = 0
@@ -430,6 +436,20 @@
         return [] if ledger.served >= 5 else [f"{ledger.served} served"]
 
 
+async def quiet_new_holder() -> list[str]:
+    """Where engines don't check fences a new holder waits before orders."""
+    async with Ledger(1, Luck(), engines=1, quiet_s=3.0) as ledger:
+        await asyncio.sleep(0.5)
+        asking = asyncio.create_task(ledger.request("a1", 0.1, 6.0))
+        await asyncio.sleep(2.0)
+        engine = ledger.engine_by_id["e0"]
+        faults = ["It ordered at once."] if engine.sequence else []
+        await asking
+        if not ledger.served:
+            faults.append("It never ordered.")
+        return faults
+
+
 async def full_home() -> list[str]:
     """Room elsewhere is taken when home has none for long."""
     async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
@@ -564,6 +584,7 @@
     "no_order_without_lead": no_order_without_lead,
     "deposed_in_a_load": deposed_in_a_load,
     "lead_in_doubt": lead_in_doubt,
+    "quiet_new_holder": quiet_new_holder,
     "full_home": full_home,
     "models_in_turn": models_in_turn,
     "storm_of_waiters": storm_of_waiters,
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -41,6 +41,8 @@
         address: where other daemons reach this one.
         seeds: addresses of some replicas.
         peer_token: the shared secret of all daemons.
+        order_quiet_s: a new leader gives no orders for so long; 0 where
+            engines check fencing numbers.
     """
 
     name: str
@@ -50,6 +52,7 @@
     peer_token: str
     lease: control.LeaseTiming
     consensus: quorum.Timing = quorum.Timing()
+    order_quiet_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,6 +191,7 @@
             self.metrics,
             clock,
             _LogNotes(self.node, self.machine),
+            settings.order_quiet_s,
         )
         self.coordinator = control.Coordinator(
             settings.address,
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -116,6 +116,9 @@
         view: gives the catalogue as it stands.
         make_engine: gives the engine of a listed target.
         notes: where copies are remembered for the next holder.
+        quiet_s: give no orders for so long after a term began, so that
+            orders of the holder before have surely ended; 0 where engines
+            refuse an old fencing number.
     """
 
     def __init__(
@@ -129,8 +132,10 @@
         metrics: observe.Metrics,
         clock: wire.Clock = wire.LoopClock(),
         notes: CopyNotes | None = None,
+        quiet_s: float = 0.0,
     ) -> None:
         self._notes = notes
+        self._quiet_s = quiet_s
         self._leadership = leadership
         self._view = view
         self._make_engine = make_engine
@@ -322,8 +327,7 @@
             spec,
             self._make_engine(instance),
             self._term,
-            lambda: self._leadership.holds()
-            and self._leadership.term == self._term,
+            self._may_order,
             self._store,
             self._pump_soon,
             self._clock,
@@ -335,6 +339,11 @@
 
     # Terms.
 
+    def _may_order(self) -> bool:
+        quiet = self._clock.now() - self._term_at < self._quiet_s
+        leads = self._leadership.holds()
+        return leads and not quiet and self._leadership.term == self._term
+
     def _check_leading(self) -> None:
         if not self._leadership.holds():
             raise self._leadership.refusal()
@@ -369,6 +378,7 @@
             if self._leadership.holds():
                 for orders in self._orders_by_target.values():
                     orders.tend()
+                self._refresh_versions(self._clock.now())
                 self._pump_soon()
                 if self._clock.now() - told_at > TELL_S:
                     told_at = self._clock.now()
@@ -444,7 +454,6 @@
         for waiters in waiters_by_name.values():
             self._serve_name(waiters, wanted, now)
         self._waiters = [w for w in self._waiters if not w.done.done()]
-        self._refresh_versions(now)
         self._pump_took_s = self._clock.now() - now
 
     def _serve_name(
