Guard libcurl's timers; let a thread's disk work end before its task does

Two ways a replica can hang were found by reading: a timer of libcurl's that fires a moment too early is not asked for again, and a cancelled vote left its file to a thread.

--- a/libs/quorum/src/bergamotsail/quorum/_disk.py
+++ b/libs/quorum/src/bergamotsail/quorum/_disk.py
@@ -114,14 +114,26 @@
             os.close(fd)
 
 
+async def _to_its_end(done: asyncio.Future) -> object:
+    """Wait for a thread's work even when the waiting task is cancelled.
+
+    The work can't be stopped, and its file may not be closed or written by
+    anything else before it is over.
+    """
+    try:
+        return await asyncio.shield(done)
+    except asyncio.CancelledError:
+        await asyncio.wait((done,))
+        raise
+
+
 async def _in_thread(
     function: collections.abc.Callable, *args: object
 ) -> object:
     loop = asyncio.get_running_loop()
+    done = loop.run_in_executor(None, functools.partial(function, *args))
     try:
-        return await loop.run_in_executor(
-            None, functools.partial(function, *args)
-        )
+        return await _to_its_end(done)
     except FileNotFoundError:
         raise
     except OSError as error:
--- a/libs/wire/src/bergamotsail/wire/_curl.py
+++ b/libs/wire/src/bergamotsail/wire/_curl.py
@@ -23,6 +23,7 @@
 KEPT_IDLE_S = 4
 SILENT_MS = 3_000
 KEEPALIVE_S = 1
+GUARD_S = 0.2
 MILLI = 1000
 
 Header = tuple[str, str]
@@ -270,14 +271,16 @@
         self._multi.setopt(pycurl.M_MAXCONNECTS, KEPT_CONNECTIONS)
         self._exchange_by_curl: dict[pycurl.Curl, Exchange] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._guard: asyncio.TimerHandle | None = None
         self._fds: dict[int, int] = {}
 
     def close(self) -> None:
         """Close all connections."""
         for curl in list(self._exchange_by_curl):
             self._exchange_by_curl[curl].abandon()
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._guard):
+            if timer is not None:
+                timer.cancel()
         self._multi.close()
 
     def open(
@@ -318,6 +321,7 @@
         """Begin a transfer."""
         self._exchange_by_curl[curl] = exchange
         self._multi.add_handle(curl)
+        self._keep_guard()
 
     def drop(self, curl: pycurl.Curl) -> None:
         """End a transfer and close its connection."""
@@ -359,6 +363,22 @@
                 timeout_ms / MILLI, self._act, pycurl.SOCKET_TIMEOUT, 0
             )
 
+    def _keep_guard(self) -> None:
+        """Let libcurl look at its timeouts now and then, in any case.
+
+        It does not ask again for a timer that fired a moment too early by
+        its own clock, and a transfer would then wait for ever.
+        """
+        if self._guard is None and self._exchange_by_curl:
+            loop = asyncio.get_running_loop()
+            self._guard = loop.call_later(GUARD_S, self._on_guard)
+
+    def _on_guard(self) -> None:
+        self._guard = None
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._collect()
+        self._keep_guard()
+
     def _act(self, fd: int, events: int) -> None:
         if fd == pycurl.SOCKET_TIMEOUT:
             self._timer = None
