Sync at start what a killed process left unsynced

Cause (read while looking for the lost leaders): a restarted replica took entries that were written but never synced for durable and acknowledged them; a loss of power right after could lose what was acknowledged.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -33,6 +33,7 @@
     Examples:
       | scenario                |
       | forms_by_itself         |
+      | restart_then_power_loss |
       | split_votes_end         |
       | cut_off_entry           |
       | two_restart_at_once     |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -442,6 +442,24 @@
     return faults
 
 
+async def restart_then_power_loss() -> list[str]:
+    """What a restarted process finds, but nobody synced, is synced first.
+
+    A process that is killed leaves its writes to the system; the next one
+    reads them, acknowledges them, and then the power is lost.
+    """
+    disk = standins.MemoryDisk(random.Random(1))
+    storage = quorum.Storage(disk)
+    await storage.load()
+    entry = quorum.Entry(1, 1, quorum.EntryKind.COMMAND, b"x")
+    await storage.append([entry])
+    found = (await quorum.Storage(disk).load()).entries
+    disk.crash()
+    disk.start_again()
+    left = (await quorum.Storage(disk).load()).entries
+    return [] if found == left else [f"{len(found)} found, {len(left)} left"]
+
+
 async def split_votes_end() -> list[str]:
     """A replica whose vote was split waits at random before the next.
 
@@ -467,6 +485,7 @@
 
 SCENARIOS = {
     "cut_off_entry": cut_off_entry,
+    "restart_then_power_loss": restart_then_power_loss,
     "split_votes_end": split_votes_end,
     "two_restart_at_once": two_restart_at_once,
     "forms_by_itself": forms_by_itself,
--- a/libs/quorum/src/bergamotsail/quorum/_storage.py
+++ b/libs/quorum/src/bergamotsail/quorum/_storage.py
@@ -166,6 +166,9 @@
                     "data folder; the replica then joins anew."
                 )
             await self._disk.truncate(LOG, self._size)
+        if data:
+            # A killed process may have left writes that nobody synced.
+            await self._disk.sync(LOG)
         self._synced = self._size
         return entries
 
