Give each daemon luck and names of its own

Their waits and back-offs were the same for ever; only the microseconds broke the tie. A replica's new id and a daemon's boot id could have repeated too. Test luck_of_its_own.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -34,6 +34,7 @@
       | scenario                |
       | forms_by_itself         |
       | restart_then_power_loss |
+      | luck_of_its_own         |
       | split_votes_end         |
       | cut_off_entry           |
       | two_restart_at_once     |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import random
+import unittest.mock
+import uuid
 
 from hypothesis import strategies as st
 
@@ -460,6 +462,20 @@
     return [] if found == left else [f"{len(found)} found, {len(left)} left"]
 
 
+async def luck_of_its_own() -> list[str]:
+    """Daemons draw apart though the system gives all the same randomness."""
+    same = unittest.mock.patch.object(uuid, "uuid4", lambda: uuid.UUID(int=7))
+    with same:
+        draws = {wire.own_luck(f"r{n}").random() for n in range(20)}
+        names = {wire.fresh_token("r1") for _ in range(20)}
+        ids = set()
+        for _ in range(5):
+            disk = standins.MemoryDisk(random.Random(1))
+            ids.add((await quorum.Storage(disk).identity("r1")).id)
+    found = (len(draws), len(names), len(ids))
+    return [] if found == (20, 20, 5) else [str(found)]
+
+
 async def split_votes_end() -> list[str]:
     """A replica whose vote was split waits at random before the next.
 
@@ -486,6 +502,7 @@
 SCENARIOS = {
     "cut_off_entry": cut_off_entry,
     "restart_then_power_loss": restart_then_power_loss,
+    "luck_of_its_own": luck_of_its_own,
     "split_votes_end": split_votes_end,
     "two_restart_at_once": two_restart_at_once,
     "forms_by_itself": forms_by_itself,
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -9,8 +9,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import random
-import uuid
 
 from absl import logging
 from tornado import web
@@ -176,7 +174,7 @@
             quorum.Storage(disk),
             transport,
             self.machine,
-            random.Random(uuid.uuid4().int),
+            wire.own_luck(settings.name),
             settings.consensus,
             clock,
             forms=forms,
@@ -324,7 +322,7 @@
         self.metrics = observe.Metrics()
         self.stopping = False
         self.accepting = True
-        boot = f"{settings.name}#{uuid.uuid4().hex[:12]}"
+        boot = f"{settings.name}#{wire.fresh_token(settings.name)}"
         info = control.DaemonInfo(
             settings.name,
             boot,
@@ -350,7 +348,9 @@
         self.forwarder = routing.Forwarder(
             self.session,
             self._places,
-            routing.ServiceChoice(settings.datacentre, random.Random(), clock),
+            routing.ServiceChoice(
+                settings.datacentre, wire.own_luck(settings.name), clock
+            ),
             routing.RepeatBudgets(
                 budget.ratio,
                 budget.slack,
--- a/libs/quorum/src/bergamotsail/quorum/_storage.py
+++ b/libs/quorum/src/bergamotsail/quorum/_storage.py
@@ -11,7 +11,6 @@
 import collections.abc
 import dataclasses
 import struct
-import uuid
 
 import google_crc32c
 
@@ -123,7 +122,7 @@
         data = await self._disk.read(IDENTITY)
         if data is not None:
             return wire.decode(data, Identity)
-        identity = Identity(f"{name}.{uuid.uuid4().hex[:8]}", name)
+        identity = Identity(f"{name}.{wire.fresh_token(name)}", name)
         await self._disk.replace(IDENTITY, wire.encode(identity))
         return identity
 
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -13,6 +13,7 @@
 from bergamotsail.wire import _peers
 from bergamotsail.wire import _steps
 from bergamotsail.wire import _streams
+from bergamotsail.wire import _tokens
 
 decode = _codec.decode
 encode = _codec.encode
@@ -26,6 +27,9 @@
 
 watched = _streams.watched
 
+fresh_token = _tokens.fresh_token
+own_luck = _tokens.own_luck
+
 Phase = _steps.Phase
 Step = _steps.Step
 Steps = _steps.Steps
