--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -29,6 +29,7 @@
 CONFIRM_POLL_S = 0.005
 SILENT_VOTER_S = 2.0
 MOST_REDIRECTS = 2
+START_SPREAD = 0.6
 
 Config = _messages.Config
 Entry = _messages.Entry
@@ -704,6 +705,11 @@
         self._heard_at = self._clock.now()
         if self._started_at is not None:
             self._heard_at = min(self._heard_at, self._started_at)
+            # Those that start together would else stand together.
+            spread_s = self._timing.election_s * START_SPREAD
+            self._stands_after = self._clock.now() + self._rng.uniform(
+                0.0, spread_s
+            )
 
     async def _restore(self, meta: _messages.SnapshotMeta) -> None:
         stored = await self._storage.read_snapshot()
