Read on what a refused body still sends

Cause (a clean run of all tests on a busy machine): 413 went out with the connection closed while the caller was still sending, so that the caller could see a reset instead of the answer. Ruled out: load alone, the order is wrong on any machine.

--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -45,7 +45,8 @@
         self._pieces.append(chunk)
 
     def _refuse_body(self, limit: int) -> None:
-        self.set_header("Connection", "close")
+        # The rest of the body is read and dropped: to close on a caller that
+        # still sends would reset the connection under the answer.
         self.send_typed(
             wire.TooLargeError(f"Send a body of at most {limit} bytes.")
         )
