--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -1,7 +1,6 @@
 """What the forwarder asks of the callers' and the targets' dialect."""
 
 import abc
-import collections.abc
 import dataclasses
 
 from bergamotsail import wire
@@ -128,6 +127,3 @@
     @abc.abstractmethod
     def abort(self) -> None:
         """Close the connection so that the answer is not complete."""
-
-
-SendPieces = collections.abc.AsyncIterator[bytes]
