Refuse calls until a replica has read its disk

Cause: the server listens before the disk is read. The same window lets a replica vote with an empty log (an acknowledged change is lost) and append entries that it has already (the log is then out of step at the next start, and no leader ever becomes ready). Ruled out: split votes (only one stood), lost calls (operators were answered by all three). Tests, each failed first: forms_with_slow_starters (no leader), votes_while_loading (version 1 in force, 2 acknowledged), called_while_loading (entries 1 to 10 twice on disk). It also gives the symptoms of the open finding of a lost leader after a loss of power; whether it was that is not shown.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -31,16 +31,20 @@
     Then no promise is broken
 
     Examples:
-      | scenario                |
-      | forms_by_itself         |
-      | restart_then_power_loss |
-      | luck_of_its_own         |
-      | split_votes_end         |
-      | cut_off_entry           |
-      | two_restart_at_once     |
-      | never_forms_twice       |
-      | successor_takes_a_place |
-      | reads_are_the_newest    |
+      | scenario                 |
+      | forms_by_itself          |
+      | forms_with_slow_starters |
+      | called_while_loading     |
+      | votes_while_loading      |
+      | log_out_of_step          |
+      | restart_then_power_loss  |
+      | luck_of_its_own          |
+      | split_votes_end          |
+      | cut_off_entry            |
+      | two_restart_at_once      |
+      | never_forms_twice        |
+      | successor_takes_a_place  |
+      | reads_are_the_newest     |
 
   Scenario: Repeats over all daemons keep to one budget
     Then repeats keep to the budget
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -243,6 +243,107 @@
     return [] if voters == {3} else [f"voters {voters}"]
 
 
+async def forms_with_slow_starters() -> list[str]:
+    """Replicas that answer before they know their own id form nothing yet.
+
+    The first configuration would else name one that never was, and which
+    therefore never votes.
+    """
+    replicas = Replicas(3)
+    starts = []
+    for address, read_s in zip(replicas.addresses, (0.0, 0.2, 0.4)):
+        disk = standins.MemoryDisk(replicas.rng)
+        disk.read_s = read_s
+        starts.append(replicas.start(address, disk, True))
+    await asyncio.gather(*starts)
+    leader = await replicas.leader()
+    await leader.propose(_change(1))
+    voters = {member.id for member in leader.config.voters}
+    there = {node.member.id for node in replicas.node_by_address.values()}
+    return [] if voters == there else [f"voters {voters}, there {there}"]
+
+
+async def called_while_loading() -> list[str]:
+    """A replica that still reads its disk takes and promises nothing."""
+    replicas = Replicas(3)
+    disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
+    for address, disk in zip(replicas.addresses, disks):
+        await replicas.start(address, disk, True)
+    leader = await replicas.leader()
+    for version in range(1, 9):
+        await leader.propose(_change(version))
+    await asyncio.sleep(1.0)
+    number = next(
+        n
+        for n, address in enumerate(replicas.addresses)
+        if replicas.node_by_address[address] is not leader
+    )
+    address, disk = replicas.addresses[number], disks[number]
+    await replicas.stop(address)
+    disk.crash()
+    disk.start_again()
+    disk.read_s = 0.4
+    node = await replicas.start(address, disk, False)
+    disk.read_s = 0.0
+    await asyncio.sleep(2.0)
+    faults = []
+    if node.last_index != leader.last_index:
+        faults.append(f"last index {node.last_index}, {leader.last_index}")
+    kept = [e.index for e in (await quorum.Storage(disk).load()).entries]
+    if kept != list(range(1, leader.last_index + 1)):
+        faults.append(f"on disk {kept}")
+    return faults
+
+
+async def votes_while_loading() -> list[str]:
+    """A replica that still reads its disk elects nobody who is behind it."""
+    replicas = Replicas(3)
+    disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
+    disk_by_address = dict(zip(replicas.addresses, disks))
+    for address, disk in disk_by_address.items():
+        await replicas.start(address, disk, True)
+    leader = await replicas.leader()
+    await leader.propose(_change(1))
+    behind, other = [
+        a for a, node in replicas.node_by_address.items() if node is not leader
+    ]
+    await replicas.stop(behind)
+    await leader.propose(_change(2))
+    await replicas.stop(leader.member.address)
+    await replicas.stop(other)
+    for address in (other, behind):
+        disk_by_address[address].crash()
+        disk_by_address[address].start_again()
+    disk_by_address[other].read_s = 0.8
+    starting = asyncio.create_task(
+        replicas.start(other, disk_by_address[other], False)
+    )
+    await asyncio.sleep(0.2)
+    await replicas.start(behind, disk_by_address[behind], False)
+    await starting
+    leader = await replicas.leader()
+    await asyncio.sleep(1.0)
+    document = replicas.machine_by_address[leader.member.address]
+    found = document.routes_document
+    return [] if found == "2" else [f"{found} in force, 2 acknowledged"]
+
+
+async def log_out_of_step() -> list[str]:
+    """A log whose entries do not follow each other is not started on."""
+    storage = quorum.Storage(standins.MemoryDisk(random.Random(1)))
+    await storage.load()
+    entries = [
+        quorum.Entry(index, 1, quorum.EntryKind.NOOP, b"") for index in (1, 2)
+    ]
+    await storage.append([*entries, *entries])
+    await storage.sync()
+    try:
+        await storage.load()
+    except quorum.CorruptLogError:
+        return []
+    return ["It started on entries 1, 2, 1, 2."]
+
+
 async def never_forms_twice() -> list[str]:
     """Blank replicas that are told it is not the first start form nothing."""
     replicas = Replicas(3)
@@ -506,6 +607,10 @@
     "split_votes_end": split_votes_end,
     "two_restart_at_once": two_restart_at_once,
     "forms_by_itself": forms_by_itself,
+    "forms_with_slow_starters": forms_with_slow_starters,
+    "called_while_loading": called_while_loading,
+    "log_out_of_step": log_out_of_step,
+    "votes_while_loading": votes_while_loading,
     "never_forms_twice": never_forms_twice,
     "successor_takes_a_place": successor_takes_a_place,
     "reads_are_the_newest": reads_are_the_newest,
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -142,6 +142,7 @@
         self._forms = forms
         self._started_at = started_at
         self._max_voters = max_voters
+        self._loaded = False
         self._tasks: list[asyncio.Task] = []
 
     async def __aenter__(self) -> "Node":
@@ -330,6 +331,7 @@
 
     async def on_hello(self, _: _messages.Hello) -> _messages.HelloReply:
         """Say who this replica is."""
+        self._check_loaded()
         return _messages.HelloReply(
             self._me, not self.config.voters, self.leader
         )
@@ -430,7 +432,20 @@
             )
         return _messages.Empty()
 
+    def _check_loaded(self) -> None:
+        """Refuse calls that come before the disk was read.
+
+        A vote, an acknowledgement or an id given until then would be that
+        of another replica, which has no past.
+        """
+        if not self._loaded:
+            raise wire.StartingError(
+                f"Replica {self.name} reads its disk. Ask again soon.",
+                retry_after_s=self._timing.heartbeat_s,
+            )
+
     def _check_to(self, to: str) -> None:
+        self._check_loaded()
         if to != self._me.id:
             raise wire.NotFoundError(
                 f"Replica {to} is not here; this is {self._me.id}. Its disk "
@@ -710,6 +725,7 @@
             self._stands_after = self._clock.now() + self._rng.uniform(
                 0.0, spread_s
             )
+        self._loaded = True
 
     async def _restore(self, meta: _messages.SnapshotMeta) -> None:
         stored = await self._storage.read_snapshot()
--- a/libs/quorum/src/bergamotsail/quorum/_storage.py
+++ b/libs/quorum/src/bergamotsail/quorum/_storage.py
@@ -130,7 +130,7 @@
         """Read all, and cut off a torn tail.
 
         Raises:
-            CorruptLogError: a record in the middle is damaged.
+            CorruptLogError: a record in the middle is damaged, or missing.
         """
         vote_data = await self._disk.read(VOTE)
         vote = _messages.Vote()
@@ -140,6 +140,7 @@
         entries = await self._load_log()
         if meta is not None:
             entries = [entry for entry in entries if entry.index > meta.index]
+        _check_run(entries, meta.index if meta is not None else 0)
         return Loaded(vote, meta, entries)
 
     async def _load_meta(self) -> _messages.SnapshotMeta | None:
@@ -280,6 +281,18 @@
         return records
 
 
+def _check_run(
+    entries: collections.abc.Sequence[_messages.Entry], before: int
+) -> None:
+    """Raise unless the entries follow each other and what is before."""
+    for expected, entry in enumerate(entries, before + 1):
+        if entry.index != expected:
+            raise CorruptLogError(
+                f"The log has entry {entry.index} where {expected} belongs. "
+                "Remove the data folder; the replica then joins anew."
+            )
+
+
 def _corrupt_snapshot() -> CorruptLogError:
     return CorruptLogError(
         "The snapshot is damaged. Remove the data folder; the replica then "
--- a/libs/standins/src/bergamotsail/standins/_disk.py
+++ b/libs/standins/src/bergamotsail/standins/_disk.py
@@ -13,6 +13,8 @@
 
     Args:
         rng: decides how much of an unsynced write is torn.
+
+    ``read_s`` is how long a read takes.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -20,6 +22,7 @@
         self.full = False
         self.tear = False
         self.dead = False
+        self.read_s = 0.0
         self._rng = rng
         self._synced_by_name: dict[str, bytes] = {}
         self._pending_by_name: dict[str, bytes] = {}
@@ -56,6 +59,7 @@
         self._pending_by_name.clear()
 
     async def read(self, name: str) -> bytes | None:
+        await asyncio.sleep(self.read_s)
         synced = self._synced_by_name.get(name)
         pending = self._pending_by_name.get(name)
         if synced is None and pending is None:
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -72,6 +72,7 @@
 ReplicaFailedError = _errors.ReplicaFailedError
 ServingError = _errors.ServingError
 StaleOrderError = _errors.StaleOrderError
+StartingError = _errors.StartingError
 StoppingError = _errors.StoppingError
 TooLargeError = _errors.TooLargeError
 TruncatedError = _errors.TruncatedError
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -194,6 +194,13 @@
     status = 503
 
 
+class StartingError(ServingError):
+    """This replica has not read its disk yet, so it knows nothing."""
+
+    code = "starting"
+    status = 503
+
+
 class NotOwnerError(ServingError):
     """This daemon does not own the target."""
 
