Evict nothing until entries have told a new holder what they run

The engine took the order to unload, waited for the run, and refused all orders meanwhile: three of four engines were without a ledger for 1.5 to 4 s, 59 requests waited. Ruled out: the report's lag (the ledger's sequence was right), lost orders. Test, failed first: taken_over, with a mutant.

--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -12,6 +12,7 @@
       | no_order_without_lead |
       | lead_in_doubt         |
       | quiet_new_holder      |
+      | taken_over            |
       | full_home             |
       | deposed_in_a_load     |
       | storm_of_waiters      |
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -65,6 +65,7 @@
         self._history: list[tuple[float, targets.AdapterReport]] = []
         self._tasks: set[asyncio.Task] = set()
         self.reports = 0
+        self.unloads_in_use = 0
         self.model_loaded = True
         self.model_at = 0.0
         self.fetching = False
@@ -175,6 +176,7 @@
         self.sequence += 1
         if self.running.get(order.adapter):
             self._leaving.add(order.adapter)
+            self.unloads_in_use += 1
             self._note()
             return Outcome.STARTED
         self.ready.pop(order.adapter, None)
@@ -450,6 +452,31 @@
         return faults
 
 
+async def taken_over() -> list[str]:
+    """A new holder evicts nothing that an entry has not told it of yet."""
+    async with Ledger(1, Luck(), engines=1, slots=2) as ledger:
+        await asyncio.sleep(2.0)
+        await ledger.request("a1", 0.1)
+        long = asyncio.create_task(ledger.request("a0", 4.0))
+        await asyncio.sleep(1.0)
+        use = control.Use("r2", "e0", MODEL, "a0", 120)
+        ledger.leader.number = 2
+        ledger.placer.targets_changed(ledger.infos)
+        others = asyncio.create_task(ledger.request("a2", 0.1))
+        await asyncio.sleep(0.9)
+        for _ in range(10):
+            ledger.placer.take_uses("entry-1", (use,))
+            await asyncio.sleep(0.3)
+        await asyncio.gather(long, others)
+        engine = ledger.engine_by_id["e0"]
+        faults = []
+        if engine.unloads_in_use:
+            faults.append("An adapter in use was ordered out.")
+        if ledger.served < 3:
+            faults.append(f"Only {ledger.served} of 3 were served.")
+        return faults
+
+
 async def full_home() -> list[str]:
     """Room elsewhere is taken when home has none for long."""
     async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
@@ -551,6 +578,11 @@
         "full_home",
         (_place_policy, "WAITING_WEIGHT", 0.0),
     ),
+    (
+        "evict before entries have told",
+        "taken_over",
+        (_placer, "USES_TOLD_S", 0.0),
+    ),
     (
         "decide at once, always",
         "storm_of_waiters",
@@ -585,6 +617,7 @@
     "deposed_in_a_load": deposed_in_a_load,
     "lead_in_doubt": lead_in_doubt,
     "quiet_new_holder": quiet_new_holder,
+    "taken_over": taken_over,
     "full_home": full_home,
     "models_in_turn": models_in_turn,
     "storm_of_waiters": storm_of_waiters,
--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -32,6 +32,8 @@
         uses: requests that run on it.
         used_at: when it was last granted or released.
         ready_at: when its load is expected to be done.
+        told_by: when every daemon has told of its requests on it, so that
+            no use means idle.
     """
 
     version: int | None
@@ -39,6 +41,12 @@
     uses: int = 0
     used_at: float = 0.0
     ready_at: float = 0.0
+    told_by: float = 0.0
+
+    def is_idle(self, now: float) -> bool:
+        """Whether surely no request runs on it."""
+        ready = self.state is SlotState.READY
+        return ready and self.uses == 0 and now >= self.told_by
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,10 +65,15 @@
 
     Accepted orders are the truth; a report, which lags, only confirms or
     settles what an order without an answer left open.
+
+    Args:
+        told_by: when daemons have told of what they ran here before this
+            ledger was begun.
     """
 
-    def __init__(self, info: targets.Instance) -> None:
+    def __init__(self, info: targets.Instance, told_by: float = 0.0) -> None:
         self.info = info
+        self._told_by = told_by
         self.leaving = False
         self.known = False
         self.fenced_at: int | None = None
@@ -111,7 +124,12 @@
         found: dict[AdapterName, Slot] = {}
         for held in report.adapters:
             name = (held.model, held.adapter)
-            slot = Slot(held.version, SlotState.READY, used_at=now)
+            slot = Slot(
+                held.version,
+                SlotState.READY,
+                used_at=now,
+                told_by=self._told_by,
+            )
             found[name] = slot
             self.remember_copy(name)
         for held in report.pending:
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -23,7 +23,8 @@
 
 TICK_S = 0.05
 USE_GRACE_S = 1.5
-EVICT_GRACE_S = 0.35
+# Every entry that was in touch has found a new holder by then, about.
+USES_TOLD_S = 1.0
 NOTE_S = 0.5
 # What a load and the first token take, about.
 FIRST_TOKEN_S = 0.4
@@ -323,7 +324,7 @@
             info.id, info.pool, info.address, info.datacentre
         )
         orders = _engine_orders.EngineOrders(
-            _holding.Holding(instance),
+            _holding.Holding(instance, self._term_at + USES_TOLD_S),
             spec,
             self._make_engine(instance),
             self._term,
@@ -574,7 +575,7 @@
                 if (slot.version or 0) >= wanted:
                     continue
                 self._too_old(name, slot, now)
-                if slot.uses == 0 and orders.free_to_order():
+                if slot.is_idle(now) and orders.free_to_order():
                     orders.start_load(name, wanted, None, now)
 
     def _want_load(
@@ -623,14 +624,10 @@
             return None
         if len(holding.slot_by_name) < orders.capacity:
             return _engine_orders.Room(None)
-        if now - self._term_at < EVICT_GRACE_S:
-            return None
         idle = [
             (slot.used_at, name)
             for name, slot in holding.slot_by_name.items()
-            if slot.state is State.READY
-            and slot.uses == 0
-            and name not in wanted
+            if slot.is_idle(now) and name not in wanted
         ]
         if not idle:
             return None
