Write to the log to the end though the caller goes away

Cause: a closed connection cancels its handler, also between a write to the log and the note of it in memory, so that the next write repeats the same entries. At the next start the entries after them stand in the wrong places: a leader never finds its own entry committed and serves nothing. Ruled out: calls during the start (refused by then), a torn tail (records whole and in order), restarts without sync. The stand-in of the network now ends handlers whose caller left, as the real server does; before, no test in memory could see this.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -36,6 +36,7 @@
       | forms_with_slow_starters |
       | called_while_loading     |
       | votes_while_loading      |
+      | caller_gone_in_append    |
       | log_out_of_step          |
       | restart_then_power_loss  |
       | luck_of_its_own          |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -328,6 +328,35 @@
     return [] if found == "2" else [f"{found} in force, 2 acknowledged"]
 
 
+async def caller_gone_in_append() -> list[str]:
+    """A leader that goes away while a follower writes leaves it in step."""
+    faults = []
+    for seed in range(30):
+        replicas = Replicas(3, seed)
+        disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
+        for address, disk in zip(replicas.addresses, disks):
+            disk.sync_s = 0.003
+            await replicas.start(address, disk, True)
+        leader = await replicas.leader()
+        for number in range(1, 6):
+            change = asyncio.create_task(leader.propose(_change(number)))
+            await asyncio.sleep(replicas.rng.uniform(0.0, 0.005))
+            # Ends its calls at any step, as a lost lead does.
+            leader._become_follower(None)
+            await asyncio.gather(change, return_exceptions=True)
+            leader = await replicas.leader()
+        await leader.propose(_change(9))
+        await asyncio.sleep(1.0)
+        for address, disk in zip(replicas.addresses, disks):
+            try:
+                await quorum.Storage(disk).load()
+            except quorum.CorruptLogError as error:
+                faults.append(f"seed {seed}: {error.message}")
+        for address in replicas.addresses:
+            await replicas.stop(address)
+    return faults
+
+
 async def log_out_of_step() -> list[str]:
     """A log whose entries do not follow each other is not started on."""
     storage = quorum.Storage(standins.MemoryDisk(random.Random(1)))
@@ -609,6 +638,7 @@
     "forms_by_itself": forms_by_itself,
     "forms_with_slow_starters": forms_with_slow_starters,
     "called_while_loading": called_while_loading,
+    "caller_gone_in_append": caller_gone_in_append,
     "log_out_of_step": log_out_of_step,
     "votes_while_loading": votes_while_loading,
     "never_forms_twice": never_forms_twice,
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import enum
+import functools
 import random
 import typing
 
@@ -143,6 +144,7 @@
         self._started_at = started_at
         self._max_voters = max_voters
         self._loaded = False
+        self._under_way: set[asyncio.Future] = set()
         self._tasks: list[asyncio.Task] = []
 
     async def __aenter__(self) -> "Node":
@@ -156,6 +158,7 @@
             *self._tasks,
             *self._replicator_by_peer.values(),
             *self._joining.values(),
+            *self._under_way,
         ]
         for task in running:
             task.cancel()
@@ -174,14 +177,39 @@
 
     def serve(self, server: wire.PeerServer) -> None:
         """Answer the calls of other replicas."""
-        server.serve(_messages.VOTE, self.on_vote)
-        server.serve(_messages.APPEND, self.on_append)
-        server.serve(_messages.SNAPSHOT, self.on_snapshot)
+        for call, handler in (
+            (_messages.VOTE, self.on_vote),
+            (_messages.APPEND, self.on_append),
+            (_messages.SNAPSHOT, self.on_snapshot),
+            (_messages.FORM, self.on_form),
+        ):
+            to_its_end = functools.partial(self._to_its_end, handler)
+            server.serve(call, to_its_end)
         server.serve(_messages.LEAD, self.on_lead)
         server.serve(_messages.HELLO, self.on_hello)
-        server.serve(_messages.FORM, self.on_form)
         server.serve(_messages.JOIN, self.on_join)
 
+    async def _to_its_end(
+        self,
+        work: collections.abc.Callable[..., collections.abc.Awaitable],
+        *args: object,
+    ) -> typing.Any:
+        """Do work on the disk to its end, though its caller goes away.
+
+        Ended between a write and its note in memory, it would leave the
+        two out of step: the next write would repeat the same entries.
+        """
+        task = asyncio.ensure_future(work(*args))
+        self._under_way.add(task)
+        task.add_done_callback(self._ended)
+        return await asyncio.shield(task)
+
+    def _ended(self, task: asyncio.Future) -> None:
+        self._under_way.discard(task)
+        if not task.cancelled():
+            # A caller that went away is nobody to raise to.
+            task.exception()
+
     # What users of the log see.
 
     @property
@@ -586,10 +614,13 @@
         except wire.ServingError:
             return 0
         if reply.term > self.term and not reply.granted:
-            async with self._lock:
-                await self._adopt_term(reply.term)
+            await self._to_its_end(self._learn_term, reply.term)
         return int(reply.granted)
 
+    async def _learn_term(self, term: int) -> None:
+        async with self._lock:
+            await self._adopt_term(term)
+
     async def _adopt_term(self, term: int) -> None:
         if term > self.term:
             self._become_follower(None)
@@ -885,8 +916,7 @@
         self, reply: _messages.AppendReply, term: int
     ) -> bool:
         if reply.term > self.term:
-            async with self._lock:
-                await self._adopt_term(reply.term)
+            await self._to_its_end(self._learn_term, reply.term)
         return self.role is Role.LEADER and self.term == term
 
     def _quorum_acked_at(self) -> float:
--- a/libs/standins/src/bergamotsail/standins/_disk.py
+++ b/libs/standins/src/bergamotsail/standins/_disk.py
@@ -14,7 +14,7 @@
     Args:
         rng: decides how much of an unsynced write is torn.
 
-    ``read_s`` is how long a read takes.
+    ``read_s`` and ``sync_s`` are how long a read and a sync take.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -23,6 +23,7 @@
         self.tear = False
         self.dead = False
         self.read_s = 0.0
+        self.sync_s = SYNC_S
         self._rng = rng
         self._synced_by_name: dict[str, bytes] = {}
         self._pending_by_name: dict[str, bytes] = {}
@@ -74,7 +75,7 @@
         self._pending_by_name[name] = pending + data
 
     async def sync(self, name: str) -> None:
-        await asyncio.sleep(SYNC_S)
+        await asyncio.sleep(self.sync_s)
         await self._check()
         if self.fail_syncs:
             self._pending_by_name.pop(name, None)
@@ -88,7 +89,7 @@
         self._synced_by_name[name] = self._synced_by_name[name][:size]
 
     async def rename(self, old: str, new: str) -> None:
-        await asyncio.sleep(SYNC_S)
+        await asyncio.sleep(self.sync_s)
         await self._check()
         self._synced_by_name[new] = self._synced_by_name.pop(old, b"")
         self._pending_by_name.pop(new, None)
--- a/libs/standins/src/bergamotsail/standins/_network.py
+++ b/libs/standins/src/bergamotsail/standins/_network.py
@@ -92,11 +92,10 @@
         message: typing.Any,
         timeout_s: float,
     ) -> typing.Any:
-        sent = False
+        work: asyncio.Task | None = None
         try:
             async with asyncio.timeout(timeout_s):
                 target = await self._go(address)
-                sent = True
                 if self._network.rng.random() < self._network.duplicate:
                     self._deliver(target, call, message)
                 work = self._deliver(target, call, message)
@@ -104,11 +103,20 @@
                 await self._back(address, target)
                 return wire.decode(wire.encode(reply), call.reply)
         except TimeoutError:
-            raise _lost(address, sent) from None
+            raise _lost(address, work is not None) from None
         except asyncio.CancelledError:
             if asyncio.current_task().cancelling():
                 raise
             raise wire.PeerLostError(f"{address} was lost.") from None
+        finally:
+            if work is not None and not work.done():
+                _spawn(target, self._hang_up(address, work))
+
+    async def _hang_up(self, address: str, work: asyncio.Task) -> None:
+        """End a handler whose caller went away, as real servers do."""
+        await self._network.delay()
+        if not self._network.is_cut(self._address, address):
+            work.cancel()
 
     async def stream(
         self,
