--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -13,6 +13,7 @@
       | lead_in_doubt         |
       | quiet_new_holder      |
       | taken_over            |
+      | taken_over_idle       |
       | full_home             |
       | deposed_in_a_load     |
       | storm_of_waiters      |
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -188,11 +188,13 @@
         if name not in self.ready or name in self._leaving:
             return False
         self.running[name] = self.running.get(name, 0) + 1
+        self._note()
         return True
 
     def end(self, name: str) -> None:
         """End a run; an unload that waited for it is then done."""
         self.running[name] -= 1
+        self._note()
         if not self.running[name] and name in self._leaving:
             self._leaving.discard(name)
             self.ready.pop(name, None)
@@ -211,6 +213,7 @@
             held(self.pending),
             bool(self._leaving),
             self.sequence,
+            running=sum(self.running.values()),
             at_hand=(MODEL,) if self._on_disk else (),
         )
         try:
@@ -477,6 +480,21 @@
         return faults
 
 
+async def taken_over_idle() -> list[str]:
+    """A new holder evicts at once where the engine itself runs nothing."""
+    async with Ledger(1, Luck(), engines=1, slots=2) as ledger:
+        await asyncio.sleep(2.0)
+        await ledger.request("a0", 0.1)
+        await ledger.request("a1", 0.1)
+        await asyncio.sleep(1.0)
+        ledger.leader.number = 2
+        ledger.placer.targets_changed(ledger.infos)
+        before = asyncio.get_running_loop().time()
+        await ledger.request("a2", 0.0)
+        took_s = asyncio.get_running_loop().time() - before
+        return [f"It took {took_s:.2f} s."] if took_s > 0.5 else []
+
+
 async def full_home() -> list[str]:
     """Room elsewhere is taken when home has none for long."""
     async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
@@ -618,6 +636,7 @@
     "lead_in_doubt": lead_in_doubt,
     "quiet_new_holder": quiet_new_holder,
     "taken_over": taken_over,
+    "taken_over_idle": taken_over_idle,
     "full_home": full_home,
     "models_in_turn": models_in_turn,
     "storm_of_waiters": storm_of_waiters,
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -82,6 +82,7 @@
         self._clock = clock
         self._lock = asyncio.Lock()
         self._ordered_at = 0.0
+        self._asked_at = 0.0
         self._settling: asyncio.Task | None = None
         self._loads: set[asyncio.Task] = set()
         self._stopped = False
@@ -111,9 +112,28 @@
         )
 
     def tend(self) -> None:
-        """Settle what was left open while the lead was in doubt."""
+        """Settle what was left open while the lead was in doubt.
+
+        After a take-over, ask now and then whether all runs are known.
+        """
         if not self.holding.known:
             self.settle()
+            return
+        now = self._clock.now()
+        since_s = now - self._asked_at
+        if self.holding.awaits_word(now) and since_s > REPORT_LAG_S:
+            self._asked_at = now
+            self._run(self._ask_runs())
+
+    async def _ask_runs(self) -> None:
+        with contextlib.suppress(wire.ServingError):
+            self._compare_runs(await self._engine.report())
+            self._changed()
+
+    def _compare_runs(self, report: targets.AdapterReport) -> None:
+        seen_until = self._clock.now() - REPORT_LAG_S
+        runs = report.running + report.queued
+        self.holding.compare_runs(runs, seen_until)
 
     def settle(self) -> None:
         """Learn anew what the engine holds, from its report."""
@@ -145,6 +165,8 @@
             if not report.models and await self._load_model(report):
                 continue
             self.holding.take_report(report, self._clock.now())
+            self._asked_at = self._clock.now()
+            self._compare_runs(report)
             self._log(
                 "settled",
                 sequence=report.sequence,
--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -141,6 +141,25 @@
         self.slot_by_name = found
         self.known = True
 
+    def awaits_word(self, now: float) -> bool:
+        """Whether daemons may run more here than they have told of."""
+        return now < self._told_by
+
+    def compare_runs(self, runs: int, granted_before: float) -> None:
+        """Take an engine's own count of runs, which lags.
+
+        When it counts no more than the grants that it can have seen, then
+        nothing runs that daemons have yet to tell of.
+        """
+        known = sum(
+            grant.granted_at <= granted_before
+            for grant in self.grant_by_request.values()
+        )
+        if runs <= known:
+            self._told_by = 0.0
+            for slot in self.slot_by_name.values():
+                slot.told_by = 0.0
+
     def remember_copy(self, name: AdapterName) -> None:
         """Note that the engine keeps a copy of an adapter at hand."""
         if name not in self._copies:
