--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -195,8 +195,8 @@
         grant: Grant,
         parts: tuple[tuple[str, int], ...],
         prompt_tokens: int,
-    ) -> None:
-        """Count a request in."""
+    ) -> int:
+        """Count a request in; return how many tokens it has to read."""
         fresh = self.new_tokens(grant.name, parts, prompt_tokens)
         begins_at = max(self.busy_until, grant.granted_at)
         self.busy_until = begins_at + fresh / PREFILL_TOKENS_PER_S
@@ -207,6 +207,7 @@
         while len(self._prefixes) > KEPT_PREFIXES:
             self._prefixes.popitem(last=False)
         self.restore(grant)
+        return fresh
 
     def restore(self, grant: Grant) -> None:
         """Count a request in that a daemon says is running."""
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -513,7 +513,8 @@
         grant = _holding.Grant(
             request.boot, request.request, waiter.name, waiter.tokens, now
         )
-        holding.add(grant, request.parts, request.prompt_tokens)
+        backlog_s = max(0.0, holding.busy_until - now)
+        new_tokens = holding.add(grant, request.parts, request.prompt_tokens)
         slot = holding.slot_by_name.get(waiter.name)
         waited_s = now - waiter.arrived_at
         self._metrics.record_s("placement_wait", waited_s)
@@ -536,6 +537,8 @@
             reason=reason,
             waited_s=round(waited_s, 4),
             running=holding.running,
+            new_tokens=new_tokens,
+            backlog_s=round(backlog_s, 3),
             term=self._term,
         )
 
