Rank who has tried before behind who can still be on time

What is left of a caller's patience tells how long it has tried. Test, failed first: returned_goes_behind.

--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -14,6 +14,7 @@
       | quiet_new_holder      |
       | taken_over            |
       | taken_over_idle       |
+      | returned_goes_behind  |
       | full_home             |
       | deposed_in_a_load     |
       | storm_of_waiters      |
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -304,7 +304,11 @@
         await self.placer.__aexit__()
 
     async def request(
-        self, adapter: str, work_s: float, patience_s: float = 3.0
+        self,
+        adapter: str,
+        work_s: float,
+        patience_s: float = 3.0,
+        age_s: float = 0.0,
     ) -> None:
         """Ask for a place, run there, and give it back."""
         self._number += 1
@@ -321,6 +325,7 @@
             0,
             patience_s,
             "mnl-a",
+            age_s=age_s,
         )
         try:
             place = await self.placer.on_place(ask)
@@ -495,6 +500,25 @@
         return [f"It took {took_s:.2f} s."] if took_s > 0.5 else []
 
 
+async def returned_goes_behind() -> list[str]:
+    """Who comes back after a refusal can't be on time any more.
+
+    Who still can goes first, though it arrived later.
+    """
+    async with Ledger(1, Luck(), engines=1, slots=1) as ledger:
+        await asyncio.sleep(2.0)
+        busy = asyncio.create_task(ledger.request("a1", 0.4))
+        await asyncio.sleep(0.3)
+        back = asyncio.create_task(ledger.request("a2", 0.1, age_s=2.0))
+        await asyncio.sleep(0.05)
+        await ledger.request("a3", 0.0)
+        faults = ["Who came back went first."] if back.done() else []
+        await asyncio.gather(busy, back)
+        if ledger.served < 3:
+            faults.append(f"Only {ledger.served} of 3 were served.")
+        return faults
+
+
 async def full_home() -> list[str]:
     """Room elsewhere is taken when home has none for long."""
     async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
@@ -637,6 +661,7 @@
     "quiet_new_holder": quiet_new_holder,
     "taken_over": taken_over,
     "taken_over_idle": taken_over_idle,
+    "returned_goes_behind": returned_goes_behind,
     "full_home": full_home,
     "models_in_turn": models_in_turn,
     "storm_of_waiters": storm_of_waiters,
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -23,6 +23,7 @@
         waited_s: how long it has waited before this call.
         objective_s: the time until the first token that is worth most.
         hope_s: refuse it after this wait unless a load is on its way.
+        age_s: how long its caller had tried before this attempt, about.
     """
 
     boot: str
@@ -40,6 +41,7 @@
     waited_s: float = 0.0
     objective_s: float = 1.0
     hope_s: float = 60.0
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -96,9 +96,10 @@
         When places are short, serving in order of arrival makes everyone
         late in the end.
         """
-        due_at = self.arrived_at + self.request.objective_s
+        request = self.request
+        due_at = self.arrived_at + request.objective_s - request.age_s
         late = due_at - FIRST_TOKEN_S < now
-        return late, self.request.priority, self.arrived_at
+        return late, request.priority, self.arrived_at
 
     def wish(self, now: float) -> _place_policy.Wish:
         return _place_policy.Wish(
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -29,6 +29,7 @@
 ID_FIELD = b"id:"
 SERVER_ERROR = 500
 LATE_S = 0.03
+MOST_ROUTES_KNOWN = 10_000
 BROKEN_OFF = "broken_off"
 
 CallerAnswer = _forward_types.CallerAnswer
@@ -49,13 +50,18 @@
 
 @dataclasses.dataclass(slots=True)
 class _Attempt:
-    """What happened to one attempt of a caller so far."""
+    """What happened to one attempt of a caller so far.
+
+    Args:
+        age_s: how long its caller had tried before, about.
+    """
 
     request: CallerRequest
     route: catalogue.Route
     pool: catalogue.RoutePool
     answer: CallerAnswer
     ends_at: float
+    age_s: float
     avoid: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     runs: int = 0
@@ -100,6 +106,7 @@
         self._datacentre = datacentre
         self._clock = clock
         self.active = 0
+        self._longest_by_route: dict[str, float] = {}
 
     async def serve(
         self, request: CallerRequest, answer: CallerAnswer
@@ -145,7 +152,20 @@
         ends_at = request.arrived_at + min(patience_s, route.timeout_s)
         pool = routes.pool_of(route, request.id)
         self._budgets.count(pool.name)
-        return _Attempt(request, route, pool, answer, ends_at)
+        age_s = self._age_s(route, patience_s)
+        return _Attempt(request, route, pool, answer, ends_at, age_s)
+
+    def _age_s(self, route: catalogue.Route, patience_s: float) -> float:
+        """Return how long a caller had tried before this attempt, about.
+
+        Callers of a route begin with about the same patience, and come
+        back with what is left of it.
+        """
+        if len(self._longest_by_route) > MOST_ROUTES_KNOWN:
+            self._longest_by_route.clear()
+        longest_s = self._longest_by_route.get(route.name, 0.0)
+        self._longest_by_route[route.name] = max(longest_s, patience_s)
+        return max(longest_s - patience_s, 0.0)
 
     def _log_end(
         self,
@@ -276,6 +296,7 @@
                 self._clock.now() - request.arrived_at,
                 attempt.route.objective_s,
                 attempt.route.objective_s * HOPE_OBJECTIVES,
+                attempt.age_s,
             )
         )
         outcome = Outcome.LEFT
