--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -7,19 +7,20 @@
     Then no promise is broken
 
     Examples:
-      | scenario              |
-      | dropped_load          |
-      | no_order_without_lead |
-      | lead_in_doubt         |
-      | quiet_new_holder      |
-      | taken_over            |
-      | taken_over_idle       |
-      | returned_goes_behind  |
-      | full_home             |
-      | deposed_in_a_load     |
-      | storm_of_waiters      |
-      | models_in_turn        |
-      | named_version         |
+      | scenario                |
+      | dropped_load            |
+      | no_order_without_lead   |
+      | lead_in_doubt           |
+      | quiet_new_holder        |
+      | taken_over              |
+      | taken_over_idle         |
+      | returned_goes_behind    |
+      | long_prompt_goes_sooner |
+      | full_home               |
+      | deposed_in_a_load       |
+      | storm_of_waiters        |
+      | models_in_turn          |
+      | named_version           |
 
   Scenario: Random loads with late and lost orders keep the ledger true
     When 24 random loads are tried
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -309,6 +309,7 @@
         work_s: float,
         patience_s: float = 3.0,
         age_s: float = 0.0,
+        prompt_tokens: int = 100,
     ) -> None:
         """Ask for a place, run there, and give it back."""
         self._number += 1
@@ -319,7 +320,7 @@
             POOL,
             MODEL,
             adapter,
-            100,
+            prompt_tokens,
             20,
             (),
             0,
@@ -519,6 +520,20 @@
         return faults
 
 
+async def long_prompt_goes_sooner() -> list[str]:
+    """Who needs longer to read must begin sooner to be on time."""
+    async with Ledger(1, Luck(), engines=1, slots=1) as ledger:
+        await asyncio.sleep(2.0)
+        busy = asyncio.create_task(ledger.request("a1", 0.2))
+        await asyncio.sleep(0.3)
+        short = asyncio.create_task(ledger.request("a2", 0.1))
+        await asyncio.sleep(0.05)
+        await ledger.request("a3", 0.0, prompt_tokens=5000)
+        faults = ["The short prompt went first."] if short.done() else []
+        await asyncio.gather(busy, short)
+        return faults
+
+
 async def full_home() -> list[str]:
     """Room elsewhere is taken when home has none for long."""
     async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
@@ -662,6 +677,7 @@
     "taken_over": taken_over,
     "taken_over_idle": taken_over_idle,
     "returned_goes_behind": returned_goes_behind,
+    "long_prompt_goes_sooner": long_prompt_goes_sooner,
     "full_home": full_home,
     "models_in_turn": models_in_turn,
     "storm_of_waiters": storm_of_waiters,
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -26,8 +26,8 @@
 # Every entry that was in touch has found a new holder by then, about.
 USES_TOLD_S = 1.0
 NOTE_S = 0.5
-# What a load and the first token take, about.
-FIRST_TOKEN_S = 0.4
+# What a load and the way to the engine take, about.
+LOAD_S = 0.28
 TELL_S = 1.0
 MOST_IN_TRANSIT = 4
 SECOND_COPY_COST_S = 0.3
@@ -94,12 +94,14 @@
         """Order waiters: first those who can still be on time.
 
         When places are short, serving in order of arrival makes everyone
-        late in the end.
+        late in the end. A long prompt must begin sooner.
         """
         request = self.request
-        due_at = self.arrived_at + request.objective_s - request.age_s
-        late = due_at - FIRST_TOKEN_S < now
-        return late, request.priority, self.arrived_at
+        needs_s = LOAD_S + _holding.read_s(request.prompt_tokens)
+        begins_by = (
+            self.arrived_at + request.objective_s - request.age_s - needs_s
+        )
+        return begins_by < now, request.priority, begins_by
 
     def wish(self, now: float) -> _place_policy.Wish:
         return _place_policy.Wish(
