--- a/features/growth.feature
+++ b/features/growth.feature
@@ -50,3 +50,7 @@
 
   Scenario: Repeats over all daemons keep to one budget
     Then repeats keep to the budget
+
+  Scenario: Every guard of the log that is switched off is noticed
+    When each guard of the log is switched off
+    Then each is noticed there
--- a/features/steps/growth.py
+++ b/features/steps/growth.py
@@ -47,3 +47,10 @@
 def budgets(context) -> None:
     faults = growth.budgets_keep()
     assert not faults, faults[:3]
+
+
+@behave.when("each guard of the log is switched off")
+def log_mutants(context) -> None:
+    context.mutants = growth.MUTANTS
+    numbers = range(len(growth.MUTANTS))
+    context.found = [growth.run_mutant(number) for number in numbers]
--- a/features/steps/ledger.py
+++ b/features/steps/ledger.py
@@ -23,6 +23,7 @@
 
 @behave.when("each guard of the ledger is switched off")
 def run_mutants(context) -> None:
+    context.mutants = ledger.MUTANTS
     numbers = range(len(ledger.MUTANTS))
     with multiprocessing.get_context("fork").Pool(JOBS) as pool:
         context.found = pool.map(ledger.run_mutant, numbers, chunksize=1)
@@ -32,7 +33,7 @@
 def each_noticed(context) -> None:
     missed = [
         mutant[0]
-        for mutant, faults in zip(ledger.MUTANTS, context.found)
+        for mutant, faults in zip(context.mutants, context.found)
         if not faults
     ]
     assert not missed, missed
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -679,3 +679,32 @@
 def run_scenario(name: str) -> list[str]:
     """Run a scenario in virtual time."""
     return ledger.run(SCENARIOS[name]())
+
+
+async def _with_its_caller(_: quorum.Node, work, *args: object) -> object:
+    """Do work on the disk only while its caller waits, as a mutant does."""
+    return await work(*args)
+
+
+# Each switches a guard off: its name, its scenario, what it patches.
+_ANSWERS_AT_ONCE = (quorum.Node, "_check_loaded", lambda _: None)
+MUTANTS = (
+    ("name an id too early", "forms_with_slow_starters", _ANSWERS_AT_ONCE),
+    ("write too early", "called_while_loading", _ANSWERS_AT_ONCE),
+    ("vote too early", "votes_while_loading", _ANSWERS_AT_ONCE),
+    (
+        "end writes with their callers",
+        "caller_gone_in_append",
+        (quorum.Node, "_to_its_end", _with_its_caller),
+    ),
+)
+
+
+def run_mutant(number: int) -> list[str]:
+    """Run a scenario with its guard switched off."""
+    _, scenario, (owner, attribute, value) = MUTANTS[number]
+    with unittest.mock.patch.object(owner, attribute, value):
+        try:
+            return run_scenario(scenario)
+        except (AssertionError, wire.ServingError) as error:
+            return [str(error)]
