Lead at once after a start of all replicas, by the votes of all

Replicas served 0.35 s after their start and then waited out the lease of a leader that could not exist any more: 0.3 s of 1.1 s. Now a replica that heard no leader since its start stands before the wait and leads only if all voters vote for it, so that none of them can be a leader. The lease of a new leader now counts from when votes were asked for, not from when they were in, which was late by their flight. Ruled out: the disk, the list of targets (60 ms from lead to first grant). Tests: all_restart_at_once (failed first: median 0.80 s), and lease_outlives_restarts with a mutant.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -44,6 +44,8 @@
       | split_votes_end          |
       | cut_off_entry            |
       | two_restart_at_once      |
+      | all_restart_at_once      |
+      | lease_outlives_restarts  |
       | never_forms_twice        |
       | successor_takes_a_place  |
       | reads_are_the_newest     |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -577,6 +577,75 @@
     return faults
 
 
+async def all_restart_at_once() -> list[str]:
+    """After a start of all replicas at once one leads without the wait."""
+    faults = []
+    times = []
+    for seed in range(40):
+        replicas = Replicas(3, seed)
+        disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
+        for address, disk in zip(replicas.addresses, disks):
+            await replicas.start(address, disk, True)
+        leader = await replicas.leader()
+        await leader.propose(_change(1))
+        for address in replicas.addresses:
+            await replicas.stop(address)
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        for address, disk in zip(replicas.addresses, disks):
+            disk.crash()
+            disk.start_again()
+            await replicas.start(address, disk, False)
+        leader = await replicas.leader()
+        times.append(loop.time() - before)
+        document = replicas.machine_by_address[leader.member.address]
+        if document.routes_document != "1":
+            faults.append(f"seed {seed}: the change is lost")
+        for address in list(replicas.node_by_address):
+            await replicas.stop(address)
+    times.sort()
+    median_s = times[len(times) // 2]
+    if median_s > 0.4 or times[-1] > 3:
+        faults.append(f"median {median_s:.2f} s, most {times[-1]:.2f} s")
+    return faults
+
+
+async def lease_outlives_restarts() -> list[str]:
+    """A leader that is cut off keeps its lease from restarted followers.
+
+    They heard no leader since their start, and are a majority; but not all.
+    """
+    faults = []
+    for seed in range(20):
+        replicas = Replicas(3, seed)
+        disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
+        disk_by_address = dict(zip(replicas.addresses, disks))
+        for address, disk in disk_by_address.items():
+            await replicas.start(address, disk, True)
+        old = await replicas.leader()
+        await asyncio.sleep(1.0)
+        replicas.network.isolate(old.member.address)
+        for address in replicas.addresses:
+            if address != old.member.address:
+                await replicas.stop(address)
+                disk_by_address[address].crash()
+                disk_by_address[address].start_again()
+                await replicas.start(address, disk_by_address[address], False)
+        for _ in range(300):
+            await asyncio.sleep(0.005)
+            holders = [
+                address
+                for address, node in replicas.node_by_address.items()
+                if node.holds_lease()
+            ]
+            if len(holders) > 1:
+                faults.append(f"seed {seed}: {holders} hold the lease")
+                break
+        for address in list(replicas.node_by_address):
+            await replicas.stop(address)
+    return faults
+
+
 async def restart_then_power_loss() -> list[str]:
     """What a restarted process finds, but nobody synced, is synced first.
 
@@ -620,7 +689,7 @@
     await replicas.stop(others[0].member.address)
     await replicas.stop(others[1].member.address)
 
-    async def always_split(pre: bool, transfer: bool) -> bool:
+    async def always_split(pre: bool, transfer: bool, unanimous: bool) -> bool:
         await asyncio.sleep(0.004)
         return pre
 
@@ -664,6 +733,8 @@
     "luck_of_its_own": luck_of_its_own,
     "split_votes_end": split_votes_end,
     "two_restart_at_once": two_restart_at_once,
+    "all_restart_at_once": all_restart_at_once,
+    "lease_outlives_restarts": lease_outlives_restarts,
     "forms_by_itself": forms_by_itself,
     "forms_with_slow_starters": forms_with_slow_starters,
     "called_while_loading": called_while_loading,
@@ -689,6 +760,15 @@
 # Each switches a guard off: its name, its scenario, what it patches.
 _ANSWERS_AT_ONCE = (quorum.Node, "_check_loaded", lambda _: None)
 MUTANTS = (
+    (
+        "lead early by a majority",
+        "lease_outlives_restarts",
+        (
+            quorum.Node,
+            "_votes_needed",
+            lambda node, _: node.config.majority,
+        ),
+    ),
     ("name an id too early", "forms_with_slow_starters", _ANSWERS_AT_ONCE),
     ("write too early", "called_while_loading", _ANSWERS_AT_ONCE),
     ("vote too early", "votes_while_loading", _ANSWERS_AT_ONCE),
--- a/libs/quorum/src/bergamotsail/quorum/_messages.py
+++ b/libs/quorum/src/bergamotsail/quorum/_messages.py
@@ -77,7 +77,9 @@
     """Ask for a vote, or with *pre* whether one would be given.
 
     A *transfer* is asked for by the leader itself, so the receiver need
-    not wait until it has not heard from it.
+    not wait until it has not heard from it. With *unanimous* the vote only
+    counts if all voters give it, so that none of them can be a leader; one
+    that has heard no leader since its start then need not wait either.
     """
 
     to: str
@@ -87,6 +89,7 @@
     last_term: int
     pre: bool
     transfer: bool = False
+    unanimous: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -31,6 +31,9 @@
 SILENT_VOTER_S = 2.0
 MOST_REDIRECTS = 2
 START_SPREAD = 0.6
+EARLY_SPREAD = 0.15
+EARLY_RETRY = 0.2
+EARLY_CALL = 0.3
 
 Config = _messages.Config
 Entry = _messages.Entry
@@ -124,6 +127,7 @@
         self._on_disk = 0
         self._heard_at = 0.0
         self._stands_after = float("-inf")
+        self._heard_leader = False
         self._ready_index = 0
         self._transferring = False
         self._incoming: tuple[_messages.SnapshotMeta, int] | None = None
@@ -488,7 +492,11 @@
 
     def _may_vote(self, request: _messages.VoteRequest) -> bool:
         heard_s = self._clock.now() - self._heard_at
-        sticky = heard_s < self._timing.election_s and not request.transfer
+        waits = heard_s < self._timing.election_s and not request.transfer
+        # Who heard no leader since its start waits only for the lease of
+        # one that still leads, and a leader does not give its vote.
+        alone = request.unanimous and not self._heard_leader
+        sticky = waits and not alone
         sticky = sticky or (self.holds_lease() and not request.transfer)
         if request.term < self.term or sticky:
             return False
@@ -501,6 +509,7 @@
         return request.pre or request.term > self.term or free
 
     async def _elect(self) -> None:
+        await self._stand_early()
         while True:
             wait_s = self._timing.election_s * self._rng.uniform(
                 1.0, self._timing.election_spread
@@ -523,6 +532,27 @@
             with contextlib.suppress(wire.ServingError, _disk.DiskError):
                 await self._stand(transfer)
 
+    async def _stand_early(self) -> None:
+        """Stand before the usual wait, for the votes of all.
+
+        After a start of all replicas at once nobody can hold a lease, and
+        unanimous votes show that it is so.
+        """
+        if not self.config.voters:
+            return
+        pause_s = self._timing.election_s * self._rng.uniform(0, EARLY_SPREAD)
+        ends_at = self._heard_at + self._timing.election_s
+        while not self._heard_leader and self._clock.now() < ends_at:
+            await self._clock.sleep(pause_s)
+            pause_s = self._timing.election_s * EARLY_RETRY
+            pause_s *= self._rng.uniform(0.5, 1.5)
+            if self._heard_leader or self.role is not Role.FOLLOWER:
+                return
+            with contextlib.suppress(wire.ServingError, _disk.DiskError):
+                await self._stand(False, unanimous=True)
+                if self.role is Role.LEADER:
+                    return
+
     async def _wait_for_election(self, wait_s: float) -> None:
         if self.role is Role.LEADER:
             await self._clock.sleep(self._timing.heartbeat_s)
@@ -541,14 +571,17 @@
             )
             self._become_follower(None)
 
-    async def _stand(self, transfer: bool) -> None:
+    async def _stand(self, transfer: bool, unanimous: bool = False) -> None:
         logging.info(
-            "quorum: Stands. term=%d heard_s=%.3f transfer=%s",
+            "quorum: Stands. term=%d heard_s=%.3f transfer=%s unanimous=%s",
             self.term,
             self._clock.now() - self._heard_at,
             transfer,
+            unanimous,
         )
-        if not transfer and not await self._ask_votes(True, False):
+        if not transfer and not await self._ask_votes(True, False, unanimous):
+            if unanimous:
+                return
             self._heard_at = max(
                 self._heard_at, self._clock.now() - self._timing.election_s
             )
@@ -558,12 +591,13 @@
             self.role = Role.CANDIDATE
             await self._save_vote(_messages.Vote(self.term + 1, self._me.id))
             term = self.term
-        won = await self._ask_votes(False, transfer)
+        asked_at = self._clock.now()
+        won = await self._ask_votes(False, transfer, unanimous)
         async with self._lock:
             if self.role is not Role.CANDIDATE or self.term != term:
                 return
             if won:
-                self._become_leader()
+                self._become_leader(asked_at)
             else:
                 self.role = Role.FOLLOWER
                 self._back_off()
@@ -576,18 +610,22 @@
         pause_s = self._timing.election_s * self._rng.uniform(0.1, 1.2)
         self._stands_after = self._clock.now() + pause_s
 
-    async def _ask_votes(self, pre: bool, transfer: bool) -> bool:
+    async def _ask_votes(
+        self, pre: bool, transfer: bool, unanimous: bool
+    ) -> bool:
         term = self.term + 1 if pre else self.term
         voters = self.config.voters
         others = [m for m in voters if m.id != self._me.id]
-        majority = self.config.majority
+        needed = self._votes_needed(unanimous)
         granted = 1
         asked = {
-            asyncio.create_task(self._ask_vote(m, term, pre, transfer))
+            asyncio.create_task(
+                self._ask_vote(m, term, pre, transfer, unanimous)
+            )
             for m in others
         }
         try:
-            while asked and granted < majority:
+            while granted < needed <= granted + len(asked):
                 done, asked = await asyncio.wait(
                     asked, return_when=asyncio.FIRST_COMPLETED
                 )
@@ -595,10 +633,20 @@
         finally:
             for task in asked:
                 task.cancel()
-        return granted >= majority
+        return granted >= needed
+
+    def _votes_needed(self, unanimous: bool) -> int:
+        if unanimous:
+            return len(self.config.voters)
+        return self.config.majority
 
     async def _ask_vote(
-        self, peer: Member, term: int, pre: bool, transfer: bool
+        self,
+        peer: Member,
+        term: int,
+        pre: bool,
+        transfer: bool,
+        unanimous: bool,
     ) -> int:
         request = _messages.VoteRequest(
             peer.id,
@@ -608,9 +656,13 @@
             self._log.term_at(self.last_index),
             pre,
             transfer,
+            unanimous,
         )
+        timeout_s = self._timing.call_s
+        if unanimous:
+            timeout_s = self._timing.election_s * EARLY_CALL
         try:
-            reply = await self._call(peer, _messages.VOTE, request)
+            reply = await self._call(peer, _messages.VOTE, request, timeout_s)
         except wire.ServingError:
             return 0
         if reply.term > self.term and not reply.granted:
@@ -641,6 +693,7 @@
                 self.last_index,
             )
         self.leader = leader
+        self._heard_leader = True
         self._heard_at = self._clock.now()
         return True
 
@@ -660,9 +713,11 @@
             self._fail_waiters()
             self._stop_replicators()
 
-    def _become_leader(self) -> None:
+    def _become_leader(self, asked_at: float) -> None:
+        """Lead; the lease counts from when votes were asked for."""
         self.role = Role.LEADER
         self.leader = self._me
+        self._heard_leader = True
         logging.info(
             "quorum: Leads. term=%d last=%d commit=%d",
             self.term,
@@ -670,10 +725,9 @@
             self.commit,
         )
         self._transferring = False
-        now = self._clock.now()
         self._next_by_peer.clear()
         self._match_by_peer.clear()
-        self._acked_by_peer = {m.id: now for m in self.config.members}
+        self._acked_by_peer = {m.id: asked_at for m in self.config.members}
         self._ready_index = self._append_local(_messages.EntryKind.NOOP, b"")
         self._start_replicators()
 
@@ -1117,8 +1171,12 @@
         await self._applied_at(index)
 
     async def _call(
-        self, peer: Member, call: wire.Call, request: object
+        self,
+        peer: Member,
+        call: wire.Call,
+        request: object,
+        timeout_s: float | None = None,
     ) -> typing.Any:
         return await self._transport.call(
-            peer.address, call, request, self._timing.call_s
+            peer.address, call, request, timeout_s or self._timing.call_s
         )
