--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -30,6 +30,9 @@
 CONFIRM_POLL_S = 0.005
 SILENT_VOTER_S = 2.0
 MOST_REDIRECTS = 2
+# Shares of the election timeout: within which replicas that start together
+# spread their first normal stand, and the first stand for the votes of all;
+# how long until that is tried again; how long a vote is then waited for.
 START_SPREAD = 0.6
 EARLY_SPREAD = 0.15
 EARLY_RETRY = 0.2
