Count failures with the counter that was there

Holding and ServiceChoice each wrote AgedCounter's fading again; both use it now, with a weight. The number of remembered copies stood in two libraries; the catalogue, which keeps them, names it. Behaviour stays, but that counts of targets long gone are dropped at 5,000 where they grew without bound.

--- a/libs/catalogue/src/bergamotsail/catalogue/__init__.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -56,6 +56,7 @@
 check_table = _routes.check_table
 
 CatalogueMachine = _machine.CatalogueMachine
+KEPT_COPIES = _machine.KEPT_COPIES
 
 Effect = _view.Effect
 Ownership = _view.Ownership
--- a/libs/placement/src/bergamotsail/placement/__init__.py
+++ b/libs/placement/src/bergamotsail/placement/__init__.py
@@ -4,6 +4,7 @@
 to load, what may be evicted, and who runs next are local decisions.
 """
 
+from bergamotsail.placement import _counter
 from bergamotsail.placement import _engine_orders
 from bergamotsail.placement import _holding
 from bergamotsail.placement import _place_messages
@@ -11,6 +12,8 @@
 from bergamotsail.placement import _placer
 from bergamotsail import wire
 
+AgedCounter = _counter.AgedCounter
+
 EngineOrders = _engine_orders.EngineOrders
 StoreTurns = _engine_orders.StoreTurns
 Holding = _holding.Holding
@@ -31,7 +34,6 @@
 __getattr__ = wire.lazy_names(
     __name__,
     {
-        "_counter": ("AgedCounter",),
         "_engine_owner": ("EngineOwner",),
         "_fair_queue": ("FairQueue",),
         "_jobs": (
--- a/libs/placement/src/bergamotsail/placement/_counter.py
+++ b/libs/placement/src/bergamotsail/placement/_counter.py
@@ -1,12 +1,12 @@
-"""Counts that fade, so that a shift of popularity is forgotten."""
+"""Counts that fade, so that what was long ago is forgotten."""
 
 
 class AgedCounter:
-    """How often each key was used lately.
+    """How often something happened to each key lately.
 
     Args:
-        half_life_s: after this long a use counts half.
-        most: how many keys are kept; the least used are dropped.
+        half_life_s: after this long what happened counts half.
+        most: how many keys are kept; those that count least are dropped.
     """
 
     def __init__(self, half_life_s: float, most: int = 5_000) -> None:
@@ -14,9 +14,9 @@
         self._most = most
         self._count_by_key: dict[str, tuple[float, float]] = {}
 
-    def add(self, key: str, now: float) -> None:
-        """Count a use."""
-        self._count_by_key[key] = (self.value(key, now) + 1.0, now)
+    def add(self, key: str, now: float, weight: float = 1.0) -> None:
+        """Count what happened, by its weight."""
+        self._count_by_key[key] = (self.value(key, now) + weight, now)
         if len(self._count_by_key) > self._most:
             self._drop_half(now)
 
--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -5,9 +5,10 @@
 import dataclasses
 import enum
 
+from bergamotsail import catalogue
+from bergamotsail.placement import _counter
 from bergamotsail import targets
 
-KEPT_COPIES = 36
 KEPT_PREFIXES = 400
 # Measured from grants to first answers: tokens are read beside the steps
 # that generate, so slower than an engine alone could.
@@ -98,8 +99,7 @@
         self._prefixes: collections.OrderedDict[
             tuple[AdapterName, str], None
         ] = collections.OrderedDict()
-        self._faults = 0.0
-        self._faults_at = 0.0
+        self._faults = _counter.AgedCounter(FAULT_HALF_LIFE_S)
 
     @property
     def running(self) -> int:
@@ -174,7 +174,7 @@
             self.new_copies[name] = None
         self._copies[name] = None
         self._copies.move_to_end(name)
-        while len(self._copies) > KEPT_COPIES:
+        while len(self._copies) > catalogue.KEPT_COPIES:
             self._copies.popitem(last=False)
 
     def recall_copies(self, names: collections.abc.Iterable[str]) -> None:
@@ -240,10 +240,8 @@
 
     def add_fault(self, now: float, weight: float = 1.0) -> None:
         """Note that the engine failed a request."""
-        self._faults = self.faults(now) + weight
-        self._faults_at = now
+        self._faults.add(self.info.id, now, weight)
 
     def faults(self, now: float) -> float:
         """Return recent failures, fading with time."""
-        age_s = now - self._faults_at
-        return self._faults * 0.5 ** (age_s / FAULT_HALF_LIFE_S)
+        return self._faults.value(self.info.id, now)
--- a/libs/routing/src/bergamotsail/routing/_service_choice.py
+++ b/libs/routing/src/bergamotsail/routing/_service_choice.py
@@ -5,6 +5,7 @@
 import random
 
 from bergamotsail import control
+from bergamotsail import placement
 from bergamotsail import wire
 
 WINDOW_S = 10.0
@@ -29,7 +30,7 @@
         self._running_by_target: collections.Counter[str] = (
             collections.Counter()
         )
-        self._faults_by_target: dict[str, tuple[float, float]] = {}
+        self._faults = placement.AgedCounter(FAULT_HALF_LIFE_S)
 
     def choose(
         self,
@@ -57,18 +58,13 @@
         if self._running_by_target[target] <= 0:
             del self._running_by_target[target]
         if failed:
-            now = self._clock.now()
-            self._faults_by_target[target] = (self._faults(target) + 1, now)
-
-    def _faults(self, target: str) -> float:
-        count, at = self._faults_by_target.get(target, (0.0, 0.0))
-        return count * 0.5 ** ((self._clock.now() - at) / FAULT_HALF_LIFE_S)
+            self._faults.add(target, self._clock.now())
 
     def _weight(self, info: control.TargetInfo) -> float:
         far = info.datacentre != self._datacentre
         return (
             self._running_by_target[info.id]
-            + FAULT_WEIGHT * self._faults(info.id)
+            + FAULT_WEIGHT * self._faults.value(info.id, self._clock.now())
             + (OTHER_DATACENTRE_WEIGHT if far else 0.0)
             + self._rng.random() / 10
         )
