Keep the neighbour in one place, and one participant without shares

Session and Leader both held through whom calls go; the session asks the leader now. The entry's participant and the tests' were the same but for two methods; both build on control.Bystander. Behaviour stays.

--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -467,28 +467,6 @@
         return ()
 
 
-class Quiet(control.Participant):
-    """A daemon that holds and wants nothing."""
-
-    def held_by_key(self) -> dict[str, int]:
-        return {}
-
-    def wanted_by_key(self) -> dict[str, int]:
-        return {}
-
-    def take_shares(self, share_by_key: dict[str, int]) -> None:
-        return None
-
-    def statuses(self) -> tuple[control.TargetStatus, ...]:
-        return ()
-
-    def hand_over(self, targets: tuple[str, ...]) -> None:
-        return None
-
-    def view_changed(self) -> None:
-        return None
-
-
 def _entry(
     replicas: Replicas, number: int, lease: control.LeaseTiming
 ) -> control.Session:
@@ -502,7 +480,7 @@
     )
     leader = control.Leader(transport, replicas.addresses)
     session = control.Session(info, leader, transport, lease)
-    session.attach(Quiet())
+    session.attach(control.Bystander())
     relay = control.Relay(session, transport)
     relay.serve(server, control.HEARTBEAT)
     return session
--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -49,4 +49,5 @@
 Relay = _relay.Relay
 Leader = _session.Leader
 Session = _session.Session
+Bystander = _session.Bystander
 Participant = _session.Participant
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -58,6 +58,28 @@
         """Look at the view and the digest again."""
 
 
+class Bystander(Participant):
+    """A daemon that holds no shares and owns no targets."""
+
+    def held_by_key(self) -> dict[str, int]:
+        return {}
+
+    def wanted_by_key(self) -> dict[str, int]:
+        return {}
+
+    def take_shares(self, share_by_key: dict[str, int]) -> None:
+        return None
+
+    def statuses(self) -> tuple[_messages.TargetStatus, ...]:
+        return ()
+
+    def hand_over(self, targets: tuple[str, ...]) -> None:
+        return None
+
+    def view_changed(self) -> None:
+        return None
+
+
 class Leader:
     """Finds the leader and calls it, through any replica.
 
@@ -91,19 +113,28 @@
         """Where the leader itself was last."""
         return self._leader
 
+    @property
+    def neighbour(self) -> str | None:
+        """Through whom calls for the leader go, None when directly."""
+        return self._neighbour
+
     def go_through(self, neighbour: str | None) -> None:
         """Let calls go through another daemon, or directly again."""
         if neighbour != self._neighbour:
+            logging.info("session: Calls go through %s.", neighbour)
             self._neighbour = neighbour
-            self._moved.set()
-            self._moved = asyncio.Event()
+            self._has_moved()
 
     def found(self, address: str) -> None:
         """Remember where the leader is."""
         if address != self._leader:
-            self._moved.set()
-            self._moved = asyncio.Event()
-        self._leader = address
+            self._leader = address
+            self._has_moved()
+
+    def _has_moved(self) -> None:
+        """Wake those who wait for a call to go elsewhere."""
+        self._moved.set()
+        self._moved = asyncio.Event()
 
     def learn(self, addresses: collections.abc.Sequence[str]) -> None:
         """Ask these replicas too; the first seeds may be gone by then."""
@@ -195,7 +226,6 @@
         self._kicked = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._was_fresh = False
-        self._through: str | None = None
         self._direct_at = float("-inf")
         self._neighbours_tried = 0
         self._former_by_boot: dict[str, _messages.DaemonInfo] = {}
@@ -250,7 +280,7 @@
     @property
     def goes_through_neighbour(self) -> bool:
         """Whether calls for the leader go through another daemon."""
-        return self._through is not None
+        return self.leader.neighbour is not None
 
     def fresh(self) -> bool:
         """Whether the lease holds at this moment."""
@@ -353,15 +383,16 @@
         An instance that is cut off from the replicas may reach others that
         are not.
         """
-        if self._through is not None:
-            reply = await self._send_as_before(request)
+        neighbour = self.leader.neighbour
+        if neighbour is not None:
+            reply = await self._send_as_before(request, neighbour)
             if reply is not None:
                 return reply
         try:
             reply = await self.leader.call(
                 _messages.HEARTBEAT, request, self._timing.call_s
             )
-            self._go_through(None)
+            self.leader.go_through(None)
             return reply
         except wire.ServingError:
             if self.silent_s() < NEIGHBOUR_AFTER_S:
@@ -372,10 +403,10 @@
             return reply
 
     async def _send_as_before(
-        self, request: _messages.Heartbeat
+        self, request: _messages.Heartbeat, neighbour: str
     ) -> _messages.HeartbeatReply | None:
         """Send through the same neighbour; now and then try directly."""
-        calls = [(self._through, self._timing.call_s)]
+        calls = [(neighbour, self._timing.call_s)]
         if self._clock.now() - self._direct_at > DIRECT_EVERY_S:
             self._direct_at = self._clock.now()
             # Shortly, since the lease runs on meanwhile.
@@ -386,8 +417,8 @@
                 reply = await self._transport.call(
                     address, _messages.HEARTBEAT, request, timeout_s
                 )
-                if address != self._through:
-                    self._go_through(None)
+                if address != neighbour:
+                    self.leader.go_through(None)
                 return reply
         return None
 
@@ -411,17 +442,11 @@
                     request,
                     self._timing.call_s / 2,
                 )
-                self._go_through(address)
+                self.leader.go_through(address)
                 return reply
-        self._go_through(None)
+        self.leader.go_through(None)
         return None
 
-    def _go_through(self, neighbour: str | None) -> None:
-        if neighbour != self._through:
-            logging.info("session: Calls go through %s.", neighbour)
-        self._through = neighbour
-        self.leader.go_through(neighbour)
-
     async def _catch_up(self, reply: _messages.HeartbeatReply) -> None:
         """Bring the view up to the commit index of the reply."""
         if self._node is not None:
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -259,7 +259,7 @@
             return await self.node.propose(wire.encode(command))
 
 
-class _EntryParticipant(control.Participant):
+class _EntryParticipant(control.Bystander):
     """What the session of an entry says and hears."""
 
     def __init__(
@@ -270,24 +270,9 @@
         self._places = places
         self._changed = changed
 
-    def held_by_key(self) -> dict[str, int]:
-        return {}
-
-    def wanted_by_key(self) -> dict[str, int]:
-        return {}
-
-    def take_shares(self, share_by_key: dict[str, int]) -> None:
-        return None
-
-    def statuses(self) -> tuple[control.TargetStatus, ...]:
-        return ()
-
     def uses(self) -> tuple[control.Use, ...]:
         return self._places.uses()
 
-    def hand_over(self, targets: tuple[str, ...]) -> None:
-        return None
-
     def view_changed(self) -> None:
         self._changed()
 
