Wake who waits at a lost leader whichever way the next is found

Cause, found by reading: Leader.call set the address itself, past the event that Places waits on, so that a heartbeat which the new leader answered directly woke nobody; they waited out their call, up to 1.65 s. Ruled out: heartbeats through followers or neighbours (those woke).

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -43,6 +43,7 @@
       | luck_of_its_own          |
       | split_votes_end          |
       | cut_off_entry            |
+      | moved_leader_wakes       |
       | two_restart_at_once      |
       | all_restart_at_once      |
       | lease_outlives_restarts  |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -223,8 +223,8 @@
         raise AssertionError("There is no leader.")
 
 
-async def _formed(count: int = 3) -> Replicas:
-    replicas = Replicas(count)
+async def _formed(count: int = 3, seed: int = 1) -> Replicas:
+    replicas = Replicas(count, seed)
     for address in replicas.addresses[:3]:
         disk = standins.MemoryDisk(replicas.rng)
         await replicas.start(address, disk, True)
@@ -486,22 +486,31 @@
     return session
 
 
+async def _coordinate(
+    replicas: Replicas,
+    lease: control.LeaseTiming,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    """Let all replicas answer daemons."""
+    for address in replicas.addresses:
+        coordinator = control.Coordinator(
+            address,
+            replicas.node_by_address[address],
+            replicas.machine_by_address[address],
+            EmptyList(),
+            standins.MemoryTransport(replicas.network, address),
+            lease,
+        )
+        coordinator.serve(replicas.server_by_address[address])
+        await stack.enter_async_context(coordinator)
+
+
 async def cut_off_entry() -> list[str]:
     """An entry that is cut off from all replicas goes by a neighbour."""
     replicas = await _formed()
     lease = control.LeaseTiming(2.0, 0.3, call_s=0.6)
     async with contextlib.AsyncExitStack() as stack:
-        for address in replicas.addresses:
-            coordinator = control.Coordinator(
-                address,
-                replicas.node_by_address[address],
-                replicas.machine_by_address[address],
-                EmptyList(),
-                standins.MemoryTransport(replicas.network, address),
-                lease,
-            )
-            coordinator.serve(replicas.server_by_address[address])
-            await stack.enter_async_context(coordinator)
+        await _coordinate(replicas, lease, stack)
         sessions = [_entry(replicas, number, lease) for number in (1, 2, 3)]
         for session in sessions:
             await stack.enter_async_context(session)
@@ -525,6 +534,30 @@
     return faults
 
 
+async def moved_leader_wakes() -> list[str]:
+    """Who waits for an answer of a lost leader hears of the next one."""
+    faults = []
+    for seed in range(10):
+        replicas = await _formed(seed=seed)
+        lease = control.LeaseTiming(2.0, 0.3, call_s=0.6)
+        async with contextlib.AsyncExitStack() as stack:
+            await _coordinate(replicas, lease, stack)
+            session = _entry(replicas, 1, lease)
+            await stack.enter_async_context(session)
+            await asyncio.sleep(2.0)
+            old = session.leader.address
+            moved = session.leader.moved
+            replicas.network.isolate(old)
+            await asyncio.sleep(4.0)
+            if session.leader.address == old:
+                faults.append(f"seed {seed}: no other leader was found")
+            elif not moved.is_set():
+                faults.append(f"seed {seed}: nobody was woken")
+        for address in list(replicas.node_by_address):
+            await replicas.stop(address)
+    return faults
+
+
 async def two_restart_at_once() -> list[str]:
     """Two of three that restart together elect a leader soon.
 
@@ -710,6 +743,7 @@
     "restart_then_power_loss": restart_then_power_loss,
     "luck_of_its_own": luck_of_its_own,
     "split_votes_end": split_votes_end,
+    "moved_leader_wakes": moved_leader_wakes,
     "two_restart_at_once": two_restart_at_once,
     "all_restart_at_once": all_restart_at_once,
     "lease_outlives_restarts": lease_outlives_restarts,
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -126,7 +126,7 @@
             self._has_moved()
 
     def found(self, address: str) -> None:
-        """Remember where the leader is."""
+        """Send calls for the leader there from now on."""
         if address != self._leader:
             self._leader = address
             self._has_moved()
@@ -163,7 +163,7 @@
                 reply = await self._transport.call(
                     address, call, request, timeout_s
                 )
-                self._leader = address
+                self.found(address)
                 return reply
             except wire.NotLeaderError as error:
                 last = error
@@ -172,7 +172,8 @@
             except (wire.NotSentError, wire.ReplicaFailedError) as error:
                 last = error
             except wire.PeerLostError as error:
-                self._leader = order[0] if order else address
+                # Nobody knows yet who leads; ask another one first.
+                self.found(order[0] if order else address)
                 raise error
         assert last is not None
         raise last
