Keep what a holder awaits, ends of attempts and free targets in one place

Whether entries' word is awaited stood in each slot and in the ledger; the ledger has it. Two ends of an attempt, two filters of targets and two ways to forget a term were each written twice. The timer that calls the decision was cancelled after it fired. Behaviour stays.

--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -41,8 +41,8 @@
         uses: requests that run on it.
         used_at: when it was last granted or released.
         ready_at: when its load is expected to be done.
-        told_by: when every daemon has told of its requests on it, so that
-            no use means idle.
+        reported: found in a report rather than loaded by this holder, so
+            that requests may run on it that this holder has not granted.
     """
 
     version: int | None
@@ -50,12 +50,7 @@
     uses: int = 0
     used_at: float = 0.0
     ready_at: float = 0.0
-    told_by: float = 0.0
-
-    def is_idle(self, now: float) -> bool:
-        """Whether surely no request runs on it."""
-        ready = self.state is SlotState.READY
-        return ready and self.uses == 0 and now >= self.told_by
+    reported: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,10 +128,7 @@
         for held in report.adapters:
             name = (held.model, held.adapter)
             slot = Slot(
-                held.version,
-                SlotState.READY,
-                used_at=now,
-                told_by=self._told_by,
+                held.version, SlotState.READY, used_at=now, reported=True
             )
             found[name] = slot
             self.remember_copy(name)
@@ -149,6 +141,12 @@
         self.slot_by_name = found
         self.known = True
 
+    def is_idle(self, slot: Slot, now: float) -> bool:
+        """Whether surely no request runs on a slot."""
+        if slot.state is not SlotState.READY or slot.uses > 0:
+            return False
+        return not (slot.reported and self.awaits_word(now))
+
     def awaits_word(self, now: float) -> bool:
         """Whether daemons may run more here than they have told of."""
         return now < self._told_by
@@ -165,8 +163,6 @@
         )
         if runs <= known:
             self._told_by = 0.0
-            for slot in self.slot_by_name.values():
-                slot.told_by = 0.0
 
     def remember_copy(self, name: AdapterName) -> None:
         """Note that the engine keeps a copy of an adapter at hand."""
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -358,10 +358,7 @@
             return
         self._term = self._leadership.term
         self._term_at = self._clock.now()
-        for orders in self._orders_by_target.values():
-            orders.stop()
-        self._orders_by_target.clear()
-        self._fail_waiters()
+        self._forget_all()
 
     def _fail_waiters(self) -> None:
         for waiter in self._waiters:
@@ -444,9 +441,7 @@
 
     def _pump(self) -> None:
         """Grant what can be granted and start the loads that are due."""
-        if self._pump_due is not None:
-            self._pump_due.cancel()
-            self._pump_due = None
+        self._pump_due = None
         if not self._leadership.holds():
             return
         now = self._clock.now()
@@ -581,7 +576,10 @@
                 if (slot.version or 0) >= wanted:
                     continue
                 self._too_old(name, slot, now)
-                if slot.is_idle(now) and orders.free_to_order():
+                if (
+                    orders.holding.is_idle(slot, now)
+                    and orders.free_to_order()
+                ):
                     orders.start_load(name, wanted, None, now)
 
     def _want_load(
@@ -633,7 +631,7 @@
         idle = [
             (slot.used_at, name)
             for name, slot in holding.slot_by_name.items()
-            if slot.is_idle(now) and name not in wanted
+            if holding.is_idle(slot, now) and name not in wanted
         ]
         if not idle:
             return None
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -201,17 +201,11 @@
             self._give_up(attempt)
 
     def _give_up(self, attempt: _Attempt) -> None:
-        if attempt.answer.started:
-            attempt.break_off()
-            return
-        if attempt.runs == 0:
-            raise wire.OverloadError(
-                "No target took the request in time; it has not run.",
-                retry_after_s=RETRY_AFTER_S,
-            )
-        raise wire.DeadlineError(
+        """End an attempt whose time is over."""
+        late = wire.DeadlineError(
             "The target did not answer in time.", ran=wire.Ran.UNKNOWN
         )
+        _end(attempt, "No target took the request in time", late)
 
     async def _serve(self, attempt: _Attempt) -> None:
         last: wire.ServingError | None = None
@@ -237,17 +231,11 @@
         return self._budgets.take(attempt.pool.name)
 
     def _fail(self, attempt: _Attempt, last: wire.ServingError | None) -> None:
-        if attempt.answer.started:
-            attempt.break_off()
-            return
-        if attempt.runs == 0:
-            raise wire.OverloadError(
-                "No target takes the request now; it has not run.",
-                retry_after_s=RETRY_AFTER_S,
-            ) from last
-        raise wire.UnknownOutcomeError(
+        """End an attempt that is not sent again."""
+        lost = wire.UnknownOutcomeError(
             "The target's answer was lost; the request may have run."
-        ) from last
+        )
+        _end(attempt, "No target takes the request now", lost, last)
 
     # Plain services.
 
@@ -444,12 +432,29 @@
     def _others_left(self, attempt: _Attempt) -> bool:
         if attempt.runs + 1 >= attempt.route.attempts:
             return False
-        return attempt.sends < MOST_SENDS and any(
-            info.pool == attempt.pool.name
-            and not info.leaving
-            and info.id not in attempt.avoid
-            for info in self._session.digest.target_by_id.values()
+        others = _service_choice.candidates(
+            attempt.pool.name,
+            self._session.digest.target_by_id.values(),
+            attempt.avoid,
         )
+        return attempt.sends < MOST_SENDS and any(others)
+
+
+def _end(
+    attempt: _Attempt,
+    reason: str,
+    if_it_ran: wire.ServingError,
+    cause: wire.ServingError | None = None,
+) -> None:
+    """Break an answer off that has begun, else raise the final error."""
+    if attempt.answer.started:
+        attempt.break_off()
+        return
+    if attempt.runs == 0:
+        raise wire.OverloadError(
+            f"{reason}; it has not run.", retry_after_s=RETRY_AFTER_S
+        ) from cause
+    raise if_it_ran from cause
 
 
 def _adapter_of(request: CallerRequest) -> str | None:
--- a/libs/routing/src/bergamotsail/routing/_service_choice.py
+++ b/libs/routing/src/bergamotsail/routing/_service_choice.py
@@ -15,6 +15,17 @@
 FEWEST_DAEMONS = 3
 
 
+def candidates(
+    pool: str,
+    known: collections.abc.Iterable[control.TargetInfo],
+    avoid: collections.abc.Container[str],
+) -> collections.abc.Iterator[control.TargetInfo]:
+    """Yield the targets of a pool that may be given work."""
+    for info in known:
+        if info.pool == pool and not info.leaving and info.id not in avoid:
+            yield info
+
+
 class ServiceChoice:
     """Counts what runs where and what failed lately, for one daemon."""
 
@@ -39,14 +50,9 @@
         avoid: collections.abc.Container[str],
     ) -> control.TargetInfo | None:
         """Return the least loaded sound target, the nearest of equals."""
-        candidates = [
-            info
-            for info in known
-            if info.pool == pool and not info.leaving and info.id not in avoid
-        ]
-        if not candidates:
-            return None
-        return min(candidates, key=self._weight)
+        return min(
+            candidates(pool, known, avoid), key=self._weight, default=None
+        )
 
     def started(self, target: str) -> None:
         """Count a request in."""
