Look once at the engines that a waiter may use; drop what nobody reads

The placer listed the usable engines twice for each waiter of each decision, and each vote call wrote the same ballot. Behaviour stays.

--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -185,7 +185,8 @@
         waiter = _Waiter(request, arrived_at, done)
         self._waiters.append(waiter)
         try:
-            if not self._try_grant(waiter, self._clock.now()):
+            usable = self._usable(waiter)
+            if not self._try_grant(waiter, usable, self._clock.now()):
                 self._log_waiter("wait", waiter)
                 self._pump_soon()
             return await self._wait(waiter)
@@ -465,8 +466,9 @@
         for waiter in waiters:
             if waiter.done.done():
                 continue
-            if not self._try_grant(waiter, now):
-                self._want_load(waiter, now, wanted, float("inf"))
+            usable = self._usable(waiter)
+            if not self._try_grant(waiter, usable, now):
+                self._want_load(waiter, usable, now, wanted, float("inf"))
                 return
 
     def _usable(self, waiter: _Waiter) -> list[_engine_orders.EngineOrders]:
@@ -481,10 +483,15 @@
             and orders.has_room(waiter.tokens, MEMORY_SHARE)
         ]
 
-    def _try_grant(self, waiter: _Waiter, now: float) -> bool:
+    def _try_grant(
+        self,
+        waiter: _Waiter,
+        usable: list[_engine_orders.EngineOrders],
+        now: float,
+    ) -> bool:
         ready = [
             orders
-            for orders in self._usable(waiter)
+            for orders in usable
             if self._is_ready(orders.holding, waiter.name, now)
         ]
         if not ready:
@@ -500,7 +507,7 @@
         )
         if waiter.request.adapter and cost_s > SECOND_COPY_COST_S:
             limit_s = cost_s - SECOND_COPY_GAIN_S
-            self._want_load(waiter, now, {waiter.name}, limit_s)
+            self._want_load(waiter, usable, now, {waiter.name}, limit_s)
         self._grant(waiter, orders.holding, now)
         return True
 
@@ -585,6 +592,7 @@
     def _want_load(
         self,
         waiter: _Waiter,
+        usable: list[_engine_orders.EngineOrders],
         now: float,
         wanted: set[_holding.AdapterName],
         limit_s: float,
@@ -593,16 +601,16 @@
         name = waiter.name
         if not name[1]:
             return
-        usable = []
-        for orders in self._usable(waiter):
+        without = []
+        for orders in usable:
             slot = orders.holding.slot_by_name.get(name)
             if slot is None:
-                usable.append(orders)
+                without.append(orders)
             elif slot.state is not State.READY:
                 return
         wish = waiter.wish(now)
         costs = []
-        for orders in usable:
+        for orders in without:
             room = orders.free_to_order() and self._room(orders, wanted, now)
             cost_s = self._policy.load_cost_s(
                 orders.holding, wish, now, bool(room)
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -621,11 +621,18 @@
         others = [m for m in voters if m.id != self._me.id]
         needed = self._votes_needed(unanimous)
         granted = 1
+        ballot = _messages.VoteRequest(
+            "",
+            term,
+            self._me.id,
+            self.last_index,
+            self._log.term_at(self.last_index),
+            pre,
+            transfer,
+            unanimous,
+        )
         asked = {
-            asyncio.create_task(
-                self._ask_vote(m, term, pre, transfer, unanimous)
-            )
-            for m in others
+            asyncio.create_task(self._ask_vote(m, ballot)) for m in others
         }
         try:
             while granted < needed <= granted + len(asked):
@@ -644,25 +651,11 @@
         return self.config.majority
 
     async def _ask_vote(
-        self,
-        peer: Member,
-        term: int,
-        pre: bool,
-        transfer: bool,
-        unanimous: bool,
+        self, peer: Member, ballot: _messages.VoteRequest
     ) -> int:
-        request = _messages.VoteRequest(
-            peer.id,
-            term,
-            self._me.id,
-            self.last_index,
-            self._log.term_at(self.last_index),
-            pre,
-            transfer,
-            unanimous,
-        )
+        request = dataclasses.replace(ballot, to=peer.id)
         timeout_s = self._timing.call_s
-        if unanimous:
+        if request.unanimous:
             timeout_s = self._timing.election_s * EARLY_CALL
         try:
             reply = await self._call(peer, _messages.VOTE, request, timeout_s)
--- a/libs/targets/src/bergamotsail/targets/_adapter_engine.py
+++ b/libs/targets/src/bergamotsail/targets/_adapter_engine.py
@@ -63,7 +63,6 @@
         pending: adapters on their way to it.
         busy: whether an order on a base model is in progress.
         sequence: how many orders it has accepted.
-        remaining_s: time until it is gone, when it said so.
         at_hand: base models of which it keeps a copy, so that a load takes
             nothing from the store.
     """
@@ -75,7 +74,6 @@
     sequence: int
     queued: int = 0
     running: int = 0
-    remaining_s: float | None = None
     at_hand: tuple[str, ...] = ()
 
 
