--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -110,17 +110,14 @@
         self._steps = steps
         self._term = _Term(-1, 0.0)
         self._digest = _digest.Digest()
-        self._tasks: list[asyncio.Task] = []
+        self._background = wire.Background()
 
     async def __aenter__(self) -> "Coordinator":
-        for work in (self._read_list, self._assign):
-            self._tasks.append(asyncio.create_task(work()))
+        self._background.start(self._read_list, self._assign)
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.stop()
 
     def attach(self, digest: _digest.Digest) -> None:
         """Give the digest of this instance's own daemon."""
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -225,7 +225,7 @@
         self._lease_until = float("-inf")
         self._sequence = 0
         self._kicked = asyncio.Event()
-        self._task: asyncio.Task | None = None
+        self._background = wire.Background()
         self._was_fresh = False
         self._direct_at = float("-inf")
         self._neighbours_tried = 0
@@ -265,13 +265,11 @@
         self._participant = participant
 
     async def __aenter__(self) -> "Session":
-        self._task = asyncio.create_task(self._run())
+        self._background.start(self._run)
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     def silent_s(self) -> float:
         """Return for how long the leader has not been heard."""
--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -4,6 +4,7 @@
 programs ``bergamotsaild`` and ``bergamotsail`` are thin around it.
 """
 
+from bergamotsail.daemon import _quiet
 from bergamotsail.daemon import _roles
 from bergamotsail import wire
 
@@ -14,6 +15,7 @@
 metrics_application = _roles.metrics_application
 peer_application = _roles.peer_application
 peer_routes = _roles.peer_routes
+quiet_application = _quiet.quiet_application
 
 __getattr__ = wire.lazy_names(
     __name__,
--- a/libs/daemon/src/bergamotsail/daemon/_http_server.py
+++ b/libs/daemon/src/bergamotsail/daemon/_http_server.py
@@ -6,6 +6,7 @@
 from bergamotsail.daemon import _assembly
 from bergamotsail.daemon import _caller_handlers
 from bergamotsail.daemon import _peer_handlers
+from bergamotsail.daemon import _quiet
 
 
 def application(daemon: _assembly.Daemon) -> web.Application:
@@ -30,8 +31,4 @@
         (r"/peer/v1/([a-z_]+)", _peer_handlers.PeerHandler, args),
         (r".*", callers.UnknownHandler, args),
     ]
-    return web.Application(routes, log_function=_log_nothing)
-
-
-def _log_nothing(_: web.RequestHandler) -> None:
-    """Leave out tornado's line per request; decisions are logged."""
+    return _quiet.quiet_application(routes)
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -16,6 +16,7 @@
 from bergamotsail import catalogue
 from bergamotsail import control
 from bergamotsail.daemon import _peer_handlers
+from bergamotsail.daemon import _quiet
 from bergamotsail import observe
 from bergamotsail import placement
 from bergamotsail import quorum
@@ -81,9 +82,7 @@
 
 def peer_application(server: wire.PeerServer, token: str) -> web.Application:
     """Return an application with nothing but the peers' routes."""
-    return web.Application(
-        peer_routes(server, token), log_function=lambda _: None
-    )
+    return _quiet.quiet_application(peer_routes(server, token))
 
 
 class MetricsHandler(web.RequestHandler):
@@ -103,7 +102,7 @@
 def metrics_application(metrics: observe.Metrics) -> web.Application:
     """Return an application that shows the metrics of this process."""
     routes = [(r"/metrics", MetricsHandler, {"metrics": metrics})]
-    return web.Application(routes, log_function=lambda _: None)
+    return _quiet.quiet_application(routes)
 
 
 class _NodeLeadership(placement.Leadership):
--- a/libs/placement/src/bergamotsail/placement/_engine_owner.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_owner.py
@@ -79,20 +79,17 @@
         )
         self._report_at = float("-inf")
         self._running = 0
-        self._tasks: list[asyncio.Task] = []
+        self._background = wire.Background()
         self._parked_by_stream: dict[str, asyncio.Task] = {}
 
     async def __aenter__(self) -> "EngineOwner":
-        for work in (self._read_reports, self._loads.run):
-            self._tasks.append(asyncio.create_task(work()))
+        self._background.start(self._read_reports, self._loads.run)
         return self
 
     async def __aexit__(self, *_: object) -> None:
         self.handing_over = True
         self._refuse_waiting(self._not_owner())
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.stop()
 
     @property
     def active(self) -> int:
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -152,20 +152,17 @@
         self._waiters: list[_Waiter] = []
         self._named_at: dict[_holding.AdapterName, tuple[int, float]] = {}
         self._store = _engine_orders.StoreTurns()
-        self._tasks: list[asyncio.Task] = []
+        self._background = wire.Background()
         self._gone: set[str] = set()
         self._pump_due: asyncio.TimerHandle | None = None
         self._pump_took_s = 0.0
 
     async def __aenter__(self) -> "Placer":
-        for work in (self._tick, self._note):
-            self._tasks.append(asyncio.create_task(work()))
+        self._background.start(self._tick, self._note)
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.stop()
         self._forget_all()
 
     def serve(self, server: wire.PeerServer) -> None:
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -57,16 +57,14 @@
             tuple[str, str, str], _Remembered
         ] = collections.OrderedDict()
         self._wake = asyncio.Event()
-        self._task: asyncio.Task | None = None
+        self._background = wire.Background()
 
     async def __aenter__(self) -> "Places":
-        self._task = asyncio.create_task(self._release())
+        self._background.start(self._release)
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     def uses(self) -> tuple[control.Use, ...]:
         """Return what runs now, for the heartbeat."""
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -5,6 +5,7 @@
 :class:`PeerTransport` alone, so tests can put an in-memory network there.
 """
 
+from bergamotsail.wire import _background
 from bergamotsail.wire import _clock
 from bergamotsail.wire import _codec
 from bergamotsail.wire import _curl
@@ -36,6 +37,8 @@
 Steps = _steps.Steps
 NoSteps = _steps.NoSteps
 
+Background = _background.Background
+
 lazy_names = _lazy.lazy_names
 
 Call = _peers.Call
