Let the replicas of the tests own their disks

Ten scenarios made, crashed and restarted disks by the same lines, and two sets of mutants patched alike.

--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -168,22 +168,21 @@
 
 
 class Replicas:
-    """Nodes of a log on a network in memory."""
+    """Nodes of a log, each with its disk, on a network in memory."""
 
     def __init__(self, count: int, seed: int = 1) -> None:
         self.rng = random.Random(seed)
         self.network = standins.MemoryNetwork(self.rng)
         self.addresses = [f"10.0.0.{n + 1}:7000" for n in range(count)]
+        self.disk_by_address = {
+            address: standins.MemoryDisk(self.rng)
+            for address in self.addresses
+        }
         self.node_by_address: dict[str, quorum.Node] = {}
         self.server_by_address: dict[str, wire.PeerServer] = {}
         self.machine_by_address: dict[str, catalogue.CatalogueMachine] = {}
 
-    async def start(
-        self,
-        address: str,
-        disk: standins.MemoryDisk,
-        forms: bool,
-    ) -> quorum.Node:
+    async def start(self, address: str, forms: bool = False) -> quorum.Node:
         """Start a replica that knows the first three as seeds."""
         server = wire.PeerServer()
         self.network.join(address, server)
@@ -193,7 +192,7 @@
             address,
             address,
             self.addresses[:3],
-            quorum.Storage(disk),
+            quorum.Storage(self.disk_by_address[address]),
             transport,
             machine,
             self.rng,
@@ -208,11 +207,28 @@
         await node.__aenter__()
         return node
 
+    async def form(self) -> quorum.Node:
+        """Start the first three, and wait until one leads."""
+        for address in self.addresses[:3]:
+            await self.start(address, True)
+        return await self.leader()
+
     async def stop(self, address: str) -> None:
         """Kill a replica."""
         self.network.kill(address)
         await self.node_by_address.pop(address).__aexit__()
 
+    async def stop_all(self) -> None:
+        """Kill all replicas that run."""
+        for address in list(self.node_by_address):
+            await self.stop(address)
+
+    async def lose_power(self, address: str) -> None:
+        """Kill a replica, and with it what it had not synced."""
+        await self.stop(address)
+        self.disk_by_address[address].crash()
+        self.disk_by_address[address].start_again()
+
     async def leader(self) -> quorum.Node:
         """Wait for a leader."""
         for _ in range(400):
@@ -225,10 +241,7 @@
 
 async def _formed(count: int = 3, seed: int = 1) -> Replicas:
     replicas = Replicas(count, seed)
-    for address in replicas.addresses[:3]:
-        disk = standins.MemoryDisk(replicas.rng)
-        await replicas.start(address, disk, True)
-    await replicas.leader()
+    await replicas.form()
     return replicas
 
 
@@ -255,9 +268,8 @@
     replicas = Replicas(3)
     starts = []
     for address, read_s in zip(replicas.addresses, (0.0, 0.2, 0.4)):
-        disk = standins.MemoryDisk(replicas.rng)
-        disk.read_s = read_s
-        starts.append(replicas.start(address, disk, True))
+        replicas.disk_by_address[address].read_s = read_s
+        starts.append(replicas.start(address, True))
     await asyncio.gather(*starts)
     leader = await replicas.leader()
     await leader.propose(_change(1))
@@ -269,24 +281,19 @@
 async def called_while_loading() -> list[str]:
     """A replica that still reads its disk takes and promises nothing."""
     replicas = Replicas(3)
-    disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
-    for address, disk in zip(replicas.addresses, disks):
-        await replicas.start(address, disk, True)
-    leader = await replicas.leader()
+    leader = await replicas.form()
     for version in range(1, 9):
         await leader.propose(_change(version))
     await asyncio.sleep(1.0)
-    number = next(
-        n
-        for n, address in enumerate(replicas.addresses)
-        if replicas.node_by_address[address] is not leader
+    address = next(
+        address
+        for address, node in replicas.node_by_address.items()
+        if node is not leader
     )
-    address, disk = replicas.addresses[number], disks[number]
-    await replicas.stop(address)
-    disk.crash()
-    disk.start_again()
+    disk = replicas.disk_by_address[address]
+    await replicas.lose_power(address)
     disk.read_s = 0.4
-    node = await replicas.start(address, disk, False)
+    node = await replicas.start(address)
     disk.read_s = 0.0
     await asyncio.sleep(2.0)
     faults = []
@@ -301,28 +308,19 @@
 async def votes_while_loading() -> list[str]:
     """A replica that still reads its disk elects nobody who is behind it."""
     replicas = Replicas(3)
-    disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
-    disk_by_address = dict(zip(replicas.addresses, disks))
-    for address, disk in disk_by_address.items():
-        await replicas.start(address, disk, True)
-    leader = await replicas.leader()
+    leader = await replicas.form()
     await leader.propose(_change(1))
     behind, other = [
         a for a, node in replicas.node_by_address.items() if node is not leader
     ]
-    await replicas.stop(behind)
+    await replicas.lose_power(behind)
     await leader.propose(_change(2))
     await replicas.stop(leader.member.address)
-    await replicas.stop(other)
-    for address in (other, behind):
-        disk_by_address[address].crash()
-        disk_by_address[address].start_again()
-    disk_by_address[other].read_s = 0.8
-    starting = asyncio.create_task(
-        replicas.start(other, disk_by_address[other], False)
-    )
+    await replicas.lose_power(other)
+    replicas.disk_by_address[other].read_s = 0.8
+    starting = asyncio.create_task(replicas.start(other))
     await asyncio.sleep(0.2)
-    await replicas.start(behind, disk_by_address[behind], False)
+    await replicas.start(behind)
     await starting
     leader = await replicas.leader()
     await asyncio.sleep(1.0)
@@ -336,11 +334,9 @@
     faults = []
     for seed in range(30):
         replicas = Replicas(3, seed)
-        disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
-        for address, disk in zip(replicas.addresses, disks):
+        for disk in replicas.disk_by_address.values():
             disk.sync_s = 0.003
-            await replicas.start(address, disk, True)
-        leader = await replicas.leader()
+        leader = await replicas.form()
         for number in range(1, 6):
             change = asyncio.create_task(leader.propose(_change(number)))
             await asyncio.sleep(replicas.rng.uniform(0.0, 0.005))
@@ -350,13 +346,12 @@
             leader = await replicas.leader()
         await leader.propose(_change(9))
         await asyncio.sleep(1.0)
-        for address, disk in zip(replicas.addresses, disks):
+        for disk in replicas.disk_by_address.values():
             try:
                 await quorum.Storage(disk).load()
             except quorum.CorruptLogError as error:
                 faults.append(f"seed {seed}: {error.message}")
-        for address in replicas.addresses:
-            await replicas.stop(address)
+        await replicas.stop_all()
     return faults
 
 
@@ -380,7 +375,7 @@
     """Blank replicas that are told it is not the first start form nothing."""
     replicas = Replicas(3)
     for address in replicas.addresses:
-        await replicas.start(address, standins.MemoryDisk(replicas.rng), False)
+        await replicas.start(address)
     await asyncio.sleep(10)
     formed = [n for n in replicas.node_by_address.values() if n.config.voters]
     return [f"{len(formed)} formed"] if formed else []
@@ -395,8 +390,7 @@
         a for a, node in replicas.node_by_address.items() if node is not leader
     )
     new = replicas.addresses[3]
-    disk = standins.MemoryDisk(replicas.rng)
-    successor = await replicas.start(new, disk, False)
+    successor = await replicas.start(new)
     await asyncio.sleep(4)
     early = successor.config.has_voter(successor.member.id)
     await replicas.stop(gone)
@@ -553,8 +547,7 @@
                 faults.append(f"seed {seed}: no other leader was found")
             elif not moved.is_set():
                 faults.append(f"seed {seed}: nobody was woken")
-        for address in list(replicas.node_by_address):
-            await replicas.stop(address)
+        await replicas.stop_all()
     return faults
 
 
@@ -567,24 +560,18 @@
     faults = []
     for seed in range(40):
         replicas = Replicas(3, seed)
-        disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
-        for address, disk in zip(replicas.addresses, disks):
-            await replicas.start(address, disk, True)
-        await replicas.leader()
+        await replicas.form()
         for address in replicas.addresses:
-            await replicas.stop(address)
-        for address, disk in list(zip(replicas.addresses, disks))[:2]:
-            disk.crash()
-            disk.start_again()
-            await replicas.start(address, disk, False)
+            await replicas.lose_power(address)
+        for address in replicas.addresses[:2]:
+            await replicas.start(address)
         loop = asyncio.get_running_loop()
         before = loop.time()
         await replicas.leader()
         took_s = loop.time() - before
         if took_s > 4:
             faults.append(f"seed {seed}: {took_s:.1f} s without a leader")
-        for address in list(replicas.node_by_address):
-            await replicas.stop(address)
+        await replicas.stop_all()
     return faults
 
 
@@ -594,26 +581,20 @@
     times = []
     for seed in range(40):
         replicas = Replicas(3, seed)
-        disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
-        for address, disk in zip(replicas.addresses, disks):
-            await replicas.start(address, disk, True)
-        leader = await replicas.leader()
+        leader = await replicas.form()
         await leader.propose(_change(1))
         for address in replicas.addresses:
-            await replicas.stop(address)
+            await replicas.lose_power(address)
         loop = asyncio.get_running_loop()
         before = loop.time()
-        for address, disk in zip(replicas.addresses, disks):
-            disk.crash()
-            disk.start_again()
-            await replicas.start(address, disk, False)
+        for address in replicas.addresses:
+            await replicas.start(address)
         leader = await replicas.leader()
         times.append(loop.time() - before)
         document = replicas.machine_by_address[leader.member.address]
         if document.routes_document != "1":
             faults.append(f"seed {seed}: the change is lost")
-        for address in list(replicas.node_by_address):
-            await replicas.stop(address)
+        await replicas.stop_all()
     times.sort()
     median_s = times[len(times) // 2]
     if median_s > 0.4 or times[-1] > 3:
@@ -629,19 +610,13 @@
     faults = []
     for seed in range(20):
         replicas = Replicas(3, seed)
-        disks = [standins.MemoryDisk(replicas.rng) for _ in range(3)]
-        disk_by_address = dict(zip(replicas.addresses, disks))
-        for address, disk in disk_by_address.items():
-            await replicas.start(address, disk, True)
-        old = await replicas.leader()
+        old = await replicas.form()
         await asyncio.sleep(1.0)
         replicas.network.isolate(old.member.address)
         for address in replicas.addresses:
             if address != old.member.address:
-                await replicas.stop(address)
-                disk_by_address[address].crash()
-                disk_by_address[address].start_again()
-                await replicas.start(address, disk_by_address[address], False)
+                await replicas.lose_power(address)
+                await replicas.start(address)
         for _ in range(300):
             await asyncio.sleep(0.005)
             holders = [
@@ -652,8 +627,7 @@
             if len(holders) > 1:
                 faults.append(f"seed {seed}: {holders} hold the lease")
                 break
-        for address in list(replicas.node_by_address):
-            await replicas.stop(address)
+        await replicas.stop_all()
     return faults
 
 
@@ -794,8 +768,8 @@
 
 def run_mutant(number: int) -> list[str]:
     """Run a scenario with its guard switched off."""
-    _, scenario, (owner, attribute, value) = MUTANTS[number]
-    with unittest.mock.patch.object(owner, attribute, value):
+    _, scenario, guard = MUTANTS[number]
+    with ledger.switched_off(guard):
         try:
             return run_scenario(scenario)
         except (AssertionError, wire.ServingError) as error:
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -710,10 +710,15 @@
     return run(SCENARIOS[name]())
 
 
+def switched_off(guard: tuple) -> contextlib.AbstractContextManager:
+    """Patch an attribute: its owner, its name, and what stands for it."""
+    return unittest.mock.patch.object(*guard)
+
+
 def run_mutant(number: int) -> list[str]:
     """Run a scenario with its guard switched off."""
-    _, scenario, (owner, attribute, value) = MUTANTS[number]
-    with unittest.mock.patch.object(owner, attribute, value):
+    _, scenario, guard = MUTANTS[number]
+    with switched_off(guard):
         if scenario != "random":
             return run_scenario(scenario)
         return [fault for seed in range(12) for fault in run_random(seed)]
