Wait for seeds that read their disks when told to form a log

Cause: an order to form asked each seed once who it is; a seed that still reads its disk says so, and the order failed with it. Ruled out: a slow disk or a lost call; the refusal is typed 'starting'. Before: scenario forms_by_order_while_loading ends in StartingError. After: it passes; the seed is asked again for up to 5 s.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -35,6 +35,7 @@
       | forms_by_itself          |
       | part_of_a_library        |
       | forms_with_slow_starters |
+      | forms_by_order_while_loading |
       | called_while_loading     |
       | votes_while_loading      |
       | caller_gone_in_append    |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -278,6 +278,23 @@
     return [] if voters == there else [f"voters {voters}, there {there}"]
 
 
+async def forms_by_order_while_loading() -> list[str]:
+    """An order to form the log waits for seeds that read their disks."""
+    replicas = Replicas(3)
+    starts = []
+    for address, read_s in zip(replicas.addresses, (0.0, 0.2, 0.4)):
+        replicas.disk_by_address[address].read_s = read_s
+        starts.append(asyncio.create_task(replicas.start(address)))
+    await asyncio.sleep(0.1)
+    await replicas.node_by_address[replicas.addresses[0]].form()
+    await asyncio.gather(*starts)
+    leader = await replicas.leader()
+    await leader.propose(_change(1))
+    voters = {member.id for member in leader.config.voters}
+    there = {node.member.id for node in replicas.node_by_address.values()}
+    return [] if voters == there else [f"voters {voters}, there {there}"]
+
+
 async def called_while_loading() -> list[str]:
     """A replica that still reads its disk takes and promises nothing."""
     replicas = Replicas(3)
@@ -723,6 +740,7 @@
     "lease_outlives_restarts": lease_outlives_restarts,
     "forms_by_itself": forms_by_itself,
     "forms_with_slow_starters": forms_with_slow_starters,
+    "forms_by_order_while_loading": forms_by_order_while_loading,
     "called_while_loading": called_while_loading,
     "caller_gone_in_append": caller_gone_in_append,
     "log_out_of_step": log_out_of_step,
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -30,6 +30,9 @@
 CONFIRM_POLL_S = 0.005
 SILENT_VOTER_S = 2.0
 MOST_REDIRECTS = 2
+# Seeds that start together with this replica read their disks by then.
+FORM_WAIT_S = 5.0
+FORM_RETRY_S = 0.1
 # Shares of the election timeout: within which replicas that start together
 # spread their first normal stand, and the first stand for the votes of all;
 # how long until that is tried again; how long a vote is then waited for.
@@ -342,15 +345,7 @@
             ConflictError: a seed already holds a log.
         """
         replies = await asyncio.gather(
-            *(
-                self._transport.call(
-                    seed,
-                    _messages.HELLO,
-                    _messages.Hello(),
-                    self._timing.call_s,
-                )
-                for seed in self._seeds
-            )
+            *(self._hello_when_started(seed) for seed in self._seeds)
         )
         if not all(reply.blank for reply in replies):
             raise wire.ConflictError(
@@ -362,6 +357,22 @@
             request = _messages.FormRequest(member.id, config)
             await self._call(member, _messages.FORM, request)
 
+    async def _hello_when_started(self, seed: str) -> _messages.HelloReply:
+        """Ask a seed who it is, again while it still reads its disk."""
+        gives_up_at = self._clock.now() + FORM_WAIT_S
+        while True:
+            try:
+                return await self._transport.call(
+                    seed,
+                    _messages.HELLO,
+                    _messages.Hello(),
+                    self._timing.call_s,
+                )
+            except wire.StartingError:
+                if self._clock.now() >= gives_up_at:
+                    raise
+                await self._clock.sleep(FORM_RETRY_S)
+
     # Calls from other replicas.
 
     async def on_hello(self, _: _messages.Hello) -> _messages.HelloReply:
