Read a refused body to its end before the refusal is sent

Cause: the web server closes a connection whose request is answered before its body was read, whatever the handler does with the rest; closing with unread bytes resets it under the answer. Its own limit (twice that of the handlers) closes before any handler runs. Ruled out: load as the cause: a caller that pauses 0.3 s within its body loses the answer each time. After: all five get their 413 or 404 (features/processes.feature, 'A refused body is answered though its caller still sends').

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -71,6 +71,15 @@
   Scenario: A caller by curl, as the README shows
     Then curl gets a streamed answer that ends in its end mark
 
+  Scenario: A refused body is answered though its caller still sends
+    Then slow callers of these bodies get these answers
+      | body                      | status |
+      | declared over the limit   | 413    |
+      | declared over twice that  | 413    |
+      | chunked over the limit    | 413    |
+      | chunked over twice that   | 413    |
+      | declared on no route      | 404    |
+
   Scenario: Bad input gets typed answers
     Then these requests get these codes
       | request            | status | code                |
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -697,6 +697,63 @@
     assert not wrong, wrong
 
 
+# The daemons of these tests take bodies of 4 MiB.
+OVER_LIMIT = 5 * 1024 * 1024
+OVER_TWICE = 9 * 1024 * 1024
+PIECE = b"x" * 65536
+# Longer than a server that answers early takes to close.
+SLOW_S = 0.3
+BODY_BY_NAME = {
+    "declared over the limit": (RUN_PATH, OVER_LIMIT, False),
+    "declared over twice that": (RUN_PATH, OVER_TWICE, False),
+    "chunked over the limit": (RUN_PATH, OVER_LIMIT, True),
+    "chunked over twice that": (RUN_PATH, OVER_TWICE, True),
+    "declared on no route": ("/nothing", OVER_LIMIT // 2, False),
+}
+
+
+async def _send_slowly(
+    address: str, path: str, size: int, chunked: bool
+) -> bytes:
+    """Send a body with a pause within it; return the answer's first line."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    length = (
+        "Transfer-Encoding: chunked" if chunked else f"Content-Length: {size}"
+    )
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\n{length}\r\n\r\n"
+    writer.write(head.encode())
+    try:
+        for sent in range(0, size, len(PIECE)):
+            piece = PIECE[: size - sent]
+            framed = b"%x\r\n%s\r\n" % (len(piece), piece)
+            writer.write(framed if chunked else piece)
+            await writer.drain()
+            if sent in (0, size // 2 // len(PIECE) * len(PIECE)):
+                await asyncio.sleep(SLOW_S)
+        if chunked:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        return await asyncio.wait_for(reader.readline(), 10)
+    finally:
+        writer.transport.abort()
+
+
+@behave.then("slow callers of these bodies get these answers")
+def slow_bodies(context) -> None:
+    wrong = []
+    address = context.run.system.addresses[0]
+    for row in context.table:
+        sending = _send_slowly(address, *BODY_BY_NAME[row["body"]])
+        try:
+            line = context.run.do(sending).decode()
+        except OSError as error:
+            line = str(error)
+        if f" {row['status']} " not in line:
+            wrong.append((row["body"], line))
+    assert not wrong, wrong
+
+
 @behave.then("a half-open caller does not keep others from an answer")
 def half_open(context) -> None:
     host, _, port = context.run.system.addresses[0].rpartition(":")
--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -4,10 +4,13 @@
 programs ``bergamotsaild`` and ``bergamotsail`` are thin around it.
 """
 
+from bergamotsail.daemon import _bounded_body
 from bergamotsail.daemon import _quiet
 from bergamotsail.daemon import _roles
 from bergamotsail import wire
 
+BoundedBodyHandler = _bounded_body.BoundedBodyHandler
+SERVER_BODY_BYTES = _bounded_body.SERVER_BODY_BYTES
 BudgetSettings = _roles.BudgetSettings
 EntryPoint = _roles.EntryPoint
 Replica = _roles.Replica
--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -6,8 +6,8 @@
 
 from absl import logging
 from tornado import iostream
-from tornado import web
 
+from bergamotsail.daemon import _bounded_body
 from bergamotsail import wire
 
 if typing.TYPE_CHECKING:
@@ -16,8 +16,7 @@
 T = typing.TypeVar("T")
 
 
-@web.stream_request_body
-class BaseHandler(web.RequestHandler):
+class BaseHandler(_bounded_body.BoundedBodyHandler):
     """Bounds the body, types every error, and notices lost callers."""
 
     prefix = "http"
@@ -26,37 +25,13 @@
     def initialize(self, daemon: "_assembly.Daemon") -> None:
         """Take the daemon that the routes give."""
         self.daemon = daemon
-        self._pieces: list[bytes] = []
-        self._size = 0
+        self.begin_body(daemon.settings.http.max_body_bytes)
         self._task: asyncio.Task | None = None
 
-    def prepare(self) -> None:
-        """Refuse a body that says it is too large."""
-        limit = self.daemon.settings.http.max_body_bytes
-        length = self.request.headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > limit:
-            self._refuse_body(limit)
-
-    def data_received(self, chunk: bytes) -> None:
-        """Collect the body, up to the limit."""
-        self._size += len(chunk)
-        if self._size > self.daemon.settings.http.max_body_bytes:
-            if not self._finished:
-                self._refuse_body(self.daemon.settings.http.max_body_bytes)
-            return
-        self._pieces.append(chunk)
-
-    def _refuse_body(self, limit: int) -> None:
-        # The rest of the body is read and dropped: to close on a caller that
-        # still sends would reset the connection under the answer.
-        self.send_typed(
-            wire.TooLargeError(f"Send a body of at most {limit} bytes.")
-        )
-
-    @property
-    def body(self) -> bytes:
-        """The whole body."""
-        return b"".join(self._pieces)
+    def end_refused(self) -> None:
+        """Answer with the typed refusal."""
+        assert self.refused is not None
+        self.send_typed(self.refused)
 
     def on_connection_close(self) -> None:
         """Cancel the work of a caller that went away."""
@@ -67,8 +42,9 @@
         self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
         """Run the handler's work; a caller that goes away cancels it."""
-        if self._finished:
+        if self.refused is not None:
             work.close()
+            self.end_refused()
             return
         self._task = asyncio.create_task(work)
         try:
--- a/libs/daemon/src/bergamotsail/daemon/main.py
+++ b/libs/daemon/src/bergamotsail/daemon/main.py
@@ -12,6 +12,7 @@
 from tornado import netutil
 
 from bergamotsail.daemon import _assembly
+from bergamotsail.daemon import _bounded_body
 from bergamotsail.daemon import _http_server
 from bergamotsail import quorum
 from bergamotsail import settings as settings_lib
@@ -58,7 +59,7 @@
         idle_connection_timeout=limits.idle_s,
         body_timeout=limits.body_s,
         # The handlers bound bodies themselves, to answer with a type.
-        max_body_size=limits.max_body_bytes * 2 + 1024,
+        max_body_size=_bounded_body.SERVER_BODY_BYTES,
     )
     host, _, port = daemon.settings.address.rpartition(":")
     server.add_sockets(netutil.bind_sockets(int(port), host.strip("[]")))
