Let an entry of the instance list that does not fit cost itself alone

Cause: a page of the list was decoded as a whole, so that one entry with a missing or mistyped field, or with bytes that are no text, lost the page, and all its targets counted as leaving. Ruled out: leniency in the reader of fields; what does not fit is left out.

--- a/libs/targets/src/bergamotsail/targets/__init__.py
+++ b/libs/targets/src/bergamotsail/targets/__init__.py
@@ -16,6 +16,7 @@
 
 Instance = _instances.Instance
 InstanceList = _instances.InstanceList
+ListFaults = _instances.ListFaults
 InstanceState = _instances.InstanceState
 
 __getattr__ = wire.lazy_names(
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -18,6 +18,8 @@
 from bergamotsail.wire import _tokens
 
 decode = _codec.decode
+decode_each = _codec.decode_each
+readable = _codec.readable
 encode = _codec.encode
 encode_lines = _codec.encode_lines
 to_builtins = _codec.to_builtins
--- a/libs/wire/src/bergamotsail/wire/_codec.py
+++ b/libs/wire/src/bergamotsail/wire/_codec.py
@@ -8,6 +8,7 @@
 from bergamotsail.wire import _errors
 
 T = typing.TypeVar("T")
+UNREADABLE = "\ufffd".encode()
 
 
 def encode(value: object) -> bytes:
@@ -35,6 +36,30 @@
         ) from error
 
 
+def decode_each(
+    items: collections.abc.Iterable[msgspec.Raw],
+    kind: type[T],
+    refused: collections.abc.Callable[[_errors.BadMessageError], None],
+) -> collections.abc.Iterator[T]:
+    """Decode items one by one; one that does not fit costs itself alone.
+
+    Args:
+        refused: told of each item that does not fit.
+    """
+    for item in items:
+        try:
+            if UNREADABLE in bytes(item):
+                raise _errors.BadMessageError("Send text in UTF-8.")
+            yield decode(bytes(item), kind)
+        except _errors.BadMessageError as error:
+            refused(error)
+
+
+def readable(data: bytes) -> bytes:
+    """Replace bytes that are no text, so that they spoil only their item."""
+    return data.decode("utf-8", "replace").encode()
+
+
 def encode_lines(values: collections.abc.Iterable[object]) -> bytes:
     """Encode values as JSON, one a line."""
     return b"".join(encode(value) + b"\n" for value in values)
