--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -23,6 +23,9 @@
 from bergamotsail import targets
 from bergamotsail import wire
 
+# Sessions outlive a heartbeat that was refused; the lead of the log does not
+# outlive a replica that is later than its election.
+HEARTBEAT_SHED_S = 0.3
 MAX_EFFECTS = 500
 STATE_BATCH = 500
 RELAY_TIMEOUT_S = 2.0
@@ -125,7 +128,7 @@
 
     def serve(self, server: wire.PeerServer) -> None:
         """Answer the calls of daemons."""
-        server.serve(_messages.HEARTBEAT, self.on_heartbeat)
+        server.serve(_messages.HEARTBEAT, self.on_heartbeat, HEARTBEAT_SHED_S)
         server.serve(_messages.STATE, self.on_state)
         server.serve(_messages.COMMAND, self.on_command)
         server.serve(_messages.FIND_CLAIM, self.on_find_claim)
--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from bergamotsail.daemon import _bounded_body
+from bergamotsail.daemon import _peer_face
 from bergamotsail.daemon import _quiet
 from bergamotsail.daemon import _roles
 from bergamotsail import wire
@@ -17,8 +18,8 @@
 Replica = _roles.Replica
 RoleSettings = _roles.RoleSettings
 metrics_application = _roles.metrics_application
-peer_application = _roles.peer_application
-peer_routes = _roles.peer_routes
+LoopLag = _peer_face.LoopLag
+PeerFace = _peer_face.PeerFace
 quiet_application = _quiet.quiet_application
 
 __getattr__ = wire.lazy_names(
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -15,7 +15,7 @@
 
 from bergamotsail import catalogue
 from bergamotsail import control
-from bergamotsail.daemon import _peer_handlers
+from bergamotsail.daemon import _peer_face
 from bergamotsail.daemon import _quiet
 from bergamotsail import observe
 from bergamotsail import placement
@@ -24,7 +24,6 @@
 from bergamotsail import targets
 from bergamotsail import wire
 
-PEER_BODY_BYTES = 32 * 1024 * 1024
 FAILED_WAIT_S = 1.0
 STOP_POLL_S = 0.05
 CUT_OFF_S = 2.5
@@ -56,37 +55,6 @@
     places: placement.PlaceSettings = placement.PlaceSettings()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PeerLimits:
-    max_body_bytes: int = PEER_BODY_BYTES
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PeerSettings:
-    peer_token: str
-    http: _PeerLimits = _PeerLimits()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PeerFace:
-    """The part of a daemon that its peers' handler looks at."""
-
-    server: wire.PeerServer
-    settings: _PeerSettings
-
-
-def peer_routes(server: wire.PeerServer, token: str) -> list[tuple]:
-    """Return the routes that answer other daemons."""
-    face = _PeerFace(server, _PeerSettings(token))
-    handler = _peer_handlers.PeerHandler
-    return [(r"/peer/v1/([a-z_]+)", handler, {"daemon": face})]
-
-
-def peer_application(server: wire.PeerServer, token: str) -> web.Application:
-    """Return an application with nothing but the peers' routes."""
-    return _quiet.quiet_application(peer_routes(server, token))
-
-
 class MetricsHandler(web.RequestHandler):
     """Counters and histograms as text, and what was not written to logs."""
 
@@ -166,6 +134,10 @@
         started_at: float | None = None,
     ) -> None:
         self.server = wire.PeerServer()
+        self.lag = _peer_face.LoopLag(clock)
+        self.peer_face = _peer_face.PeerFace(
+            self.server, settings.peer_token, self.lag
+        )
         self.metrics = observe.Metrics()
         self.machine = catalogue.CatalogueMachine()
         self.node = quorum.Node(
@@ -214,7 +186,7 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> "Replica":
-        for part in (self.node, self.coordinator, self.placer):
+        for part in (self.lag, self.node, self.coordinator, self.placer):
             await self._stack.enter_async_context(part)
         return self
 
@@ -322,6 +294,10 @@
             peer_address=settings.address,
         )
         self.server = wire.PeerServer()
+        self.lag = _peer_face.LoopLag(clock)
+        self.peer_face = _peer_face.PeerFace(
+            self.server, settings.peer_token, self.lag
+        )
         self.leader = control.Leader(transport, settings.seeds)
         self.session = control.Session(
             info, self.leader, transport, settings.lease, clock=clock
@@ -357,6 +333,7 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> "EntryPoint":
+        await self._stack.enter_async_context(self.lag)
         await self._stack.enter_async_context(self._places)
         await self._stack.enter_async_context(self.session)
         return self
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -26,6 +26,10 @@
 from bergamotsail import wire
 
 TICK_S = 0.05
+# New requests are the first to be refused by a process that is behind, then
+# what heartbeats heal. Callers come back with a pause.
+PLACE_SHED_S = 0.12
+RELEASE_SHED_S = 0.25
 USE_GRACE_S = 1.5
 # Every entry that was in touch has found a new holder by then, about.
 USES_TOLD_S = 1.0
@@ -184,8 +188,8 @@
 
     def serve(self, server: wire.PeerServer) -> None:
         """Answer the calls of entries."""
-        server.serve(_place_messages.PLACE, self.on_place)
-        server.serve(_place_messages.RELEASE, self.on_release)
+        server.serve(_place_messages.PLACE, self.on_place, PLACE_SHED_S)
+        server.serve(_place_messages.RELEASE, self.on_release, RELEASE_SHED_S)
 
     # Calls from entries.
 
@@ -225,7 +229,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(request.patience_s - max(hope_s, 0.0)):
                 return await waiter.done
-        raise wire.OverloadError(
+        raise wire.StillWaitingError(
             "No engine took this request so far. Ask again.",
             retry_after_s=RETRY_AFTER_S,
         )
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import dataclasses
 
 from bergamotsail import control
@@ -14,6 +15,17 @@
 ASK_RETRY_S = 0.05
 MOST_PAUSE_S = 0.3
 RELEASE_SPACING_S = 0.01
+# All daemons together send about so many releases a second at most; a
+# release costs the leader some 0.4 ms.
+MOST_RELEASES_PER_S = 300.0
+# All daemons together ask for places about so often a second at most, so
+# that whoever leads next isn't asked by all at once.
+MOST_ASKS_PER_S = 1_200.0
+# Each may ask so many times at once, however many daemons there are.
+LEAST_BURST = 4.0
+# Where a leader was lost, one request of a daemon looks for the next; the
+# others look now and then.
+SEARCH_PAUSE_S = 0.5
 RELEASE_TIMEOUT_S = 0.5
 MOST_RELEASES = 500
 REMEMBERED = 500
@@ -33,6 +45,38 @@
     code = "leader_moved"
 
 
+class AskBudget:
+    """Bounds how often a daemon asks; a token bucket.
+
+    Args:
+        per_s: gives its part of what all daemons may ask in a second.
+    """
+
+    def __init__(
+        self,
+        per_s: collections.abc.Callable[[], float],
+        clock: wire.Clock,
+    ) -> None:
+        self._per_s = per_s
+        self._clock = clock
+        self._tokens = LEAST_BURST
+        self._at = clock.now()
+
+    def wait_s(self) -> float:
+        """Take a turn; return how long to wait for it.
+
+        Example: with 10 turns a second, of 6 calls at once four return 0
+        and the others about 0.1 and 0.2.
+        """
+        now = self._clock.now()
+        per_s = self._per_s()
+        most = max(LEAST_BURST, per_s / 4)
+        grown = self._tokens + (now - self._at) * per_s
+        self._at = now
+        self._tokens = min(grown, most) - 1.0
+        return max(0.0, -self._tokens / per_s)
+
+
 class Places:
     """Places that this daemon's requests use; an async context manager.
 
@@ -61,6 +105,15 @@
         )
         self._wake = asyncio.Event()
         self._background = wire.Background()
+        self._searching = False
+        self._found = asyncio.Event()
+        self._budget = AskBudget(
+            lambda: MOST_ASKS_PER_S / self._daemons(), clock
+        )
+
+    def _daemons(self) -> int:
+        """Return how many daemons share the leader, this one included."""
+        return max(len(self._session.daemon_by_boot), 1)
 
     async def __aenter__(self) -> "Places":
         self._background.start(self._release)
@@ -86,33 +139,57 @@
         pause_s = ASK_RETRY_S
         last: wire.ServingError | None = None
         while (left_s := deadline - self._clock.now()) > 0:
+            turn_s = self._budget.wait_s()
+            if turn_s > 0.0:
+                await self._clock.sleep(min(turn_s, left_s))
             asked = dataclasses.replace(
                 request,
-                patience_s=min(left_s, ASK_S),
+                patience_s=min(max(deadline - self._clock.now(), 0.0), ASK_S),
                 waited_s=request.waited_s + self._clock.now() - started_at,
             )
             try:
                 reply = await self._ask(asked)
+                self._leader_answers()
                 return self._took(request, reply)
-            except LeaderMovedError:
+            except (LeaderMovedError, wire.StillWaitingError):
                 continue
             except wire.NoPlaceError:
                 raise
             except wire.OverloadError as error:
                 last = error
-                continue
+                pause_s = max(pause_s, error.retry_after_s or 0.0)
             except wire.ServingError as error:
                 last = error
-            remembered = self._recall(request)
-            if remembered is not None:
-                return self._took(request, remembered)
-            await self._clock.sleep(min(pause_s, left_s))
+                remembered = self._recall(request)
+                if remembered is not None:
+                    return self._took(request, remembered)
+            await self._pause(min(pause_s, left_s))
             pause_s = min(pause_s * 2, MOST_PAUSE_S)
         raise wire.OverloadError(
             "No place was found in time. Come back later.",
             retry_after_s=1.0,
         ) from last
 
+    async def _pause(self, pause_s: float) -> None:
+        """Wait before the leader is asked again.
+
+        One of this daemon's requests asks as soon as *pause_s* is over. The
+        others wait until one of them was answered, or longer.
+        """
+        if not self._searching:
+            self._searching = True
+            try:
+                await self._clock.sleep(pause_s)
+            finally:
+                self._searching = False
+            return
+        await wire.wait_event(self._found, max(pause_s, SEARCH_PAUSE_S))
+
+    def _leader_answers(self) -> None:
+        """Wake the requests that wait until a leader answers."""
+        self._found.set()
+        self._found = asyncio.Event()
+
     async def _ask(
         self, asked: placement.PlaceRequest
     ) -> placement.PlaceReply:
@@ -216,7 +293,8 @@
         """Send what ended in batches; a lost one is healed by heartbeats."""
         while True:
             await self._wake.wait()
-            await self._clock.sleep(RELEASE_SPACING_S)
+            spacing_s = self._daemons() / MOST_RELEASES_PER_S
+            await self._clock.sleep(max(RELEASE_SPACING_S, spacing_s))
             self._wake.clear()
             ended = tuple(self._ended)
             begun = tuple(self._begun)
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -44,6 +44,8 @@
 lazy_names = _lazy.lazy_names
 
 Call = _peers.Call
+PEER_PATH = _peers.PEER_PATH
+TOKEN_HEADER = _peers.TOKEN_HEADER
 PeerServer = _peers.PeerServer
 PeerTransport = _peers.PeerTransport
 HttpPeerTransport = _peers.HttpPeerTransport
@@ -80,6 +82,7 @@
 ReplicaFailedError = _errors.ReplicaFailedError
 ServingError = _errors.ServingError
 StaleOrderError = _errors.StaleOrderError
+StillWaitingError = _errors.StillWaitingError
 StartingError = _errors.StartingError
 StoppingError = _errors.StoppingError
 TooLargeError = _errors.TooLargeError
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -159,6 +159,12 @@
     code = "no_place"
 
 
+class StillWaitingError(OverloadError):
+    """The leader still looks for room; ask again at once to go on waiting."""
+
+    code = "still_waiting"
+
+
 class DeadlineError(ServingError):
     """The deadline passed, or can't be met."""
 
--- a/libs/wire/src/bergamotsail/wire/_peers.py
+++ b/libs/wire/src/bergamotsail/wire/_peers.py
@@ -42,10 +42,23 @@
 
     def __init__(self) -> None:
         self.by_name: dict[str, tuple[Call, Handler | StreamHandler]] = {}
+        self.shed_after_s: dict[str, float] = {}
 
-    def serve(self, call: Call, handler: Handler | StreamHandler) -> None:
-        """Answer *call* with *handler* from now on."""
+    def serve(
+        self,
+        call: Call,
+        handler: Handler | StreamHandler,
+        shed_after_s: float | None = None,
+    ) -> None:
+        """Answer *call* with *handler* from now on.
+
+        Args:
+            shed_after_s: refuse it while this process is later than this
+                with its work; None to answer it always.
+        """
         self.by_name[call.name] = (call, handler)
+        if shed_after_s is not None:
+            self.shed_after_s[call.name] = shed_after_s
 
     def find(self, name: str) -> tuple[Call, Handler | StreamHandler]:
         """Return the call of this name and its handler.
