--- a/libs/daemon/src/bergamotsail/daemon/_peer_face.py
+++ b/libs/daemon/src/bergamotsail/daemon/_peer_face.py
@@ -99,7 +99,7 @@
         most_s = self._server.shed_after_s.get(name)
         if most_s is not None and self._lag.now_s > most_s:
             self.shed += 1
-            raise wire.OverloadError(
+            raise wire.BehindError(
                 "This daemon is behind with its work. Ask again.",
                 retry_after_s=self._lag.now_s,
             )
--- a/libs/placement/src/bergamotsail/placement/_decisions.py
+++ b/libs/placement/src/bergamotsail/placement/_decisions.py
@@ -28,7 +28,7 @@
 # Engines that are weighed for a load, beside those with a copy. With more,
 # a decision costs time in proportion and gains nothing: the least loaded
 # are alike.
-MOST_WEIGHED = 16
+MOST_WEIGHED = 10
 # The order of engines by load is that old at most.
 ORDER_AGE_S = 0.02
 
--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -86,6 +86,7 @@
         self.info = info
         self.capacity = capacity_of(spec)
         self._spec = spec
+        self._most_tokens = spec.memory_tokens * MEMORY_SHARE
         self._told_by = told_by
         self.leaving = False
         self.known = False
@@ -114,12 +115,11 @@
         """Whether a request may run here and fits beside the others."""
         return (
             not self.leaving
+            and self.tokens + wish.tokens <= self._most_tokens
+            and len(self.grant_by_request) < self._spec.slots
             and self.info.pool == wish.pool
             and wish.name[0] in self.models
             and self.info.id not in wish.avoid
-            and self.running < self._spec.slots
-            and self.tokens + wish.tokens
-            <= self._spec.memory_tokens * MEMORY_SHARE
         )
 
     @property
--- a/libs/placement/src/bergamotsail/placement/_pace.py
+++ b/libs/placement/src/bergamotsail/placement/_pace.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 
 # A fresh prompt is weighed like that many observations.
 PRIOR_WEIGHT = 1.5
@@ -17,6 +18,9 @@
 # eight of them speak at a time, so that an engine that turns slow under
 # load is found out within two seconds and not within one half-life.
 KEPT_BY_EACH = 0.88
+# The share of an engine's time that reading takes counts over about this.
+SHARE_HALF_LIFE_S = 2.0
+MOST_SHARE = 0.95
 # A prompt of about this size carries the prior's speed.
 PRIOR_TOKENS = 4_000.0
 # A belief is computed anew when it is older than this.
@@ -156,8 +160,12 @@
             collections.OrderedDict()
         )
         self._tokens = 0
+        self._backlog_s = 0.0
+        self._backlog_at = float("-inf")
         # When the engine turned to the oldest unread prompt.
         self._since = 0.0
+        self._work_s = 0.0
+        self._work_at = 0.0
         self._pace = pool.pace()
         self._pace_at = float("-inf")
 
@@ -172,14 +180,28 @@
         """Count a prompt in that is on its way to the engine."""
         if not self._unread:
             self._since = now
+        self._work_s = self._faded_work_s(now)
+        self._work_s += self.pace(now).read_s(tokens)
+        self._work_at = now
         self._unread[key] = _Unread(now, tokens)
         self._tokens += tokens
+        self._backlog_at = float("-inf")
+
+    def _faded_work_s(self, now: float) -> float:
+        since_s = max(0.0, now - self._work_at)
+        return self._work_s * 0.5 ** (since_s / SHARE_HALF_LIFE_S)
+
+    def share(self, now: float) -> float:
+        """Return the part of its time that it lately spent on reading."""
+        share = self._faded_work_s(now) * math.log(2) / SHARE_HALF_LIFE_S
+        return min(share, MOST_SHARE)
 
     def drop(self, key: tuple[str, str]) -> None:
         """Count a prompt out that will not be read, or was."""
         unread = self._unread.pop(key, None)
         if unread is not None:
             self._tokens -= unread.tokens
+            self._backlog_at = float("-inf")
 
     def begun(self, key: tuple[str, str], first_s: float, now: float) -> None:
         """Learn that the first answer came *first_s* after the grant."""
@@ -205,6 +227,12 @@
         """
         if not self._unread:
             return 0.0
+        if self._backlog_at != now:
+            self._backlog_at = now
+            self._backlog_s = self._backlog(now)
+        return self._backlog_s
+
+    def _backlog(self, now: float) -> float:
         pace = self.pace(now)
         oldest = next(iter(self._unread.values()))
         all_s = self._tokens / pace.tokens_per_s
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -6,6 +6,43 @@
 from bergamotsail import wire
 
 
+class UseOutcome(enum.StrEnum):
+    """How a request ended at its target."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    ABSENT = "absent"
+    FAILED = "failed"
+    LEFT = "left"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedUse:
+    """A request that no longer runs at a target."""
+
+    request: str
+    target: str
+    outcome: UseOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BegunUse:
+    """A request whose first answer came *first_s* after its grant."""
+
+    request: str
+    target: str
+    first_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseRequest:
+    """Give back what requests used, and tell which were begun."""
+
+    boot: str
+    ended: tuple[EndedUse, ...]
+    begun: tuple[BegunUse, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceRequest:
     """Ask for an engine that holds an adapter.
@@ -24,6 +61,7 @@
         objective_s: the time until the first token that is worth most.
         hope_s: refuse it after this wait unless a load is on its way.
         age_s: how long its caller had tried before this attempt, about.
+        releases: what the daemon has to give back, on the same way.
     """
 
     boot: str
@@ -42,6 +80,7 @@
     objective_s: float = 1.0
     hope_s: float = 60.0
     age_s: float = 0.0
+    releases: ReleaseRequest | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,43 +101,6 @@
     reason: str
 
 
-class UseOutcome(enum.StrEnum):
-    """How a request ended at its target."""
-
-    DONE = "done"
-    REFUSED = "refused"
-    ABSENT = "absent"
-    FAILED = "failed"
-    LEFT = "left"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndedUse:
-    """A request that no longer runs at a target."""
-
-    request: str
-    target: str
-    outcome: UseOutcome
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BegunUse:
-    """A request whose first answer came *first_s* after its grant."""
-
-    request: str
-    target: str
-    first_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReleaseRequest:
-    """Give back what requests used, and tell which were begun."""
-
-    boot: str
-    ended: tuple[EndedUse, ...]
-    begun: tuple[BegunUse, ...] = ()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Released:
     """A reply without content."""
--- a/libs/placement/src/bergamotsail/placement/_place_policy.py
+++ b/libs/placement/src/bergamotsail/placement/_place_policy.py
@@ -74,6 +74,8 @@
         fault_s: penalty for each recent failure.
         home_rank_s: penalty for each engine that hashing prefers.
         crowd_s: cost of each request that already runs there.
+        stream_s: cost of streams that are slowed to half by what an engine
+            reads besides; those hold their adapters' slots for longer.
     """
 
     copy_load_s: float = 0.04
@@ -84,10 +86,13 @@
     fault_s: float = 0.3
     home_rank_s: float = 0.01
     crowd_s: float = 0.0
+    stream_s: float = 0.1
 
     def busy_cost_s(self, holding: _holding.Holding, now: float) -> float:
+        share = holding.reading.share(now)
         return (
             holding.reading.backlog_s(now)
+            + self.stream_s * share / (1.0 - share)
             + self.crowd_s * holding.running
             + self.fault_s * holding.faults(now)
         )
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -41,7 +41,7 @@
 USES_HALF_LIFE_S = 10.0
 PUMP_S = 0.002
 # A decision waits so many times as long as the last one took.
-PUMP_SPACING = 3.0
+PUMP_SPACING = 5.0
 OLD_VERSION_S = 1.0
 RETRY_AFTER_S = 0.5
 
@@ -96,7 +96,9 @@
     def tokens(self) -> int:
         return self.request.prompt_tokens + self.request.output_tokens
 
-    def rank(self, pace: _pace.Pace, now: float) -> tuple[bool, int, float]:
+    def rank(
+        self, pace: _pace.Pace, urgent_first: bool, now: float
+    ) -> tuple[bool, int, float]:
         """Order waiters: first those who can still be on time.
 
         When places are short, serving in order of arrival makes everyone
@@ -107,7 +109,8 @@
         begins_by = (
             self.arrived_at + request.objective_s - request.age_s - needs_s
         )
-        return begins_by < now, request.priority, begins_by
+        priority = request.priority if urgent_first else 0
+        return begins_by < now, priority, begins_by
 
     def wish(self, uses: float, now: float) -> _place_policy.Wish:
         return _place_policy.Wish(
@@ -198,6 +201,9 @@
     ) -> _place_messages.PlaceReply:
         """Find a place, waiting for a load where that is needed."""
         self._check_leading()
+        if request.releases is not None:
+            self._take_releases(request.releases)
+            self._pump_soon()
         done = asyncio.get_running_loop().create_future()
         arrived_at = self._clock.now() - request.waited_s
         waiter = _Waiter(request, arrived_at, done)
@@ -205,7 +211,7 @@
         try:
             now = self._clock.now()
             if not self._grant_at_once(waiter, now):
-                self._log_waiter("wait", waiter)
+                self._log_wait(waiter)
                 self._pump_soon()
             return await self._wait(waiter)
         finally:
@@ -221,7 +227,7 @@
                 return await asyncio.shield(waiter.done)
         if not self._on_its_way(waiter):
             self._metrics.count("placements_refused", reason="no_place")
-            self._log_waiter("refuse", waiter)
+            self._log_refusal(waiter)
             raise wire.NoPlaceError(
                 "No engine can take this request in time. Come back later.",
                 retry_after_s=RETRY_AFTER_S,
@@ -241,17 +247,28 @@
             for holding in self._usable(waiter)
         )
 
-    def _log_waiter(self, what: str, waiter: _Waiter) -> None:
-        """Log that a request waits or is refused, and what stood then."""
+    def _log_wait(self, waiter: _Waiter) -> None:
+        """Log that a request waits."""
+        observe.log_event(
+            "place",
+            "wait",
+            request=waiter.request.request,
+            adapter="/".join(waiter.name),
+            waiting=len(self._waiters),
+            term=self._term,
+        )
+
+    def _log_refusal(self, waiter: _Waiter) -> None:
+        """Log that a request is refused, and what stood then."""
         where = {
-            target: str(orders.holding.slot_by_name[waiter.name].state)
-            for target, orders in self._orders_by_target.items()
-            if waiter.name in orders.holding.slot_by_name
+            target: str(holding.slot_by_name[waiter.name].state)
+            for target, holding in self._holding_by_target.items()
+            if waiter.name in holding.slot_by_name
         }
         usable = self._usable(waiter)
         observe.log_event(
             "place",
-            what,
+            "refuse",
             request=waiter.request.request,
             adapter="/".join(waiter.name),
             waited_s=round(self._clock.now() - waiter.arrived_at, 4),
@@ -268,6 +285,11 @@
     ) -> _place_messages.Released:
         """Count requests out, and learn from how they ended."""
         self._check_leading()
+        self._take_releases(request)
+        self._pump_soon()
+        return _place_messages.Released()
+
+    def _take_releases(self, request: _place_messages.ReleaseRequest) -> None:
         for begun in request.begun:
             orders = self._orders_by_target.get(begun.target)
             if orders is not None:
@@ -277,8 +299,6 @@
                 )
         for ended in request.ended:
             self._end_use(request.boot, ended)
-        self._pump_soon()
-        return _place_messages.Released()
 
     def _end_use(self, boot: str, ended: _place_messages.EndedUse) -> None:
         orders = self._orders_by_target.get(ended.target)
@@ -510,9 +530,12 @@
         pace_by_pool = {
             pool: paces.pace() for pool, paces in self._pace_by_pool.items()
         }
+        urgent_first = self._settings.urgent_first
         self._waiters.sort(
             key=lambda waiter: waiter.rank(
-                pace_by_pool.get(waiter.request.pool, _pace.FIRST_BELIEF), now
+                pace_by_pool.get(waiter.request.pool, _pace.FIRST_BELIEF),
+                urgent_first,
+                now,
             )
         )
         waiters_by_name: dict[_holding.AdapterName, list[_Waiter]] = {}
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -146,6 +146,7 @@
                 request,
                 patience_s=min(max(deadline - self._clock.now(), 0.0), ASK_S),
                 waited_s=request.waited_s + self._clock.now() - started_at,
+                releases=self._pending(),
             )
             try:
                 reply = await self._ask(asked)
@@ -155,11 +156,11 @@
                 continue
             except wire.NoPlaceError:
                 raise
-            except wire.OverloadError as error:
-                last = error
-                pause_s = max(pause_s, error.retry_after_s or 0.0)
             except wire.ServingError as error:
                 last = error
+                self._put_back(error, asked.releases)
+                if isinstance(error, wire.BehindError):
+                    pause_s = max(pause_s, error.retry_after_s or 0.0)
                 remembered = self._recall(request)
                 if remembered is not None:
                     return self._took(request, remembered)
@@ -170,6 +171,27 @@
             retry_after_s=1.0,
         ) from last
 
+    def _pending(self) -> placement.ReleaseRequest | None:
+        """Take what is to be given back; it rides with the next call."""
+        if not self._ended and not self._begun:
+            return None
+        ended = tuple(self._ended)
+        begun = tuple(self._begun)
+        self._ended.clear()
+        self._begun.clear()
+        return placement.ReleaseRequest(self._session.boot, ended, begun)
+
+    def _put_back(
+        self,
+        error: wire.ServingError,
+        releases: placement.ReleaseRequest | None,
+    ) -> None:
+        """Keep for the next call what surely was not read."""
+        unread = (wire.NotSentError, wire.NotLeaderError, wire.BehindError)
+        if releases is not None and isinstance(error, unread):
+            self._ended.extendleft(reversed(releases.ended))
+            self._begun.extendleft(reversed(releases.begun))
+
     async def _pause(self, pause_s: float) -> None:
         """Wait before the leader is asked again.
 
@@ -296,15 +318,9 @@
             spacing_s = self._daemons() / MOST_RELEASES_PER_S
             await self._clock.sleep(max(RELEASE_SPACING_S, spacing_s))
             self._wake.clear()
-            ended = tuple(self._ended)
-            begun = tuple(self._begun)
-            self._ended.clear()
-            self._begun.clear()
-            if not ended and not begun:
+            message = self._pending()
+            if message is None:
                 continue
-            message = placement.ReleaseRequest(
-                self._session.boot, ended, begun
-            )
             try:
                 await self._transport.call(
                     self._session.leader.address,
@@ -312,5 +328,5 @@
                     message,
                     RELEASE_TIMEOUT_S,
                 )
-            except wire.ServingError:
-                continue
+            except wire.ServingError as error:
+                self._put_back(error, message)
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -82,6 +82,7 @@
 ReplicaFailedError = _errors.ReplicaFailedError
 ServingError = _errors.ServingError
 StaleOrderError = _errors.StaleOrderError
+BehindError = _errors.BehindError
 StillWaitingError = _errors.StillWaitingError
 StartingError = _errors.StartingError
 StoppingError = _errors.StoppingError
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -159,6 +159,12 @@
     code = "no_place"
 
 
+class BehindError(OverloadError):
+    """A daemon is behind with its work and refused a call unread."""
+
+    code = "behind"
+
+
 class StillWaitingError(OverloadError):
     """The leader still looks for room; ask again at once to go on waiting."""
 
