--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -38,6 +38,9 @@
 # What a load and the way to the engine take, about.
 LOAD_S = 0.28
 TELL_S = 1.0
+# A crowded adapter is forgotten after so long unless it is noted again.
+CROWDED_AGE_S = 0.5
+MOST_CROWDED = 8
 # Uses of an adapter count half after so long.
 USES_HALF_LIFE_S = 10.0
 PUMP_S = 0.002
@@ -102,9 +105,7 @@
     def tokens(self) -> int:
         return self.request.prompt_tokens + self.request.output_tokens
 
-    def rank(
-        self, pace: _pace.Pace, urgent_first: bool, now: float
-    ) -> tuple[bool, int, float]:
+    def rank(self, pace: _pace.Pace, now: float) -> tuple[bool, int, float]:
         """Order waiters: first those who can still be on time.
 
         When places are short, serving in order of arrival makes everyone
@@ -115,8 +116,7 @@
         begins_by = (
             self.arrived_at + request.objective_s - request.age_s - needs_s
         )
-        priority = request.priority if urgent_first else 0
-        return begins_by < now, priority, begins_by
+        return begins_by < now, request.priority, begins_by
 
     def wish(self, uses: float, now: float) -> _place_policy.Wish:
         return _place_policy.Wish(
@@ -187,6 +187,10 @@
         self._pace_by_pool: dict[str, _pace.PoolPace] = {}
         self._pump_due: asyncio.TimerHandle | None = None
         self._pump_took_s = 0.0
+        # Requests of adapters whose engines are crowded, and since when.
+        self._crowded: dict[
+            _holding.AdapterName, tuple[_place_policy.Wish, float]
+        ] = {}
         self._names_left: collections.deque[_holding.AdapterName] = (
             collections.deque()
         )
@@ -458,6 +462,7 @@
         self._orders_by_target.clear()
         self._holding_by_target.clear()
         self._target_by_request.clear()
+        self._crowded.clear()
         self._fail_waiters()
 
     async def _tick(self) -> None:
@@ -553,6 +558,7 @@
         for waiter in self._waiters:
             waiters_by_name.setdefault(waiter.name, []).append(waiter)
         wanted = set(waiters_by_name)
+        self._relieve(wanted, now)
         while self._names_left and self._clock.now() - now < PUMP_SLICE_S:
             name = self._names_left.popleft()
             self._serve_name(waiters_by_name.get(name, []), wanted, now)
@@ -561,6 +567,17 @@
         if self._names_left:
             self._pump_soon()
 
+    def _relieve(self, wanted: set[_holding.AdapterName], now: float) -> None:
+        """Load further copies of adapters whose engines are crowded."""
+        for name, (wish, noted_at) in list(self._crowded.items()):
+            decision = self._decider.relieve(wish, wanted, now)
+            if isinstance(decision, _decisions.Load):
+                self._start_load(decision, name, now)
+            if decision != _decisions.Wait(False) or (
+                now - noted_at > CROWDED_AGE_S
+            ):
+                del self._crowded[name]
+
     def _ranked_names(
         self, now: float
     ) -> collections.abc.Iterable[_holding.AdapterName]:
@@ -568,12 +585,9 @@
         pace_by_pool = {
             pool: paces.pace() for pool, paces in self._pace_by_pool.items()
         }
-        urgent_first = self._settings.urgent_first
         self._waiters.sort(
             key=lambda waiter: waiter.rank(
-                pace_by_pool.get(waiter.request.pool, _pace.FIRST_BELIEF),
-                urgent_first,
-                now,
+                pace_by_pool.get(waiter.request.pool, _pace.FIRST_BELIEF), now
             )
         )
         return dict.fromkeys(waiter.name for waiter in self._waiters)
@@ -596,7 +610,7 @@
         decision = self._decider.decide(self._wish(waiter, now), wanted, now)
         if not isinstance(decision, _decisions.Run):
             return False
-        self._grant(waiter, self._holding_by_target[decision.target], now)
+        self._run(waiter, decision, now)
         return True
 
     def _serve_one(
@@ -608,15 +622,31 @@
         """Carry out what is decided for a request; False if it waits."""
         decision = self._decider.decide(self._wish(waiter, now), wanted, now)
         if isinstance(decision, _decisions.Run):
-            holding = self._holding_by_target[decision.target]
-            self._grant(waiter, holding, now)
+            self._run(waiter, decision, now)
             return True
         if isinstance(decision, _decisions.Load):
-            orders = self._orders_by_target[decision.target]
-            version = self._wanted_version(waiter.name)
-            orders.start_load(waiter.name, version, decision.victim, now)
+            self._start_load(decision, waiter.name, now)
         return False
 
+    def _run(
+        self, waiter: _Waiter, decision: _decisions.Run, now: float
+    ) -> None:
+        """Grant a place, and note an adapter whose engines are crowded."""
+        if decision.crowded and waiter.name not in self._crowded:
+            if len(self._crowded) < MOST_CROWDED:
+                self._crowded[waiter.name] = (self._wish(waiter, now), now)
+        self._grant(waiter, self._holding_by_target[decision.target], now)
+
+    def _start_load(
+        self,
+        decision: _decisions.Load,
+        name: _holding.AdapterName,
+        now: float,
+    ) -> None:
+        orders = self._orders_by_target[decision.target]
+        version = self._wanted_version(name)
+        orders.start_load(name, version, decision.victim, now)
+
     def _wish(self, waiter: _Waiter, now: float) -> _place_policy.Wish:
         uses = self._uses.value("/".join(waiter.name), now)
         return waiter.wish(uses, now)
