--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -20,6 +20,9 @@
       | six hundred engines                                   |
       | an instance starts before its routes are known        |
       | an instance never hears of routes                     |
+      | nobody leads                                          |
+      | a daemon is behind                                    |
+      | hundreds wait                                         |
 
   Scenario: Every switch of the decisions changes what callers get
     Then each switched-off mechanism breaks its load
--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import unittest.mock
 
@@ -13,13 +14,18 @@
 import looptime
 
 from bergamotsail import catalogue
+from bergamotsail import daemon
+from bergamotsail import observe
+from bergamotsail import placement
 from bergamotsail.placement import _decisions
 from bergamotsail.placement import _holding
 from bergamotsail.placement import _pace
 from bergamotsail.placement import _place_policy
 from bergamotsail.placement import _place_settings
+from bergamotsail.placement import _placer
 from bergamotsail.routing import _forward
 from bergamotsail.routing import _forward_types
+from bergamotsail.routing import _places
 from bergamotsail import targets
 from bergamotsail import wire
 
@@ -430,7 +436,150 @@
     return []
 
 
+# A leader that is lost, or behind.
+
+
+class _NobodyLeads(wire.PeerTransport):
+    """Refuses every call and counts them."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def call(self, address, call, message, timeout_s):
+        """Refuse."""
+        self.calls += 1
+        await asyncio.sleep(0.002)
+        raise wire.NotLeaderError("Nobody leads. Ask again.")
+
+    def stream(self, address, call, message, timeout_s):
+        """Not used."""
+        raise NotImplementedError
+
+
+def _session(daemons: int) -> unittest.mock.Mock:
+    session = unittest.mock.Mock()
+    session.daemon_by_boot = dict.fromkeys(map(str, range(daemons)))
+    session.leader.moved = asyncio.Event()
+    session.boot = "b"
+    return session
+
+
+def _place_request(number: int) -> placement.PlaceRequest:
+    return placement.PlaceRequest(
+        "b", str(number), POOL, MODEL, "a1", 9, 9, (), 0, 2.0, "a"
+    )
+
+
+def lost_leader() -> list[str]:
+    """83 daemons with 8 requests each do not ask without end for a leader.
+
+    In 2 s they ask some 1,000 times at most, all together; they asked 5,976
+    times before their budget.
+    """
+
+    async def run() -> int:
+        transport = _NobodyLeads()
+        daemons = [_places.Places(_session(83), transport) for _ in range(83)]
+        asking = [
+            asyncio.create_task(places.take(_place_request(number)))
+            for places in daemons
+            for number in range(8)
+        ]
+        await asyncio.gather(*asking, return_exceptions=True)
+        return transport.calls
+
+    loop = looptime.new_event_loop()
+    with contextlib.closing(loop):
+        calls = loop.run_until_complete(run())
+    most = 2 * _places.MOST_ASKS_PER_S + 83 * _places.LEAST_BURST
+    return [] if calls <= most else [f"{calls} calls in 2 s"]
+
+
+def behind() -> list[str]:
+    """A daemon that is behind refuses what can wait, and nothing else."""
+    server = wire.PeerServer()
+
+    async def answer(request):
+        return request
+
+    server.serve(placement.PLACE, answer, shed_after_s=0.1)
+    server.serve(placement.RELEASE, answer, shed_after_s=0.3)
+    server.serve(wire.Call("vote", dict, dict), answer)
+    lag = daemon.LoopLag()
+    face = daemon.PeerFace(server, "token", lag)
+    faults = []
+    for late_s, refused in ((0.0, ()), (0.2, ("place",)), (0.5, None)):
+        lag.now_s = late_s
+        found = []
+        for name in ("place", "release", "vote"):
+            try:
+                face._check_lag(name)
+            except wire.BehindError:
+                found.append(name)
+        wanted = ("place", "release") if refused is None else refused
+        if tuple(found) != wanted:
+            faults.append(f"{late_s} s late: refused {found}")
+    return faults
+
+
+class _SlowClock(wire.Clock):
+    """Each look at it takes 4 ms."""
+
+    def __init__(self) -> None:
+        self._now = 100.0
+
+    def now(self) -> float:
+        """Return the time, a little later each time."""
+        self._now += 0.004
+        return self._now
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep."""
+        await asyncio.sleep(seconds)
+
+
+def hundreds_wait() -> list[str]:
+    """To decide for hundreds of waiters leaves the loop to others between.
+
+    Where each decision takes 4 ms, one turn decides for a few of 200.
+    """
+
+    async def run() -> tuple[int, int]:
+        leadership = unittest.mock.Mock(term=1)
+        leadership.holds.return_value = True
+        placer = _placer.Placer(
+            leadership,
+            unittest.mock.Mock(),
+            unittest.mock.Mock(),
+            _place_policy.HomePolicy(),
+            observe.Metrics(),
+            _SlowClock(),
+        )
+        asking = []
+        for number in range(200):
+            request = dataclasses.replace(
+                _place_request(number), adapter=f"a{number}"
+            )
+            asking.append(asyncio.create_task(placer.on_place(request)))
+        await asyncio.sleep(0)
+        placer._pump()
+        left, due = len(placer._names_left), placer._pump_due is not None
+        for task in asking:
+            task.cancel()
+        return left, due
+
+    loop = looptime.new_event_loop()
+    with contextlib.closing(loop):
+        left, due = loop.run_until_complete(run())
+    if not (150 < left < 200 and due):
+        return [f"{left} are left, and the next turn is due: {due}"]
+    return []
+
+
 LOADS = {
+    "nobody leads": lost_leader,
+    "a daemon is behind": behind,
+    "hundreds wait": hundreds_wait,
     "an engine reads faster than the first belief": faster,
     "an engine turns slow": turns_slow,
     "a slow engine is believed like its peers again": slow_again,
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -142,8 +142,10 @@
         last: wire.ServingError | None = None
         while (left_s := deadline - self._clock.now()) > 0:
             turn_s = self._budget.wait_s()
+            if turn_s >= left_s:
+                break
             if turn_s > 0.0:
-                await self._clock.sleep(min(turn_s, left_s))
+                await self._clock.sleep(turn_s)
             asked = dataclasses.replace(
                 request,
                 patience_s=min(max(deadline - self._clock.now(), 0.0), ASK_S),
