--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -50,7 +50,7 @@
 # some 250 places a second. The others come back.
 MOST_WAITERS = 400
 # A decision waits so many times as long as the last one took.
-PUMP_SPACING = 5.0
+PUMP_SPACING = 3.0
 OLD_VERSION_S = 1.0
 RETRY_AFTER_S = 0.5
 
@@ -187,6 +187,8 @@
         self._pace_by_pool: dict[str, _pace.PoolPace] = {}
         self._pump_due: asyncio.TimerHandle | None = None
         self._pump_took_s = 0.0
+        # Adapters that found no room when they were last decided on.
+        self._lacking: set[_holding.AdapterName] = set()
         # Requests of adapters whose engines are crowded, and since when.
         self._crowded: dict[
             _holding.AdapterName, tuple[_place_policy.Wish, float]
@@ -229,7 +231,7 @@
         self._waiters.append(waiter)
         try:
             now = self._clock.now()
-            if not self._grant_at_once(waiter, now):
+            if not self._serve_at_once(waiter, now):
                 self._log_wait(waiter)
                 self._pump_soon()
             return await self._wait(waiter)
@@ -463,6 +465,7 @@
         self._holding_by_target.clear()
         self._target_by_request.clear()
         self._crowded.clear()
+        self._lacking.clear()
         self._fail_waiters()
 
     async def _tick(self) -> None:
@@ -554,6 +557,7 @@
         now = self._clock.now()
         if not self._names_left:
             self._names_left.extend(self._ranked_names(now))
+            self._lacking.intersection_update(self._names_left)
         waiters_by_name: dict[_holding.AdapterName, list[_Waiter]] = {}
         for waiter in self._waiters:
             waiters_by_name.setdefault(waiter.name, []).append(waiter)
@@ -604,14 +608,21 @@
                 if not self._serve_one(waiter, wanted, now):
                     return
 
-    def _grant_at_once(self, waiter: _Waiter, now: float) -> bool:
-        """Grant a place where one is free; loads go by rank."""
+    def _serve_at_once(self, waiter: _Waiter, now: float) -> bool:
+        """Grant a place where one is free; False if the request waits.
+
+        While others lack room, loads go by rank and not by arrival.
+        """
         wanted = {other.name for other in self._waiters}
         decision = self._decider.decide(self._wish(waiter, now), wanted, now)
-        if not isinstance(decision, _decisions.Run):
-            return False
-        self._run(waiter, decision, now)
-        return True
+        if isinstance(decision, _decisions.Run):
+            self._run(waiter, decision, now)
+            return True
+        if isinstance(decision, _decisions.Load) and not self._lacking:
+            self._start_load(decision, waiter.name, now)
+        if decision == _decisions.Wait(False):
+            self._lacking.add(waiter.name)
+        return False
 
     def _serve_one(
         self,
@@ -626,6 +637,10 @@
             return True
         if isinstance(decision, _decisions.Load):
             self._start_load(decision, waiter.name, now)
+        if decision == _decisions.Wait(False):
+            self._lacking.add(waiter.name)
+        else:
+            self._lacking.discard(waiter.name)
         return False
 
     def _run(
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -20,7 +20,7 @@
 MOST_RELEASES_PER_S = 300.0
 # All daemons together ask for places about so often a second at most, so
 # that whoever leads next isn't asked by all at once.
-MOST_ASKS_PER_S = 400.0
+MOST_ASKS_PER_S = 600.0
 # Each may ask so many times at once, however many daemons there are.
 LEAST_BURST = 2.0
 # What it may ask in so long, it may ask at once.
