--- a/libs/placement/src/bergamotsail/placement/_place_settings.py
+++ b/libs/placement/src/bergamotsail/placement/_place_settings.py
@@ -29,9 +29,6 @@
     store_price_s: float = 0.45
 
     def __post_init__(self) -> None:
-        for field in (
-            "other_datacentre_s",
-            "store_price_s",
-        ):
+        for field in ("other_datacentre_s", "store_price_s"):
             if not 0.0 <= getattr(self, field) <= 10.0:
                 raise ValueError(f"{field} must lie between 0 and 10 seconds.")
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -10,7 +10,6 @@
 import collections
 import collections.abc
 import contextlib
-import dataclasses
 
 from bergamotsail import catalogue
 from bergamotsail import control
@@ -23,6 +22,7 @@
 from bergamotsail.placement import _place_messages
 from bergamotsail.placement import _place_policy
 from bergamotsail.placement import _place_settings
+from bergamotsail.placement import _waiting
 from bergamotsail import targets
 from bergamotsail import wire
 
@@ -35,8 +35,6 @@
 # Every entry that was in touch has found a new holder by then, about.
 USES_TOLD_S = 1.0
 NOTE_S = 0.5
-# What a load and the way to the engine take, about.
-LOAD_S = 0.28
 TELL_S = 1.0
 # Uses of an adapter count half after so long.
 USES_HALF_LIFE_S = 10.0
@@ -88,48 +86,6 @@
         """Return the error that says who leads instead."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Waiter:
-    request: _place_messages.PlaceRequest
-    arrived_at: float
-    done: asyncio.Future
-
-    @property
-    def name(self) -> _holding.AdapterName:
-        return (self.request.model, self.request.adapter)
-
-    @property
-    def tokens(self) -> int:
-        return self.request.prompt_tokens + self.request.output_tokens
-
-    def rank(self, pace: _pace.Pace, now: float) -> tuple[bool, int, float]:
-        """Order waiters: first those who can still be on time.
-
-        When places are short, serving in order of arrival makes everyone
-        late in the end. A long prompt must begin sooner.
-        """
-        request = self.request
-        needs_s = LOAD_S + pace.read_s(request.prompt_tokens)
-        begins_by = (
-            self.arrived_at + request.objective_s - request.age_s - needs_s
-        )
-        return begins_by < now, request.priority, begins_by
-
-    def wish(self, uses: float, now: float) -> _place_policy.Wish:
-        return _place_policy.Wish(
-            self.request.pool,
-            self.name,
-            self.tokens,
-            self.request.avoid,
-            self.request.parts,
-            self.request.prompt_tokens,
-            self.request.datacentre,
-            now - self.arrived_at,
-            uses,
-            self.request.priority,
-        )
-
-
 class Placer(control.UseKeeper):
     """Grants places and orders loads; an async context manager.
 
@@ -176,7 +132,7 @@
         self._decider = _decisions.Decider(
             self._holding_by_target, policy, settings, self._is_current
         )
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[_waiting.Waiter] = []
         self._named_at: dict[_holding.AdapterName, tuple[int, float]] = {}
         self._store = _engine_orders.StoreTurns()
         self._background = wire.Background()
@@ -220,7 +176,7 @@
             )
         done = asyncio.get_running_loop().create_future()
         arrived_at = self._clock.now() - request.waited_s
-        waiter = _Waiter(request, arrived_at, done)
+        waiter = _waiting.Waiter(request, arrived_at, done)
         self._waiters.append(waiter)
         try:
             now = self._clock.now()
@@ -232,7 +188,9 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
-    async def _wait(self, waiter: _Waiter) -> _place_messages.PlaceReply:
+    async def _wait(
+        self, waiter: _waiting.Waiter
+    ) -> _place_messages.PlaceReply:
         """Wait for a grant as long as there is hope and patience."""
         request = waiter.request
         hope_s = min(request.hope_s - request.waited_s, request.patience_s)
@@ -254,14 +212,14 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
-    def _on_its_way(self, waiter: _Waiter) -> bool:
+    def _on_its_way(self, waiter: _waiting.Waiter) -> bool:
         """Whether an engine is loading what a waiter needs."""
         return waiter.done.done() or any(
             waiter.name in holding.slot_by_name
             for holding in self._usable(waiter)
         )
 
-    def _log_wait(self, waiter: _Waiter) -> None:
+    def _log_wait(self, waiter: _waiting.Waiter) -> None:
         """Log that a request waits."""
         observe.log_event(
             "place",
@@ -272,7 +230,7 @@
             term=self._term,
         )
 
-    def _log_refusal(self, waiter: _Waiter) -> None:
+    def _log_refusal(self, waiter: _waiting.Waiter) -> None:
         """Log that a request is refused, and what stood then."""
         where = {
             target: str(holding.slot_by_name[waiter.name].state)
@@ -518,7 +476,7 @@
             if names:
                 yield catalogue.Copies(target, names)
 
-    def _usable(self, waiter: _Waiter) -> list[_holding.Holding]:
+    def _usable(self, waiter: _waiting.Waiter) -> list[_holding.Holding]:
         """Return the engines that could take a request."""
         wish = self._wish(waiter, self._clock.now())
         return [
@@ -550,7 +508,7 @@
         if not self._names_left:
             self._names_left.extend(self._ranked_names(now))
             self._lacking.intersection_update(self._names_left)
-        waiters_by_name: dict[_holding.AdapterName, list[_Waiter]] = {}
+        waiters_by_name: dict[_holding.AdapterName, list[_waiting.Waiter]] = {}
         for waiter in self._waiters:
             waiters_by_name.setdefault(waiter.name, []).append(waiter)
         wanted = set(waiters_by_name)
@@ -578,7 +536,7 @@
 
     def _serve_name(
         self,
-        waiters: list[_Waiter],
+        waiters: list[_waiting.Waiter],
         wanted: set[_holding.AdapterName],
         now: float,
     ) -> None:
@@ -588,7 +546,7 @@
                 if not self._serve_one(waiter, wanted, now):
                     return
 
-    def _serve_at_once(self, waiter: _Waiter, now: float) -> bool:
+    def _serve_at_once(self, waiter: _waiting.Waiter, now: float) -> bool:
         """Grant a place where one is free; False if the request waits.
 
         While others lack room, loads go by rank and not by arrival.
@@ -606,7 +564,7 @@
 
     def _serve_one(
         self,
-        waiter: _Waiter,
+        waiter: _waiting.Waiter,
         wanted: collections.abc.Container[_holding.AdapterName],
         now: float,
     ) -> bool:
@@ -633,7 +591,7 @@
         version = self._wanted_version(name)
         orders.start_load(name, version, decision.victim, now)
 
-    def _wish(self, waiter: _Waiter, now: float) -> _place_policy.Wish:
+    def _wish(self, waiter: _waiting.Waiter, now: float) -> _place_policy.Wish:
         uses = self._uses.value("/".join(waiter.name), now)
         return waiter.wish(uses, now)
 
@@ -643,7 +601,7 @@
             self._pace_by_pool[pool] = _pace.PoolPace(learns)
         return self._pace_by_pool[pool]
 
-    def _grant(self, waiter: _Waiter, target: str, now: float) -> None:
+    def _grant(self, waiter: _waiting.Waiter, target: str, now: float) -> None:
         holding = self._holding_by_target[target]
         request = waiter.request
         grant = _holding.Grant(
