Give the right to order engines a tenure of its own

Cause: the right to give orders was the lead of the log, so it moved with each election and back, at any pace; nothing in the log or the process knew who had ordered before and until when. The class: state that moves with each election where only a lease may move it.

Now the log notes who gives orders before its first order leaves, and a process after whose last order another may have ordered waits until that order is a lease old (with 5% for clocks; from its start if it forgot). One that did not order of late begins at once, and one that regains the lead with nobody between goes on at once, so the loss of a leader costs no wait. Meanwhile it settles its ledger and places requests on what is resident; who needs a load that can't be ordered in time is refused at once.

Ruled out: a fence that was not checked (fences only rose, all accepted). Weighed: keeping the right with its holder over changes of leader (entries ask the leader for places, so each place would need a hop to the holder); a wait of a lease after each change (2 to 3 s without loads after every loss of a leader).

--- a/features/holders.feature
+++ b/features/holders.feature
@@ -16,3 +16,11 @@
       | scenario          |
       | handed_on_at_once |
       | regained_at_once  |
+
+  Scenario: A tenure keeps to the lease over any elections and restarts
+    When 400 random histories of elections are tried
+    Then no engine saw holders take turns
+
+  Scenario: Every guard of the right to order that is switched off is noticed
+    When each guard of the right to order is switched off
+    Then each is noticed there
--- a/features/steps/holders.py
+++ b/features/steps/holders.py
@@ -1,6 +1,7 @@
 """Steps of the holders of orders, over changes of the leader."""
 
 import behave
+import hypothesis
 
 from features.support import holders
 
@@ -24,6 +25,28 @@
     context.faults = holders.run_scenario(name)
 
 
+@behave.when("{count:d} random histories of elections are tried")
+def histories(context, count: int) -> None:
+    context.faults = []
+    check = hypothesis.settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+    )(hypothesis.given(holders.SHOP_STEPS)(holders.tenures_agree))
+    try:
+        check()
+    except AssertionError as error:
+        context.faults = [str(error)]
+
+
+@behave.when("each guard of the right to order is switched off")
+def holder_mutants(context) -> None:
+    context.mutants = holders.MUTANTS
+    numbers = range(len(holders.MUTANTS))
+    context.found = [holders.run_mutant(number) for number in numbers]
+
+
 @behave.then("no engine saw holders take turns")
 def no_turns(context) -> None:
     assert not context.faults, context.faults[:3]
--- a/features/support/holders.py
+++ b/features/support/holders.py
@@ -22,6 +22,8 @@
 import random
 import unittest.mock
 
+from hypothesis import strategies as st
+
 from bergamotsail import catalogue
 from bergamotsail import control
 from bergamotsail import daemon
@@ -272,6 +274,7 @@
         while loop.time() - started_at < within_s:
             if await self.ask():
                 return loop.time() - started_at
+            await asyncio.sleep(0.02)
         return None
 
     def faults(self) -> list[str]:
@@ -296,6 +299,7 @@
         await holders.move_lead(first)
         for _ in range(20):
             await holders.ask(0.2)
+            await asyncio.sleep(0.02)
         faults = holders.faults()
         if {holder for _, holder in holders.accepted_by_id["e0"]} != {
             first.name,
@@ -323,6 +327,7 @@
         await holders.move_lead(first)
         for _ in range(20):
             await holders.ask(0.2)
+            await asyncio.sleep(0.02)
         faults = holders.faults()
         if other.name not in {h for _, h in holders.accepted_by_id["e0"]}:
             other_ordered = [
@@ -394,6 +399,61 @@
         return [f"seed {seed}: {fault}" for fault in faults]
 
 
+class Shop:
+    """Processes that take turns, each with its tenure; one engine sees."""
+
+    def __init__(self, names: tuple[str, ...], lease_s: float) -> None:
+        self.now = 0.0
+        self.term = 0
+        self.noted: list[str] = []
+        self.accepted: list[tuple[float, str]] = []
+        self._lease_s = lease_s
+        self._tenure_by_name = {name: self._new() for name in names}
+
+    def _new(self) -> placement.Tenure:
+        return placement.Tenure(self._lease_s, self.now)
+
+    def elect(self, name: str) -> None:
+        """Let a process lead from now on."""
+        self.term += 1
+        tenure = self._tenure_by_name[name]
+        tenure.begin(self.term, name, tuple(self.noted), self.now)
+
+    def restart(self, name: str) -> None:
+        """Let a process forget all but what is noted beyond it."""
+        self._tenure_by_name[name] = self._new()
+
+    def order(self, name: str) -> None:
+        """Let a process order, if it thinks that it may."""
+        tenure = self._tenure_by_name[name]
+        if tenure.fence == self.term and tenure.due(self.now):
+            self.noted = [n for n in self.noted if n != name] + [name]
+            tenure.noted(self.term)
+        if tenure.may_order(self.term):
+            with tenure.sending(lambda: self.now):
+                self.accepted.append((self.now, name))
+
+
+SHOP_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("elect", "restart", "order", "order")),
+        st.sampled_from(("r1", "r2", "r3")),
+        st.floats(0.0, 2.0),
+    ),
+    max_size=60,
+)
+
+
+def tenures_agree(steps: list[tuple[str, str, float]]) -> None:
+    """Whatever the elections, no holder has two turns within a lease."""
+    shop = Shop(("r1", "r2", "r3"), LEASE_S)
+    for what, name, pause_s in steps:
+        shop.now += pause_s
+        getattr(shop, what)(name)
+    faults = turns_taken(shop.accepted, LEASE_S)
+    assert not faults, faults[:1]
+
+
 async def _ask_for_ever(holders: Holders, rng: random.Random) -> None:
     while True:
         with contextlib.suppress(AssertionError):
@@ -423,8 +483,36 @@
     ]
 
 
-def run_all_seeds_patched(guard: tuple, count: int) -> list[str]:
-    """Run all scenarios with a guard switched off."""
-    with unittest.mock.patch.object(*guard):
-        found = [f for name in SCENARIOS for f in run_scenario(name)]
-        return found or run_random(count)
+def _begin_at_once(tenure, fence, name, former, now) -> None:
+    """Begin without a look at who ordered before, as a mutant does."""
+    tenure.fence = fence
+    tenure._noted = True
+
+
+@contextlib.contextmanager
+def _forget_order(tenure: placement.Tenure, _):
+    """Take a former order for one of long ago, as a mutant does."""
+    yield
+    tenure._ordered_at = float("-inf")
+
+
+# Each switches a guard off: its name, its scenario, what it patches.
+MUTANTS = (
+    (
+        "order whoever ordered before",
+        "away_and_back",
+        (placement.Tenure, "begin", _begin_at_once),
+    ),
+    (
+        "forget the last order",
+        "away_and_back",
+        (placement.Tenure, "sending", _forget_order),
+    ),
+)
+
+
+def run_mutant(number: int) -> list[str]:
+    """Run a scenario with its guard switched off."""
+    _, scenario, guard = MUTANTS[number]
+    with ledger.switched_off(guard):
+        return run_scenario(scenario)
--- a/libs/catalogue/src/bergamotsail/catalogue/__init__.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -41,6 +41,7 @@
 NameVersion = _commands.NameVersion
 Copies = _commands.Copies
 NoteCopies = _commands.NoteCopies
+TakeOrders = _commands.TakeOrders
 VersionReply = _commands.VersionReply
 
 AdapterVersion = _routes.AdapterVersion
--- a/libs/catalogue/src/bergamotsail/catalogue/_commands.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_commands.py
@@ -190,6 +190,19 @@
     gone: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeOrders:
+    """Note who gives the orders to all engines from now on.
+
+    Args:
+        holder: the lasting name of its instance.
+        fence: the fencing number of its orders.
+    """
+
+    holder: str
+    fence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionReply:
     """Which version stands after a command that sets one.
@@ -215,3 +228,4 @@
     replace_routes: ReplaceRoutes | None = None
     name_version: NameVersion | None = None
     note_copies: NoteCopies | None = None
+    take_orders: TakeOrders | None = None
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -16,6 +16,9 @@
 KEPT_EFFECTS = 4_000
 # Of adapters, for each engine; the engines keep about as many.
 KEPT_COPIES = 64
+# Of those who gave orders to engines. One that is forgotten would have to
+# come back within a lease while so many others took their turn.
+KEPT_HOLDERS = 32
 
 Command = _commands.Command
 State = _commands.ClaimState
@@ -49,6 +52,7 @@
     floor_ms: int | None = None
     document: str | None = None
     copies: _commands.Copies | None = None
+    order_holders: tuple[str, ...] = ()
 
 
 class CatalogueMachine(quorum.Machine):
@@ -59,6 +63,8 @@
         self.floor_ms = 0
         self.routes_document: str | None = None
         self.copies_by_target: dict[str, tuple[str, ...]] = {}
+        # Who gave orders to engines, the last one last.
+        self.order_holders: tuple[str, ...] = ()
         self.changes: collections.deque[_commands.Change] = collections.deque(
             maxlen=KEPT_CHANGES
         )
@@ -95,6 +101,8 @@
             result = self._name_version(index, parsed.name_version)
         elif parsed.note_copies is not None:
             self._note_copies(parsed.note_copies)
+        elif parsed.take_orders is not None:
+            self._take_orders(parsed.take_orders)
         self.view.index = index
         return result
 
@@ -301,6 +309,10 @@
             names = (*older, *copies.names)[-KEPT_COPIES:]
             self.copies_by_target[copies.target] = names
 
+    def _take_orders(self, take: _commands.TakeOrders) -> None:
+        others = [name for name in self.order_holders if name != take.holder]
+        self.order_holders = (*others, take.holder)[-KEPT_HOLDERS:]
+
     def _set_versioned(
         self, index: int, kind: _entries.Kind, entry_id: str, value: object
     ) -> None:
@@ -325,7 +337,11 @@
             claims,
             operations,
             changes,
-            _Line(floor_ms=self.floor_ms, document=self.routes_document),
+            _Line(
+                floor_ms=self.floor_ms,
+                document=self.routes_document,
+                order_holders=self.order_holders,
+            ),
             dict(self.copies_by_target),
         )
 
@@ -352,6 +368,7 @@
             elif line.floor_ms is not None:
                 self.floor_ms = line.floor_ms
                 self.routes_document = line.document
+                self.order_holders = line.order_holders
         self.view.index = index
         self._effects_after = index
 
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -41,6 +41,8 @@
         peer_token: the shared secret of all daemons.
         order_quiet_s: a new leader gives no orders for so long; 0 where
             engines check fencing numbers.
+        order_lease_s: who gave orders before another did gives none until
+            its own last one is so old.
         places: how the holder of the orders decides.
     """
 
@@ -52,6 +54,7 @@
     lease: control.LeaseTiming
     consensus: quorum.Timing = quorum.Timing()
     order_quiet_s: float = 0.0
+    order_lease_s: float = 3.0
     places: placement.PlaceSettings = placement.PlaceSettings()
 
 
@@ -110,6 +113,33 @@
             await self._node.propose(wire.encode(command))
 
 
+class _LogHolders(placement.HolderNotes):
+    """Remembers in the log who gave orders to engines."""
+
+    def __init__(
+        self,
+        name: str,
+        node: quorum.Node,
+        machine: catalogue.CatalogueMachine,
+    ) -> None:
+        self._name = name
+        self._node = node
+        self._machine = machine
+
+    @property
+    def name(self) -> str:
+        return self._name
+
+    def former(self) -> tuple[str, ...]:
+        return self._machine.order_holders
+
+    async def note(self, fence: int) -> None:
+        take = catalogue.TakeOrders(self._name, fence)
+        command = catalogue.Command(take_orders=take)
+        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+            await self._node.propose(wire.encode(command))
+
+
 class Replica:
     """A replica of the log; an async context manager.
 
@@ -165,8 +195,13 @@
             self.metrics,
             clock,
             _LogNotes(self.node, self.machine),
-            settings.order_quiet_s,
-            settings.places,
+            settings=settings.places,
+            holder_notes=_LogHolders(settings.name, self.node, self.machine),
+            tenure=placement.Tenure(
+                settings.order_lease_s,
+                clock.now() if started_at is None else started_at,
+                settings.order_quiet_s,
+            ),
         )
         self.coordinator = control.Coordinator(
             settings.address,
--- a/libs/placement/src/bergamotsail/placement/__init__.py
+++ b/libs/placement/src/bergamotsail/placement/__init__.py
@@ -11,6 +11,7 @@
 from bergamotsail.placement import _place_policy
 from bergamotsail.placement import _place_settings
 from bergamotsail.placement import _placer
+from bergamotsail.placement import _tenure
 from bergamotsail import wire
 
 AgedCounter = _counter.AgedCounter
@@ -21,6 +22,8 @@
 HomePolicy = _place_policy.HomePolicy
 CopyNotes = _placer.CopyNotes
 Leadership = _placer.Leadership
+HolderNotes = _tenure.HolderNotes
+Tenure = _tenure.Tenure
 PlaceSettings = _place_settings.PlaceSettings
 PlacePolicy = _place_policy.PlacePolicy
 Placer = _placer.Placer
--- a/libs/placement/src/bergamotsail/placement/_decisions.py
+++ b/libs/placement/src/bergamotsail/placement/_decisions.py
@@ -93,11 +93,13 @@
         wish: Wish,
         wanted: collections.abc.Container[_holding.AdapterName],
         now: float,
+        may_load: bool = True,
     ) -> Decision:
         """Return what to do for a request.
 
         Args:
             wanted: adapters that others wait for, which stay.
+            may_load: whether orders may be given at this moment.
         """
         if not wish.name[1]:
             return self._run_anywhere(wish, now)
@@ -119,9 +121,11 @@
         if best is None:
             if any(s.state is not State.READY for _, s in resident):
                 return Wait(True)
+            if not may_load:
+                return Wait(False)
             return self._load(wish, wanted, now, float("inf")) or Wait(False)
         cost_s, _, there = best
-        if self._settings.spread and cost_s > SPREAD_COST_S:
+        if may_load and self._settings.spread and cost_s > SPREAD_COST_S:
             further = self._further_copy(wish, resident, wanted, now, cost_s)
             if further is not None:
                 return further
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -1,5 +1,6 @@
 """Orders to one engine: one after the other, each with what it expects."""
 
+import abc
 import asyncio
 import collections.abc
 import contextlib
@@ -21,11 +22,29 @@
 MOST_LOST_CONFIRMS = 2
 MODEL_POLL_S = 0.2
 MODEL_LOAD_TIMES = 2.5
+# How often a load in doubt looks whether orders may be given again.
+GATE_POLL_S = 0.1
 
 State = _holding.SlotState
 Order = targets.OrderOutcome
 
 
+class OrderGate(abc.ABC):
+    """What orders to engines must ask before they leave."""
+
+    @abc.abstractmethod
+    def leads(self) -> bool:
+        """Whether this process leads, so that its ledger counts."""
+
+    @abc.abstractmethod
+    def may_order(self) -> bool:
+        """Whether an order may leave at this moment."""
+
+    @abc.abstractmethod
+    def sending(self) -> contextlib.AbstractContextManager[None]:
+        """Hold while an order may be on its way."""
+
+
 class StoreTurns:
     """Lets base models come from the store one after the other.
 
@@ -48,7 +67,7 @@
 
     Args:
         fence: the fencing number of all orders.
-        gate: whether orders may be given, asked as each is written.
+        gate: what orders ask as each is written.
         changed: called when something became ready.
     """
 
@@ -58,7 +77,7 @@
         spec: catalogue.EngineSpec,
         engine: targets.AdapterEngine,
         fence: int,
-        gate: collections.abc.Callable[[], bool],
+        gate: OrderGate,
         store: StoreTurns,
         changed: collections.abc.Callable[[], None],
         clock: wire.Clock,
@@ -113,7 +132,7 @@
     def settle(self) -> None:
         """Learn anew what the engine holds, from its report."""
         self.holding.known = False
-        if not self._gate_open():
+        if not self._leads():
             # Another holder starts a ledger of its own; when the lead comes
             # back to this one, it is asked to tend to it.
             return
@@ -122,7 +141,7 @@
 
     async def _settle(self) -> None:
         retry_s = SETTLE_RETRY_S
-        while self._gate_open():
+        while self._leads():
             since_s = self._clock.now() - self._ordered_at
             await self._clock.sleep(max(0.0, REPORT_LAG_S - since_s))
             try:
@@ -161,6 +180,9 @@
         """Order a base model for an engine that holds none."""
         if not self._spec.models or self.holding.leaving:
             return False
+        if not self._gate_open():
+            await self._clock.sleep(SETTLE_RETRY_S)
+            return True
         model = self._spec.models[0]
         if model.name in report.at_hand:
             await self._load_and_wait(model)
@@ -265,6 +287,7 @@
         await self._clock.sleep(max(0.0, slot.ready_at - self._clock.now()))
         lost = 0
         for _ in range(MOST_CONFIRMS):
+            await self._wait_for_gate()
             if self.holding.slot_by_name.get(name) is not slot:
                 return
             async with self._lock:
@@ -321,7 +344,8 @@
                 return None
             self._ordered_at = self._clock.now()
             try:
-                return await send(order)
+                with self._gate.sending():
+                    return await send(order)
             except wire.ServingError as error:
                 self.holding.add_fault(self._clock.now(), 0.2)
                 self._log("order_lost", error=error.message)
@@ -329,8 +353,16 @@
                 self._ordered_at = self._clock.now()
         return None
 
+    async def _wait_for_gate(self) -> None:
+        """Wait while this process leads and may not order yet."""
+        while self._leads() and not self._gate_open():
+            await self._clock.sleep(GATE_POLL_S)
+
+    def _leads(self) -> bool:
+        return self._gate.leads() and not self._stopped
+
     def _gate_open(self) -> bool:
-        return self._gate() and not self._stopped
+        return self._gate.may_order() and not self._stopped
 
     def _log(self, what: str, **fields: object) -> None:
         observe.log_event(
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -22,6 +22,7 @@
 from bergamotsail.placement import _place_messages
 from bergamotsail.placement import _place_policy
 from bergamotsail.placement import _place_settings
+from bergamotsail.placement import _tenure
 from bergamotsail.placement import _waiting
 from bergamotsail import targets
 from bergamotsail import wire
@@ -86,6 +87,22 @@
         """Return the error that says who leads instead."""
 
 
+class _Gate(_engine_orders.OrderGate):
+    """The gate of one placer's orders."""
+
+    def __init__(self, placer: "Placer") -> None:
+        self._placer = placer
+
+    def leads(self) -> bool:
+        return self._placer.leads()
+
+    def may_order(self) -> bool:
+        return self._placer.may_order()
+
+    def sending(self) -> contextlib.AbstractContextManager[None]:
+        return self._placer.sending()
+
+
 class Placer(control.UseKeeper):
     """Grants places and orders loads; an async context manager.
 
@@ -95,7 +112,9 @@
         notes: where copies are remembered for the next holder.
         quiet_s: give no orders for so long after a term began, so that
             orders of the holder before have surely ended; 0 where engines
-            refuse an old fencing number.
+            refuse an old fencing number. Not used with *tenure*.
+        holder_notes: where it is remembered who gave orders.
+        tenure: when this process may give orders.
     """
 
     def __init__(
@@ -113,11 +132,16 @@
         settings: _place_settings.PlaceSettings = (
             _place_settings.PlaceSettings()
         ),
+        holder_notes: _tenure.HolderNotes | None = None,
+        tenure: _tenure.Tenure | None = None,
     ) -> None:
         self._settings = settings
+        self._holder_notes = holder_notes
+        self._tenure = tenure or _tenure.Tenure(0.0, 0.0, quiet_s)
+        self._noting: asyncio.Task | None = None
+        self._gate = _Gate(self)
         self._uses = _counter.AgedCounter(USES_HALF_LIFE_S)
         self._notes = notes
-        self._quiet_s = quiet_s
         self._leadership = leadership
         self._view = view
         self._make_engine = make_engine
@@ -152,6 +176,8 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self._background.stop()
+        if self._noting is not None:
+            self._noting.cancel()
         self._forget_all()
 
     def serve(self, server: wire.PeerServer) -> None:
@@ -181,6 +207,7 @@
         try:
             now = self._clock.now()
             if not self._serve_at_once(waiter, now):
+                self._check_tenure(waiter, now)
                 self._log_wait(waiter)
                 self._pump_soon()
             return await self._wait(waiter)
@@ -188,6 +215,21 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
+    def _check_tenure(self, waiter: _waiting.Waiter, now: float) -> None:
+        """Refuse at once who needs a load that can't be ordered in time."""
+        request = waiter.request
+        hope_s = min(request.hope_s - request.waited_s, request.patience_s)
+        wait_s = self._tenure.wait_s(self._term, now)
+        if wait_s <= max(hope_s, 0.0) or self._on_its_way(waiter):
+            return
+        self._metrics.count("placements_refused", reason="no_orders_yet")
+        self._log_refusal(waiter)
+        raise wire.NoPlaceError(
+            "No adapter can be loaded yet, as another instance gave the "
+            "orders a moment ago. Come back later.",
+            retry_after_s=wait_s,
+        )
+
     async def _wait(
         self, waiter: _waiting.Waiter
     ) -> _place_messages.PlaceReply:
@@ -249,6 +291,9 @@
             usable=len(usable),
             settled=sum(holding.known for holding in usable),
             avoid=waiter.request.avoid or None,
+            orders_in_s=round(
+                self._tenure.wait_s(self._term, self._clock.now()), 3
+            ),
             term=self._term,
         )
 
@@ -373,7 +418,7 @@
             spec,
             self._make_engine(instance),
             self._term,
-            self._may_order,
+            self._gate,
             self._store,
             self._pump_soon,
             self._clock,
@@ -386,10 +431,56 @@
 
     # Terms.
 
-    def _may_order(self) -> bool:
-        quiet = self._clock.now() - self._term_at < self._quiet_s
+    def leads(self) -> bool:
+        """Whether this process leads in the term of its ledger."""
         leads = self._leadership.holds()
-        return leads and not quiet and self._leadership.term == self._term
+        return leads and self._leadership.term == self._term
+
+    def may_order(self) -> bool:
+        """Whether an order may leave at this moment."""
+        return self.leads() and self._tenure.may_order(self._term)
+
+    def sending(self) -> contextlib.AbstractContextManager[None]:
+        """Hold while an order may be on its way."""
+        return self._tenure.sending(self._clock.now)
+
+    def _follow_tenure(self) -> None:
+        """Claim the right to order, as soon as it is due."""
+        if not self.leads():
+            return
+        if self._tenure.fence != self._term:
+            self._begin_tenure()
+        due = self._tenure.due(self._clock.now())
+        if due and (self._noting is None or self._noting.done()):
+            self._noting = asyncio.create_task(self._note_holder(self._term))
+
+    def _begin_tenure(self) -> None:
+        now = self._clock.now()
+        notes = self._holder_notes
+        name = notes.name if notes is not None else ""
+        former = tuple(notes.former()) if notes is not None else ()
+        self._tenure.begin(self._term, name, former, now)
+        observe.log_event(
+            "place",
+            "tenure",
+            term=self._term,
+            former=former[-3:],
+            wait_s=round(self._tenure.wait_s(self._term, now), 3),
+        )
+
+    async def _note_holder(self, term: int) -> None:
+        """Note who orders before the first order leaves."""
+        try:
+            if self._holder_notes is not None:
+                await self._holder_notes.note(term)
+        except (wire.ServingError, TimeoutError) as error:
+            observe.log_event(
+                "place", "tenure_not_noted", term=term, error=str(error)
+            )
+            return
+        self._tenure.noted(term)
+        observe.log_event("place", "orders", term=term)
+        self._pump_soon()
 
     def _check_leading(self) -> None:
         if not self._leadership.holds():
@@ -402,6 +493,7 @@
         self._term = self._leadership.term
         self._term_at = self._clock.now()
         self._forget_all()
+        self._follow_tenure()
 
     def _fail_waiters(self) -> None:
         for waiter in self._waiters:
@@ -423,6 +515,7 @@
         while True:
             await self._clock.sleep(TICK_S)
             if self._leadership.holds():
+                self._follow_tenure()
                 for orders in self._orders_by_target.values():
                     orders.tend()
                 self._refresh_versions(self._clock.now())
@@ -552,7 +645,9 @@
         While others lack room, loads go by rank and not by arrival.
         """
         wanted = {other.name for other in self._waiters}
-        decision = self._decider.decide(self._wish(waiter, now), wanted, now)
+        decision = self._decider.decide(
+            self._wish(waiter, now), wanted, now, self.may_order()
+        )
         if isinstance(decision, _decisions.Run):
             self._grant(waiter, decision.target, now)
             return True
@@ -569,7 +664,9 @@
         now: float,
     ) -> bool:
         """Carry out what is decided for a request; False if it waits."""
-        decision = self._decider.decide(self._wish(waiter, now), wanted, now)
+        decision = self._decider.decide(
+            self._wish(waiter, now), wanted, now, self.may_order()
+        )
         if isinstance(decision, _decisions.Run):
             self._grant(waiter, decision.target, now)
             return True
@@ -663,6 +760,8 @@
 
     def _refresh_versions(self, now: float) -> None:
         """Replace resident versions that are no longer the newest."""
+        if not self.may_order():
+            return
         for orders in self._orders_by_target.values():
             for name, slot in list(orders.holding.slot_by_name.items()):
                 wanted = self._wanted_version(name)
