Forget who ordered before once a lease has passed

The holder notes once, a lease after it began, that nobody else can have ordered since; who is not remembered begins at once. Scenario all_restarted_at_once, two mutants.

--- a/features/holders.feature
+++ b/features/holders.feature
@@ -16,6 +16,7 @@
       | scenario          |
       | handed_on_at_once |
       | regained_at_once  |
+      | all_restarted_at_once |
 
   Scenario: A tenure keeps to the lease over any elections and restarts
     When 400 random histories of elections are tried
--- a/features/support/holders.py
+++ b/features/support/holders.py
@@ -371,6 +371,29 @@
         return holders.faults()
 
 
+async def all_restarted_at_once() -> list[str]:
+    """After a restart of all, long after others ordered, nobody waits."""
+    faults = []
+    for seed in range(4):
+        async with Holders(seed, engines=1) as holders:
+            first = await holders.leader()
+            other = next(p for p in holders.places if p is not first)
+            await holders.ask_until_served(3.0)
+            await holders.move_lead(other)
+            await holders.ask_until_served(3.0)
+            await asyncio.sleep(6.0)
+            for place in holders.places:
+                await holders.stop(place)
+            for place in holders.places:
+                await holders.start(place)
+            await holders.leader()
+            took_s = await holders.ask_until_served(5.0)
+            if took_s is None or took_s > 1.5:
+                faults.append(f"seed {seed}: it began after {took_s} s")
+            faults += holders.faults()
+    return faults
+
+
 async def random_elections(seed: int) -> list[str]:
     """Leads that move at random, kills, lost disks; requests all the time."""
     async with Holders(seed) as holders:
@@ -428,7 +451,10 @@
         tenure = self._tenure_by_name[name]
         if tenure.fence == self.term and tenure.due(self.now):
             self.noted = [n for n in self.noted if n != name] + [name]
-            tenure.noted(self.term)
+            tenure.noted(self.term, self.now)
+        if tenure.fence == self.term and tenure.alone_due(self.now):
+            self.noted = [name]
+            tenure.noted(self.term, self.now, True)
         if tenure.may_order(self.term):
             with tenure.sending(lambda: self.now):
                 self.accepted.append((self.now, name))
@@ -466,6 +492,7 @@
     "back_after_a_restart": back_after_a_restart,
     "handed_on_at_once": handed_on_at_once,
     "regained_at_once": regained_at_once,
+    "all_restarted_at_once": all_restarted_at_once,
 }
 
 
@@ -496,6 +523,11 @@
     tenure._ordered_at = float("-inf")
 
 
+def _alone_at_once(tenure: placement.Tenure, _: float) -> bool:
+    """Note at once that nobody else ordered, as a mutant does."""
+    return tenure._noted and not tenure._alone
+
+
 # Each switches a guard off: its name, its scenario, what it patches.
 MUTANTS = (
     (
@@ -503,6 +535,16 @@
         "away_and_back",
         (placement.Tenure, "begin", _begin_at_once),
     ),
+    (
+        "remember for ever who ordered before",
+        "all_restarted_at_once",
+        (placement.Tenure, "alone_due", lambda *_: False),
+    ),
+    (
+        "forget at once who ordered before",
+        "back_after_a_restart",
+        (placement.Tenure, "alone_due", _alone_at_once),
+    ),
     (
         "forget the last order",
         "away_and_back",
--- a/libs/catalogue/src/bergamotsail/catalogue/_commands.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_commands.py
@@ -197,10 +197,12 @@
     Args:
         holder: the lasting name of its instance.
         fence: the fencing number of its orders.
+        alone: nobody else can have ordered within the last lease.
     """
 
     holder: str
     fence: int
+    alone: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -311,6 +311,8 @@
 
     def _take_orders(self, take: _commands.TakeOrders) -> None:
         others = [name for name in self.order_holders if name != take.holder]
+        if take.alone:
+            others = []
         self.order_holders = (*others, take.holder)[-KEPT_HOLDERS:]
 
     def _set_versioned(
--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -6,6 +6,7 @@
 
 from bergamotsail.daemon import _bounded_body
 from bergamotsail.daemon import _peer_face
+from bergamotsail.daemon import _process
 from bergamotsail.daemon import _quiet
 from bergamotsail.daemon import _roles
 from bergamotsail import wire
@@ -18,6 +19,9 @@
 Replica = _roles.Replica
 RoleSettings = _roles.RoleSettings
 metrics_application = _roles.metrics_application
+PEER_BODY_BYTES = _process.PEER_BODY_BYTES
+listen = _process.listen
+told_to_stop = _process.told_to_stop
 LoopLag = _peer_face.LoopLag
 PeerFace = _peer_face.PeerFace
 quiet_application = _quiet.quiet_application
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -133,8 +133,8 @@
     def former(self) -> tuple[str, ...]:
         return self._machine.order_holders
 
-    async def note(self, fence: int) -> None:
-        take = catalogue.TakeOrders(self._name, fence)
+    async def note(self, fence: int, alone: bool) -> None:
+        take = catalogue.TakeOrders(self._name, fence, alone)
         command = catalogue.Command(take_orders=take)
         async with asyncio.timeout(PROPOSE_TIMEOUT_S):
             await self._node.propose(wire.encode(command))
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -450,9 +450,12 @@
             return
         if self._tenure.fence != self._term:
             self._begin_tenure()
-        due = self._tenure.due(self._clock.now())
+        now = self._clock.now()
+        alone = self._tenure.alone_due(now)
+        due = alone or self._tenure.due(now)
         if due and (self._noting is None or self._noting.done()):
-            self._noting = asyncio.create_task(self._note_holder(self._term))
+            work = self._note_holder(self._term, alone)
+            self._noting = asyncio.create_task(work)
 
     def _begin_tenure(self) -> None:
         now = self._clock.now()
@@ -468,18 +471,18 @@
             wait_s=round(self._tenure.wait_s(self._term, now), 3),
         )
 
-    async def _note_holder(self, term: int) -> None:
+    async def _note_holder(self, term: int, alone: bool) -> None:
         """Note who orders before the first order leaves."""
         try:
             if self._holder_notes is not None:
-                await self._holder_notes.note(term)
+                await self._holder_notes.note(term, alone)
         except (wire.ServingError, TimeoutError) as error:
             observe.log_event(
                 "place", "tenure_not_noted", term=term, error=str(error)
             )
             return
-        self._tenure.noted(term)
-        observe.log_event("place", "orders", term=term)
+        self._tenure.noted(term, self._clock.now(), alone)
+        observe.log_event("place", "orders", term=term, alone=alone)
         self._pump_soon()
 
     def _check_leading(self) -> None:
--- a/libs/placement/src/bergamotsail/placement/_tenure.py
+++ b/libs/placement/src/bergamotsail/placement/_tenure.py
@@ -31,9 +31,12 @@
         """
 
     @abc.abstractmethod
-    async def note(self, fence: int) -> None:
+    async def note(self, fence: int, alone: bool) -> None:
         """Remember that this process gives orders from now on.
 
+        Args:
+            alone: those who ordered before need not be remembered longer.
+
         Raises:
             ServingError: it may be remembered, or not.
         """
@@ -46,7 +49,7 @@
     >>> tenure.begin(2, "r1", ("r1", "r2"), now=10.0)
     >>> tenure.due(10.0), tenure.may_order(2)
     (True, False)
-    >>> tenure.noted(2)
+    >>> tenure.noted(2, now=10.0)
     >>> tenure.may_order(2)
     True
 
@@ -69,6 +72,8 @@
         self._quiet_until = float("-inf")
         self._returns = False
         self._noted = False
+        self._noted_at = float("inf")
+        self._alone = False
         self.fence: int | None = None
 
     def begin(
@@ -82,6 +87,8 @@
         self.fence = fence
         # Nobody can have ordered since: others are noted before they do.
         self._noted = bool(former) and former[-1] == name
+        self._noted_at = now
+        self._alone = self._noted and len(former) == 1
         self._returns = name in former
         self._quiet_until = now + self._quiet_s
 
@@ -89,9 +96,23 @@
         """Whether it is time to note that this process orders."""
         return not self._noted and self._wait_s(now) <= 0
 
-    def noted(self, fence: int) -> None:
+    def alone_due(self, now: float) -> bool:
+        """Whether all others' last orders are a lease old by now.
+
+        Once that is noted, one of them that forgot when it ordered begins
+        at once: a restart of all then costs no wait.
+        """
+        held_s = now - self._noted_at
+        return self._noted and not self._alone and held_s > self._lease_s
+
+    def noted(self, fence: int, now: float, alone: bool = False) -> None:
         """Take that it is remembered beyond this process."""
-        self._noted = self._noted or fence == self.fence
+        if fence != self.fence:
+            return
+        if not self._noted:
+            self._noted_at = now
+        self._noted = True
+        self._alone = self._alone or alone
 
     def may_order(self, fence: int) -> bool:
         """Whether an order may leave now."""
