--- a/libs/placement/src/bergamotsail/placement/__init__.py
+++ b/libs/placement/src/bergamotsail/placement/__init__.py
@@ -7,6 +7,7 @@
 from bergamotsail.placement import _counter
 from bergamotsail.placement import _engine_orders
 from bergamotsail.placement import _holding
+from bergamotsail.placement import _leadership
 from bergamotsail.placement import _place_messages
 from bergamotsail.placement import _place_policy
 from bergamotsail.placement import _place_settings
@@ -21,7 +22,7 @@
 Holding = _holding.Holding
 HomePolicy = _place_policy.HomePolicy
 CopyNotes = _placer.CopyNotes
-Leadership = _placer.Leadership
+Leadership = _leadership.Leadership
 HolderNotes = _tenure.HolderNotes
 Tenure = _tenure.Tenure
 PlaceSettings = _place_settings.PlaceSettings
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -18,10 +18,12 @@
 from bergamotsail.placement import _decisions
 from bergamotsail.placement import _engine_orders
 from bergamotsail.placement import _holding
+from bergamotsail.placement import _leadership
 from bergamotsail.placement import _pace
 from bergamotsail.placement import _place_messages
 from bergamotsail.placement import _place_policy
 from bergamotsail.placement import _place_settings
+from bergamotsail.placement import _rights
 from bergamotsail.placement import _tenure
 from bergamotsail.placement import _waiting
 from bergamotsail import targets
@@ -70,39 +72,6 @@
         """
 
 
-class Leadership(abc.ABC):
-    """Whether this process may give orders, right now."""
-
-    @property
-    @abc.abstractmethod
-    def term(self) -> int:
-        """The fencing number of its orders."""
-
-    @abc.abstractmethod
-    def holds(self) -> bool:
-        """Whether no other process can give orders at this moment."""
-
-    @abc.abstractmethod
-    def refusal(self) -> wire.ServingError:
-        """Return the error that says who leads instead."""
-
-
-class _Gate(_engine_orders.OrderGate):
-    """The gate of one placer's orders."""
-
-    def __init__(self, placer: "Placer") -> None:
-        self._placer = placer
-
-    def leads(self) -> bool:
-        return self._placer.leads()
-
-    def may_order(self) -> bool:
-        return self._placer.may_order()
-
-    def sending(self) -> contextlib.AbstractContextManager[None]:
-        return self._placer.sending()
-
-
 class Placer(control.UseKeeper):
     """Grants places and orders loads; an async context manager.
 
@@ -119,7 +88,7 @@
 
     def __init__(
         self,
-        leadership: Leadership,
+        leadership: _leadership.Leadership,
         view: collections.abc.Callable[[], catalogue.View],
         make_engine: collections.abc.Callable[
             [targets.Instance], targets.AdapterEngine
@@ -136,10 +105,13 @@
         tenure: _tenure.Tenure | None = None,
     ) -> None:
         self._settings = settings
-        self._holder_notes = holder_notes
-        self._tenure = tenure or _tenure.Tenure(0.0, 0.0, quiet_s)
-        self._noting: asyncio.Task | None = None
-        self._gate = _Gate(self)
+        self._rights = _rights.OrderRights(
+            leadership,
+            tenure or _tenure.Tenure(0.0, 0.0, quiet_s),
+            holder_notes,
+            self._pump_soon,
+            clock,
+        )
         self._uses = _counter.AgedCounter(USES_HALF_LIFE_S)
         self._notes = notes
         self._leadership = leadership
@@ -176,8 +148,7 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self._background.stop()
-        if self._noting is not None:
-            self._noting.cancel()
+        self._rights.stop()
         self._forget_all()
 
     def serve(self, server: wire.PeerServer) -> None:
@@ -219,7 +190,7 @@
         """Refuse at once who needs a load that can't be ordered in time."""
         request = waiter.request
         hope_s = min(request.hope_s - request.waited_s, request.patience_s)
-        wait_s = self._tenure.wait_s(self._term, now)
+        wait_s = self._rights.wait_s()
         if wait_s <= max(hope_s, 0.0) or self._on_its_way(waiter):
             return
         self._metrics.count("placements_refused", reason="no_orders_yet")
@@ -291,9 +262,7 @@
             usable=len(usable),
             settled=sum(holding.known for holding in usable),
             avoid=waiter.request.avoid or None,
-            orders_in_s=round(
-                self._tenure.wait_s(self._term, self._clock.now()), 3
-            ),
+            orders_in_s=round(self._rights.wait_s(), 3),
             term=self._term,
         )
 
@@ -418,7 +387,7 @@
             spec,
             self._make_engine(instance),
             self._term,
-            self._gate,
+            self._rights,
             self._store,
             self._pump_soon,
             self._clock,
@@ -431,60 +400,6 @@
 
     # Terms.
 
-    def leads(self) -> bool:
-        """Whether this process leads in the term of its ledger."""
-        leads = self._leadership.holds()
-        return leads and self._leadership.term == self._term
-
-    def may_order(self) -> bool:
-        """Whether an order may leave at this moment."""
-        return self.leads() and self._tenure.may_order(self._term)
-
-    def sending(self) -> contextlib.AbstractContextManager[None]:
-        """Hold while an order may be on its way."""
-        return self._tenure.sending(self._clock.now)
-
-    def _follow_tenure(self) -> None:
-        """Claim the right to order, as soon as it is due."""
-        if not self.leads():
-            return
-        if self._tenure.fence != self._term:
-            self._begin_tenure()
-        now = self._clock.now()
-        alone = self._tenure.alone_due(now)
-        due = alone or self._tenure.due(now)
-        if due and (self._noting is None or self._noting.done()):
-            work = self._note_holder(self._term, alone)
-            self._noting = asyncio.create_task(work)
-
-    def _begin_tenure(self) -> None:
-        now = self._clock.now()
-        notes = self._holder_notes
-        name = notes.name if notes is not None else ""
-        former = tuple(notes.former()) if notes is not None else ()
-        self._tenure.begin(self._term, name, former, now)
-        observe.log_event(
-            "place",
-            "tenure",
-            term=self._term,
-            former=former[-3:],
-            wait_s=round(self._tenure.wait_s(self._term, now), 3),
-        )
-
-    async def _note_holder(self, term: int, alone: bool) -> None:
-        """Note who orders before the first order leaves."""
-        try:
-            if self._holder_notes is not None:
-                await self._holder_notes.note(term, alone)
-        except (wire.ServingError, TimeoutError) as error:
-            observe.log_event(
-                "place", "tenure_not_noted", term=term, error=str(error)
-            )
-            return
-        self._tenure.noted(term, self._clock.now(), alone)
-        observe.log_event("place", "orders", term=term, alone=alone)
-        self._pump_soon()
-
     def _check_leading(self) -> None:
         if not self._leadership.holds():
             raise self._leadership.refusal()
@@ -496,7 +411,7 @@
         self._term = self._leadership.term
         self._term_at = self._clock.now()
         self._forget_all()
-        self._follow_tenure()
+        self._rights.follow(self._term)
 
     def _fail_waiters(self) -> None:
         for waiter in self._waiters:
@@ -518,7 +433,7 @@
         while True:
             await self._clock.sleep(TICK_S)
             if self._leadership.holds():
-                self._follow_tenure()
+                self._rights.claim()
                 for orders in self._orders_by_target.values():
                     orders.tend()
                 self._refresh_versions(self._clock.now())
@@ -649,7 +564,7 @@
         """
         wanted = {other.name for other in self._waiters}
         decision = self._decider.decide(
-            self._wish(waiter, now), wanted, now, self.may_order()
+            self._wish(waiter, now), wanted, now, self._rights.may_order()
         )
         if isinstance(decision, _decisions.Run):
             self._grant(waiter, decision.target, now)
@@ -668,7 +583,7 @@
     ) -> bool:
         """Carry out what is decided for a request; False if it waits."""
         decision = self._decider.decide(
-            self._wish(waiter, now), wanted, now, self.may_order()
+            self._wish(waiter, now), wanted, now, self._rights.may_order()
         )
         if isinstance(decision, _decisions.Run):
             self._grant(waiter, decision.target, now)
@@ -763,7 +678,7 @@
 
     def _refresh_versions(self, now: float) -> None:
         """Replace resident versions that are no longer the newest."""
-        if not self.may_order():
+        if not self._rights.may_order():
             return
         for orders in self._orders_by_target.values():
             for name, slot in list(orders.holding.slot_by_name.items()):
