Let one candidate at a time pass the vote before the vote

Cause: of two replicas that stand within some ms both could pass the pre-vote. The loser raised its term after it had voted for the winner, or to one above, and its answer to the winner's first entries deposed it.

Now a replica that told one candidate that it would vote for it tells no other so for a tenth of the election timeout (its own stand counts too), and a candidate that has voted, heard a leader or learned a term since it asked ends its stand before it raises its term. Both only refuse, so no lease depends on them.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -56,6 +56,10 @@
     When the scenario won_leads_last of the log runs
     Then no promise is broken
 
+  Scenario: A candidate that has voted since it stood stands no more
+    When the scenario slow_votes_end_stands of the log runs
+    Then no promise is broken
+
   Scenario: Repeats over all daemons keep to one budget
     Then repeats keep to the budget
 
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -674,24 +674,51 @@
     return faults
 
 
+async def slow_votes_end_stands() -> list[str]:
+    """A candidate that has voted for another since it stood stands no more.
+
+    As in won_leads_last, where the terms are the same, but a way takes up
+    to 80 ms: longer than a word before the vote binds.
+    """
+    faults = []
+    for seed in range(ELECTIONS):
+        replicas = await _formed(seed=seed)
+        await asyncio.sleep(1.0)
+        replicas.network.slow = 0.08
+        found = await _two_stand(replicas, 0.1)
+        faults += [f"seed {seed}: {fault}" for fault in found]
+        await replicas.stop_all()
+    return faults
+
+
 async def _contested(replicas: Replicas) -> list[str]:
-    """Let two of three that hear no leader stand almost together."""
+    """Let two stand almost together, on a network and disks of some kind."""
     rng = replicas.rng
     replicas.network.slow = rng.choice((0.001, 0.003, 0.008))
     for disk in replicas.disk_by_address.values():
         disk.sync_s = rng.choice((0.0, 0.001, 0.004))
+    if rng.random() < 0.5:
+        ahead = rng.choice(list(replicas.node_by_address.values()))
+        await ahead._learn_term(ahead.term + 1)
+    return await _two_stand(replicas, 0.02)
+
+
+async def _two_stand(replicas: Replicas, apart_s: float) -> list[str]:
+    """Let two of three that hear no leader stand; tell if a lead ends."""
+    rng = replicas.rng
     nodes = list(replicas.node_by_address.values())
     for node in nodes:
         # As if none had been heard for long.
         node._become_follower(None)
         node._heard_at -= 10.0
         node._stands_after = float("-inf")
-    ahead, first, second = rng.sample(nodes, 3)
-    if rng.random() < 0.5:
-        await rng.choice((ahead, first, second))._learn_term(nodes[0].term + 1)
+    first, second = rng.sample(nodes, 2)
+    heard_at = second._heard_at
     stands = [asyncio.create_task(first._stand(False))]
-    await asyncio.sleep(rng.uniform(0.0, 0.02))
-    stands.append(asyncio.create_task(second._stand(False)))
+    await asyncio.sleep(rng.uniform(0.0, apart_s))
+    # One that has voted meanwhile would wait, as the loop that stands does.
+    if second._heard_at == heard_at:
+        stands.append(asyncio.create_task(second._stand(False)))
     led: set[tuple[str, int]] = set()
     ends_at = asyncio.get_running_loop().time() + NO_LEADER_S
     while asyncio.get_running_loop().time() < ends_at:
@@ -801,6 +828,7 @@
     "all_restart_at_once": all_restart_at_once,
     "lease_outlives_restarts": lease_outlives_restarts,
     "won_leads_last": won_leads_last,
+    "slow_votes_end_stands": slow_votes_end_stands,
     "forms_by_itself": forms_by_itself,
     "forms_with_slow_starters": forms_with_slow_starters,
     "forms_by_order_while_loading": forms_by_order_while_loading,
@@ -827,6 +855,16 @@
 # Each switches a guard off: its name, its scenario, what it patches.
 _ANSWERS_AT_ONCE = (quorum.Node, "_check_loaded", lambda _: None)
 MUTANTS = (
+    (
+        "tell two candidates that they would win",
+        "won_leads_last",
+        (quorum.Node, "_takes_turn", lambda *_: True),
+    ),
+    (
+        "stand on after a vote for another",
+        "slow_votes_end_stands",
+        (quorum.Node, "_still_stands", lambda *_: True),
+    ),
     (
         "lead early by a majority",
         "lease_outlives_restarts",
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -40,6 +40,9 @@
 EARLY_SPREAD = 0.15
 EARLY_RETRY = 0.2
 EARLY_CALL = 0.3
+# For this share of the election timeout a replica that would vote for one
+# candidate tells no other that it would: longer than a vote takes.
+PRE_VOTE_HOLD = 0.1
 
 Config = _messages.Config
 Entry = _messages.Entry
@@ -134,6 +137,8 @@
         self._heard_at = 0.0
         self._stands_after = float("-inf")
         self._heard_leader = False
+        self._word_for: str | None = None
+        self._word_until = 0.0
         self._ready_index = 0
         self._transferring = False
         self._incoming: tuple[_messages.SnapshotMeta, int] | None = None
@@ -404,7 +409,8 @@
             if not self._may_vote(request):
                 return _messages.VoteReply(self.term, False)
             if request.pre:
-                return _messages.VoteReply(self.term, True)
+                given = self._takes_turn(request.candidate)
+                return _messages.VoteReply(self.term, given)
             await self._steps.reach(wire.Step.VOTE, wire.Phase.BEFORE)
             if request.term > self.term:
                 self._become_follower(None)
@@ -593,7 +599,11 @@
             transfer,
             unanimous,
         )
-        if not transfer and not await self._ask_votes(True, False, unanimous):
+        term, heard_at = self.term, self._heard_at
+        if transfer:
+            # The leader that asked for this stand may be heard meanwhile.
+            heard_at = float("inf")
+        elif not await self._passes_before(unanimous):
             if unanimous:
                 return
             self._heard_at = max(
@@ -601,6 +611,8 @@
             )
             return
         async with self._lock:
+            if not self._still_stands(term, heard_at):
+                return
             self._become_follower(None)
             self.role = Role.CANDIDATE
             await self._save_vote(_messages.Vote(self.term + 1, self._me.id))
@@ -616,6 +628,40 @@
                 self.role = Role.FOLLOWER
                 self._back_off()
 
+    async def _passes_before(self, unanimous: bool) -> bool:
+        """Ask whether votes would be given; raises no term."""
+        if not self._takes_turn(self._me.id):
+            return False
+        return await self._ask_votes(True, False, unanimous)
+
+    def _takes_turn(self, candidate: str) -> bool:
+        """Whether no other candidate has this replica's word for now.
+
+        Of candidates that stand within moments only one passes the vote
+        before the vote. Two that did would raise their terms, and the one
+        that loses could depose the winner by a higher term. A word binds
+        for PRE_VOTE_HOLD only and is no vote: it keeps nobody's lease, and
+        to refuse it is always safe.
+        """
+        now = self._clock.now()
+        other = self._word_for not in (None, candidate)
+        if other and now < self._word_until:
+            return False
+        self._word_for = candidate
+        self._word_until = now + self._timing.election_s * PRE_VOTE_HOLD
+        return True
+
+    def _still_stands(self, term: int, heard_at: float) -> bool:
+        """Whether nothing came meanwhile that ends a stand for this term.
+
+        A vote given, a leader heard or a term learned while the votes were
+        asked for shows that another is ahead. Standing on with a higher
+        term would depose it, and win nothing from who has just voted.
+        """
+        if self.role is not Role.FOLLOWER or self.term != term:
+            return False
+        return self._heard_at <= heard_at
+
     def _back_off(self) -> None:
         """Wait at random before standing again after a split vote.
 
