Test that who asks again is counted once

A holder grants a request whose reply was lost once more.

Ruled out: an engine that is silent (three of these engines answered others meanwhile); releases that are lost (heartbeats heal those after 1.5 s).

asked_again fails: running=1 tokens=240 used=1, a backlog of 3.24 s after 3 s.

--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -19,6 +19,7 @@
       | full_home               |
       | deposed_in_a_load       |
       | storm_of_waiters        |
+      | asked_again             |
       | models_in_turn          |
       | named_version           |
 
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -305,20 +305,18 @@
     async def __aexit__(self, *_: object) -> None:
         await self.placer.__aexit__()
 
-    async def request(
+    def ask(
         self,
         adapter: str,
-        work_s: float,
         patience_s: float = 3.0,
         age_s: float = 0.0,
         prompt_tokens: int = 100,
-    ) -> None:
-        """Ask for a place, run there, and give it back."""
+    ) -> placement.PlaceRequest:
+        """Return the next request."""
         self._number += 1
-        name = f"r{self._number}"
-        ask = placement.PlaceRequest(
+        return placement.PlaceRequest(
             "entry-1",
-            name,
+            f"r{self._number}",
             POOL,
             MODEL,
             adapter,
@@ -330,6 +328,18 @@
             "mnl-a",
             age_s=age_s,
         )
+
+    async def request(
+        self,
+        adapter: str,
+        work_s: float,
+        patience_s: float = 3.0,
+        age_s: float = 0.0,
+        prompt_tokens: int = 100,
+    ) -> None:
+        """Ask for a place, run there, and give it back."""
+        ask = self.ask(adapter, patience_s, age_s, prompt_tokens)
+        name = ask.request
         try:
             place = await self.placer.on_place(ask)
         except wire.ServingError:
@@ -562,6 +572,36 @@
         return []
 
 
+async def asked_again() -> list[str]:
+    """Whose reply was lost asks again, and counts once from then on.
+
+    At the same engine or at another one: what is counted twice is given
+    back once, and a prompt that nobody reads is believed to grow late.
+    """
+    async with Ledger(1, Luck(), engines=2, slots=1) as ledger:
+        await asyncio.sleep(2.0)
+        ask = ledger.ask("a1")
+        lost = await ledger.placer.on_place(ask)
+        await ledger.placer.on_place(ask)
+        ask = dataclasses.replace(ask, avoid=(lost.target,))
+        place = await ledger.placer.on_place(ask)
+        ended = placement.EndedUse(
+            ask.request, place.target, placement.UseOutcome.DONE
+        )
+        await ledger.placer.on_release(
+            placement.ReleaseRequest("entry-1", (ended,))
+        )
+        await asyncio.sleep(3.0)
+        now = asyncio.get_running_loop().time()
+        return [
+            f"{target} still counts: {summary}"
+            for target, orders in ledger.placer._orders_by_target.items()
+            if "running=0 tokens=0 used=0"
+            not in (summary := orders.holding.summary(now))
+            or orders.holding.reading.backlog_s(now) > 0.0
+        ]
+
+
 async def models_in_turn() -> list[str]:
     """Base models come from the store one at a time, from disks at once."""
     async with Ledger(1, Luck(), engines=5) as ledger:
@@ -687,6 +727,7 @@
     "returned_goes_behind": returned_goes_behind,
     "long_prompt_goes_sooner": long_prompt_goes_sooner,
     "full_home": full_home,
+    "asked_again": asked_again,
     "models_in_turn": models_in_turn,
     "storm_of_waiters": storm_of_waiters,
     "named_version": named_version,
