Count a request at one engine, and once

Cause: the ledger kept a grant for each reply, also where the reply was lost and the request asked again. At the same engine its slot and its memory were counted twice and given back once; at another one nobody gave the first place back, and its prompt stayed unread, so that the believed backlog grew.

A second grant now takes the place of the first, at whichever engine. The same holds for a use that an entry tells of.

asked_again passes, and fails with the move switched off (mutant).

--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -703,6 +703,17 @@
         "lead_in_doubt",
         (placement.EngineOrders, "tend", lambda _: None),
     ),
+    (
+        "leave the first place counted",
+        "asked_again",
+        (
+            _placer.Placer,
+            "_move_request",
+            lambda self, boot, request, target, _: (
+                self._requests_of(boot).update({request: target})
+            ),
+        ),
+    ),
     (
         "load all models at once",
         "models_in_turn",
--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -250,7 +250,12 @@
         return fresh
 
     def restore(self, grant: Grant) -> None:
-        """Count a request in that a daemon says is running."""
+        """Count a request in that a daemon says is running.
+
+        One that is counted already runs only once: asked for again after a
+        lost reply, it would keep its slot in use and its memory taken.
+        """
+        self._count_out(grant.boot, grant.request, grant.granted_at)
         self.grant_by_request[(grant.boot, grant.request)] = grant
         self.tokens += grant.tokens
         slot = self.slot_by_name.get(grant.name)
@@ -261,6 +266,9 @@
     def release(self, boot: str, request: str, now: float) -> Grant | None:
         """Count a request out."""
         self.reading.drop((boot, request))
+        return self._count_out(boot, request, now)
+
+    def _count_out(self, boot: str, request: str, now: float) -> Grant | None:
         grant = self.grant_by_request.pop((boot, request), None)
         if grant is None:
             return None
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -315,12 +315,26 @@
             holding.restore(
                 _holding.Grant(boot, use.request, name, use.tokens, now)
             )
-            self._requests_of(boot)[use.request] = use.target
+            self._move_request(boot, use.request, use.target, now)
 
     def _requests_of(self, boot: str) -> dict[str, str]:
         """Return where a daemon's requests run."""
         return self._target_by_request.setdefault(boot, {})
 
+    def _move_request(
+        self, boot: str, request: str, target: str, now: float
+    ) -> None:
+        """Note where a request runs now, and that it runs nowhere else.
+
+        It is asked for again when the reply was lost. Nobody gives the
+        first place back, so it would count for the rest of the term, its
+        prompt as unread: the engine's believed backlog grows with time.
+        """
+        before = self._requests_of(boot).get(request)
+        if before is not None and before != target:
+            self._release(boot, request, before, now)
+        self._requests_of(boot)[request] = target
+
     def _release(
         self, boot: str, request: str, target: str, now: float
     ) -> _holding.Grant | None:
@@ -608,7 +622,7 @@
             request.boot, request.request, waiter.name, waiter.tokens, now
         )
         self._uses.add("/".join(waiter.name), now)
-        self._requests_of(request.boot)[request.request] = holding.info.id
+        self._move_request(request.boot, request.request, target, now)
         backlog_s = holding.reading.backlog_s(now, request.priority)
         new_tokens = holding.add(
             grant, request.parts, request.prompt_tokens, request.priority
