--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -20,6 +20,7 @@
       | an instance starts before its routes are known        |
       | an instance never hears of routes                     |
       | nobody leads                                          |
+      | nobody leads for long                                 |
       | late requests ask beside others                       |
       | a daemon is behind                                    |
       | hundreds wait                                         |
--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -439,6 +439,8 @@
     session.daemon_by_boot = dict.fromkeys(map(str, range(daemons)))
     session.leader.moved = asyncio.Event()
     session.boot = "b"
+    session.silent_s.return_value = 0.0
+    session.digest.target_by_id = {}
     return session
 
 
@@ -473,6 +475,57 @@
     return [] if calls <= most else [f"{calls} calls in 2 s"]
 
 
+def long_silence() -> list[str]:
+    """Who comes into a long silence is refused while it is cheap.
+
+    The leader goes, and nobody leads for 10 s. Requests that can wait 3 s
+    come all the while. Those of the first 1.5 s wait, as an election may
+    end it; who comes later than 3 s is told within 0.1 s that it has not
+    run, and to come back no sooner than in 1 s. Before, each was held for
+    3 s and then refused all the same.
+    """
+
+    async def run() -> list[tuple[float, float, float | None]]:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        session = _session(83)
+        session.silent_s.side_effect = lambda: loop.time() - began_at
+        places = _places.Places(session, _NobodyLeads())
+        held = []
+
+        async def ask(number: int) -> None:
+            came_at = loop.time() - began_at
+            request = dataclasses.replace(
+                _place_request(number), patience_s=3.0, objective_s=1.0
+            )
+            try:
+                await places.take(request)
+            except wire.OverloadError as error:
+                held_s = loop.time() - began_at - came_at
+                held.append((came_at, held_s, error.retry_after_s))
+
+        asking = []
+        for number in range(100):
+            asking.append(asyncio.create_task(ask(number)))
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*asking)
+        return held
+
+    loop = looptime.new_event_loop()
+    with contextlib.closing(loop):
+        held = loop.run_until_complete(run())
+    faults = []
+    for came_at, held_s, retry_s in held:
+        least_s = 0.7 if came_at < 0.5 else 0.0
+        most_s = 0.1 if came_at > 3.0 else 3.1
+        if not least_s <= held_s <= most_s or (retry_s or 0.0) < 1.0:
+            faults.append(
+                f"came after {came_at:.1f} s: refused after {held_s:.2f} s, "
+                f"to come back in {retry_s} s"
+            )
+    return faults if len(held) == 100 else [f"{len(held)} were refused"]
+
+
 class _Asked(wire.PeerTransport):
     """Grants every place, and notes in which order they were asked for."""
 
@@ -604,6 +657,7 @@
 
 LOADS = {
     "nobody leads": lost_leader,
+    "nobody leads for long": long_silence,
     "late requests ask beside others": late_wait,
     "a daemon is behind": behind,
     "hundreds wait": hundreds_wait,
