Entry: in a long silence refuse at once whom it likely outlasts

Cause: while nobody leads nobody gives places, and an entry held each model request for 3 s all the same.

A silence of 1.5 s is longer than an election. Nothing more is known of how long it lasts than how long it has lasted, so whoever can wait less than that is refused at once, not run, and told to come back after about as long. An own place of the last 20 s is used before. Answers to calls for places count as hearing a leader, as heartbeats may be shed.

Ruled out: a budget that asks late ones first (they wait for spare turns already); loads or settling after the take-over (settled within 0.6 s).

--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -8,6 +8,7 @@
 from bergamotsail import control
 from bergamotsail import observe
 from bergamotsail import placement
+from bergamotsail.routing import _silence
 from bergamotsail import wire
 
 ASK_S = 1.5
@@ -117,6 +118,9 @@
         self._background = wire.Background()
         self._searching = False
         self._found = asyncio.Event()
+        # Before it starts a daemon has heard of nobody, and that is no
+        # silence.
+        self._heard_at = clock.now()
         self._budget = AskBudget(
             lambda: MOST_ASKS_PER_S / self._daemons(), clock
         )
@@ -149,6 +153,9 @@
         pause_s = ASK_RETRY_S
         last: wire.ServingError | None = None
         while (left_s := deadline - self._clock.now()) > 0:
+            silent_s = self._silent_s()
+            if _silence.outlasts(silent_s, left_s):
+                return self._without_leader(request, silent_s)
             waited_s = request.waited_s + self._clock.now() - started_at
             if waited_s > request.objective_s and not self._budget.spare():
                 # It is late already; who can still be on time goes first.
@@ -169,14 +176,19 @@
                 reply = await self._ask(asked)
                 self._leader_answers()
                 return self._took(request, reply)
-            except (LeaderMovedError, wire.StillWaitingError):
+            except LeaderMovedError:
+                continue
+            except wire.StillWaitingError:
+                self._heard_at = self._clock.now()
                 continue
             except wire.NoPlaceError:
+                self._heard_at = self._clock.now()
                 raise
             except wire.ServingError as error:
                 last = error
                 self._put_back(error, asked.releases)
                 if isinstance(error, wire.BehindError):
+                    self._heard_at = self._clock.now()
                     pause_s = max(pause_s, error.retry_after_s or 0.0)
                 remembered = self._recall(request)
                 if remembered is not None:
@@ -224,8 +236,30 @@
             return
         await wire.wait_event(self._found, max(pause_s, SEARCH_PAUSE_S))
 
+    def _silent_s(self) -> float:
+        """Return for how long no leader was heard, by any call."""
+        heard_s = self._clock.now() - self._heard_at
+        return min(heard_s, self._session.silent_s())
+
+    def _without_leader(
+        self, request: placement.PlaceRequest, silent_s: float
+    ) -> placement.PlaceReply:
+        """Return a place given before, or refuse at once.
+
+        To hold a request on that a long silence likely outlasts gains
+        nothing, and it comes back too late for another try.
+        """
+        remembered = self._recall(request)
+        if remembered is not None:
+            return self._took(request, remembered)
+        raise wire.OverloadError(
+            "Nobody gives places at the moment. Come back later.",
+            retry_after_s=_silence.retry_after_s(silent_s),
+        )
+
     def _leader_answers(self) -> None:
         """Wake the requests that wait until a leader answers."""
+        self._heard_at = self._clock.now()
         self._found.set()
         self._found = asyncio.Event()
 
