Entry: ask engines what they hold while nobody leads for long

Cause: in a long silence an entry places by what it was given itself in the last 20 s.

After 1.5 s of silence an entry that is asked for a place gets each engine's report, once in a silence, eight at a time, and places at the least loaded that holds the adapter in a version not older than the named one. Engines refuse what they lack. What it placed itself stands for what each other entry placed. Forgotten as soon as a leader is heard.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -21,6 +21,7 @@
       | an instance never hears of routes                     |
       | nobody leads                                          |
       | nobody leads for long                                 |
+      | nobody leads while engines hold what is asked for     |
       | late requests ask beside others                       |
       | a daemon is behind                                    |
       | hundreds wait                                         |
--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -14,6 +14,7 @@
 import looptime
 
 from bergamotsail import catalogue
+from bergamotsail import control
 from bergamotsail import daemon
 from bergamotsail import observe
 from bergamotsail import placement
@@ -26,6 +27,7 @@
 from bergamotsail.routing import _forward
 from bergamotsail.routing import _forward_types
 from bergamotsail.routing import _places
+from bergamotsail.routing import _survey
 from bergamotsail import targets
 from bergamotsail import wire
 
@@ -526,6 +528,74 @@
     return faults if len(held) == 100 else [f"{len(held)} were refused"]
 
 
+def surveyed(asks: bool = True) -> list[str]:
+    """In a long silence requests go where engines say that they can.
+
+    Of four engines one holds the adapter, one an older version than the
+    named one, one is leaving, and one says nothing. Each of twenty requests
+    is sent to the first, none has to wait 0.3 s, and engines are asked
+    once. An adapter that nobody holds is refused.
+    """
+    asked: list[str] = []
+    infos = [
+        control.TargetInfo(name, POOL, f"10.0.0.{number}:1", "a", name == "e3")
+        for number, name in enumerate(("e1", "e2", "e3", "e4"))
+    ]
+    version_by_target = {"e1": 7, "e2": 6, "e3": 7}
+
+    async def ask(info: control.TargetInfo) -> targets.AdapterReport:
+        asked.append(info.id)
+        await asyncio.sleep(0.01)
+        if info.id not in version_by_target:
+            raise wire.PeerLostError("It says nothing.")
+        held = targets.HeldAdapter(MODEL, "a1", version_by_target[info.id])
+        return targets.AdapterReport((MODEL,), (held,), (), False, 1)
+
+    async def run() -> tuple[list, list]:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time() - 2.0
+        session = _session(83)
+        session.silent_s.side_effect = lambda: loop.time() - began_at
+        session.digest.target_by_id = {info.id: info for info in infos}
+        session.view.named_version.return_value = 7
+        survey = _survey.Survey(ask, random.Random(1))
+        places = _places.Places(
+            session, _NobodyLeads(), survey=survey if asks else None
+        )
+        await asyncio.sleep(2.0)
+        began = loop.time()
+        requests = [
+            dataclasses.replace(_place_request(number), patience_s=9.0)
+            for number in range(20)
+        ]
+        found = await asyncio.gather(
+            *map(places.take, requests), return_exceptions=True
+        )
+        took_s = loop.time() - began
+        absent = dataclasses.replace(_place_request(20), adapter="a2")
+        refused = await asyncio.gather(
+            places.take(absent), return_exceptions=True
+        )
+        if took_s > 0.3:
+            refused.append(f"it took {took_s:.2f} s")
+        return found, refused
+
+    loop = looptime.new_event_loop()
+    with contextlib.closing(loop):
+        found, refused = loop.run_until_complete(run())
+    faults = [
+        str(reply)
+        for reply in found
+        if isinstance(reply, wire.OverloadError)
+        or (reply.target, reply.version) != ("e1", 7)
+    ]
+    if len(refused) != 1 or not isinstance(refused[0], wire.OverloadError):
+        faults.append(f"refused: {refused}")
+    if sorted(asked) != ["e1", "e2", "e4"]:
+        faults.append(f"asked: {sorted(asked)}")
+    return faults
+
+
 class _Asked(wire.PeerTransport):
     """Grants every place, and notes in which order they were asked for."""
 
@@ -658,6 +728,7 @@
 LOADS = {
     "nobody leads": lost_leader,
     "nobody leads for long": long_silence,
+    "nobody leads while engines hold what is asked for": surveyed,
     "late requests ask beside others": late_wait,
     "a daemon is behind": behind,
     "hundreds wait": hundreds_wait,
@@ -682,5 +753,6 @@
     switched_off = {
         "learned pace": faster(learns=False),
         "further copies": asked_by_all(spread=False),
+        "engines are asked": surveyed(asks=False),
     }
     return [name for name, faults in switched_off.items() if not faults]
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -268,6 +268,8 @@
     Args:
         caller_address: where callers reach this daemon.
         changed: called when routes may have changed.
+        make_engine: gives the engine of a target, to be asked what it
+            holds while nobody leads.
     """
 
     def __init__(
@@ -279,6 +281,9 @@
         dialect: routing.Dialect,
         budget: BudgetSettings,
         changed: collections.abc.Callable[[], None],
+        make_engine: collections.abc.Callable[
+            [targets.Instance], targets.AdapterEngine
+        ],
         clock: wire.Clock,
     ) -> None:
         self.metrics = observe.Metrics()
@@ -308,7 +313,18 @@
             placement.PLACE,
             placement.RELEASE,
         )
-        self._places = routing.Places(self.session, transport, clock)
+
+        def ask(
+            info: control.TargetInfo,
+        ) -> collections.abc.Awaitable[targets.AdapterReport]:
+            """Get the report of a target."""
+            instance = targets.Instance(
+                info.id, info.pool, info.address, info.datacentre
+            )
+            return make_engine(instance).report()
+
+        survey = routing.Survey(ask, wire.own_luck(settings.name))
+        self._places = routing.Places(self.session, transport, clock, survey)
         self.session.attach(_EntryParticipant(self._places, changed))
         self._address = caller_address
         self.forwarder = routing.Forwarder(
--- a/libs/routing/src/bergamotsail/routing/__init__.py
+++ b/libs/routing/src/bergamotsail/routing/__init__.py
@@ -8,6 +8,7 @@
 from bergamotsail.routing import _forward_types
 from bergamotsail.routing import _places
 from bergamotsail.routing import _service_choice
+from bergamotsail.routing import _survey
 from bergamotsail import wire
 
 CallerAnswer = _forward_types.CallerAnswer
@@ -21,6 +22,7 @@
 Reading = _forward_types.Reading
 RepeatBudgets = _service_choice.RepeatBudgets
 ServiceChoice = _service_choice.ServiceChoice
+Survey = _survey.Survey
 
 __getattr__ = wire.lazy_names(
     __name__,
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -9,6 +9,7 @@
 from bergamotsail import observe
 from bergamotsail import placement
 from bergamotsail.routing import _silence
+from bergamotsail.routing import _survey
 from bergamotsail import wire
 
 ASK_S = 1.5
@@ -32,6 +33,9 @@
 # Where a leader was lost, one request of a daemon looks for the next; the
 # others look now and then.
 SEARCH_PAUSE_S = 0.5
+# While engines are asked what they hold, requests look so often whether one
+# has named what they need.
+SURVEY_POLL_S = 0.05
 RELEASE_TIMEOUT_S = 0.5
 MOST_RELEASES = 500
 REMEMBERED = 500
@@ -100,8 +104,10 @@
         session: control.Session,
         transport: wire.PeerTransport,
         clock: wire.Clock = wire.LoopClock(),
+        survey: _survey.Survey | None = None,
     ) -> None:
         self._session = session
+        self._survey = survey
         self._transport = transport
         self._clock = clock
         self._use_by_request: dict[str, control.Use] = {}
@@ -117,6 +123,7 @@
         self._wake = asyncio.Event()
         self._background = wire.Background()
         self._searching = False
+        self._looking: asyncio.Task | None = None
         self._found = asyncio.Event()
         # Before it starts a daemon has heard of nobody, and that is no
         # silence.
@@ -134,6 +141,8 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        if self._looking is not None:
+            self._looking.cancel()
         await self._background.stop()
 
     def uses(self) -> tuple[control.Use, ...]:
@@ -153,9 +162,12 @@
         pause_s = ASK_RETRY_S
         last: wire.ServingError | None = None
         while (left_s := deadline - self._clock.now()) > 0:
-            silent_s = self._silent_s()
-            if _silence.outlasts(silent_s, left_s):
-                return self._without_leader(request, silent_s)
+            known = self._without_leader(request, left_s)
+            if known is not None:
+                return self._took(request, known)
+            if self._looking is not None and not self._looking.done():
+                await self._clock.sleep(min(SURVEY_POLL_S, left_s))
+                continue
             waited_s = request.waited_s + self._clock.now() - started_at
             if waited_s > request.objective_s and not self._budget.spare():
                 # It is late already; who can still be on time goes first.
@@ -242,24 +254,59 @@
         return min(heard_s, self._session.silent_s())
 
     def _without_leader(
-        self, request: placement.PlaceRequest, silent_s: float
-    ) -> placement.PlaceReply:
-        """Return a place given before, or refuse at once.
+        self, request: placement.PlaceRequest, left_s: float
+    ) -> placement.PlaceReply | None:
+        """Return a place that needs no leader while none is heard for long.
 
         To hold a request on that a long silence likely outlasts gains
         nothing, and it comes back too late for another try.
+
+        Raises:
+            OverloadError: none is known, and the silence likely lasts on.
         """
-        remembered = self._recall(request)
-        if remembered is not None:
-            return self._took(request, remembered)
-        raise wire.OverloadError(
-            "Nobody gives places at the moment. Come back later.",
-            retry_after_s=_silence.retry_after_s(silent_s),
+        silent_s = self._silent_s()
+        if silent_s < _silence.LONG_S:
+            if self._survey is not None:
+                self._survey.forget()
+            return None
+        known = self._surveyed(request) or self._recall(request)
+        if known is None and _silence.outlasts(silent_s, left_s):
+            raise wire.OverloadError(
+                "Nobody gives places at the moment. Come back later.",
+                retry_after_s=_silence.retry_after_s(silent_s),
+            )
+        return known
+
+    def _surveyed(
+        self, request: placement.PlaceRequest
+    ) -> placement.PlaceReply | None:
+        """Return a place at an engine that says it holds the adapter."""
+        if self._survey is None:
+            return None
+        known = self._session.digest.target_by_id
+        due = self._survey.due(request.pool, known.values())
+        if due and (self._looking is None or self._looking.done()):
+            self._looking = asyncio.create_task(self._look(due))
+        return self._survey.choose(
+            request,
+            known,
+            self._session.view.named_version(request.model, request.adapter),
+            self._daemons(),
         )
 
+    async def _look(self, due: list[control.TargetInfo]) -> None:
+        """Ask engines what they hold, and wake whom that may help."""
+        assert self._survey is not None
+        await self._survey.look(due)
+        self._wake_waiting()
+
     def _leader_answers(self) -> None:
         """Wake the requests that wait until a leader answers."""
         self._heard_at = self._clock.now()
+        self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
+        """Let those who wait to ask again look at once."""
         self._found.set()
         self._found = asyncio.Event()
 
@@ -359,6 +406,8 @@
             for key in list(self._remembered):
                 if key[1:] == (use.model, use.adapter):
                     del self._remembered[key]
+            if self._survey is not None:
+                self._survey.drop(target)
         self._ended.append(placement.EndedUse(request, target, outcome))
         self._wake.set()
 
--- /dev/null
+++ b/libs/routing/src/bergamotsail/routing/_survey.py
@@ -0,0 +1,142 @@
+"""What engines hold, as they say themselves while nobody leads."""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import random
+
+from bergamotsail import control
+from bergamotsail import observe
+from bergamotsail import placement
+from bergamotsail import targets
+from bergamotsail import wire
+
+AskEngine = collections.abc.Callable[
+    [control.TargetInfo],
+    collections.abc.Awaitable[targets.AdapterReport],
+]
+# A daemon's processor is small; so many reports are read at a time.
+MOST_AT_ONCE = 8
+
+
+class Survey:
+    """Asks each engine once in a silence what it holds.
+
+    Without a leader nobody loads or evicts, so what an engine said stays
+    true until it starts anew; and it refuses what it lacks. A daemon of
+    many has been given few places itself: it remembers hardly any.
+
+    Args:
+        ask: gets the report of a target.
+        rng: tells daemons apart, so that they don't all choose alike.
+    """
+
+    def __init__(self, ask: AskEngine, rng: random.Random) -> None:
+        self._ask = ask
+        self._rng = rng
+        self._asked: set[str] = set()
+        self._report_by_target: dict[str, targets.AdapterReport] = {}
+        self._placed_by_target: collections.Counter[str] = (
+            collections.Counter()
+        )
+
+    def forget(self) -> None:
+        """Forget all; what was said holds for one silence."""
+        if self._asked:
+            self._asked.clear()
+            self._report_by_target.clear()
+            self._placed_by_target.clear()
+
+    def drop(self, target: str) -> None:
+        """Forget a target that lacked what it said that it holds."""
+        self._report_by_target.pop(target, None)
+
+    def due(
+        self,
+        pool: str,
+        known: collections.abc.Iterable[control.TargetInfo],
+    ) -> list[control.TargetInfo]:
+        """Return the targets of a pool that were not asked yet."""
+        return [
+            info
+            for info in known
+            if info.pool == pool
+            and not info.leaving
+            and info.id not in self._asked
+        ]
+
+    async def look(self, due: list[control.TargetInfo]) -> None:
+        """Ask these, a few at a time."""
+        self._asked.update(info.id for info in due)
+        self._rng.shuffle(due)
+        turns = asyncio.Semaphore(MOST_AT_ONCE)
+        await asyncio.gather(*(self._look_at(info, turns) for info in due))
+        observe.log_event(
+            "route",
+            "survey",
+            asked=len(due),
+            told=len(self._report_by_target),
+        )
+
+    async def _look_at(
+        self, info: control.TargetInfo, turns: asyncio.Semaphore
+    ) -> None:
+        async with turns:
+            with contextlib.suppress(wire.ServingError):
+                report = await self._ask(info)
+                if info.id in self._asked:
+                    self._report_by_target[info.id] = report
+
+    def choose(
+        self,
+        request: placement.PlaceRequest,
+        known: collections.abc.Mapping[str, control.TargetInfo],
+        named: int | None,
+        daemons: int,
+    ) -> placement.PlaceReply | None:
+        """Return the least loaded of those that hold what is asked for.
+
+        Args:
+            named: the least version of the adapter that may be used.
+            daemons: how many choose like this one; what it placed at a
+                target stands for what each of them did.
+        """
+        best: tuple[float, control.TargetInfo, int | None] | None = None
+        for target, report in self._report_by_target.items():
+            info = known.get(target)
+            if info is None or info.leaving or target in request.avoid:
+                continue
+            holds, version = _held(request, report, named)
+            if not holds:
+                continue
+            load = (
+                report.running
+                + report.queued
+                + self._placed_by_target[target] * daemons
+                + self._rng.random()
+            )
+            if best is None or load < best[0]:
+                best = (load, info, version)
+        if best is None:
+            return None
+        _, info, version = best
+        self._placed_by_target[info.id] += 1
+        return placement.PlaceReply(
+            info.id, info.address, version, 0.0, "surveyed"
+        )
+
+
+def _held(
+    request: placement.PlaceRequest,
+    report: targets.AdapterReport,
+    named: int | None,
+) -> tuple[bool, int | None]:
+    """Return whether an engine holds what is asked for, and the version."""
+    if not request.adapter:
+        return request.model in report.models, None
+    for held in report.adapters:
+        if (held.model, held.adapter) == (request.model, request.adapter):
+            new_enough = named is None or (held.version or 0) >= named
+            return new_enough, held.version
+    return False, None
