--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -21,6 +21,8 @@
       | an instance starts before its routes are known        |
       | an instance never hears of routes                     |
       | nobody leads                                          |
+      | nobody leads for long                                 |
+      | nobody leads while engines hold what is asked for     |
       | late requests ask beside others                       |
       | a daemon is behind                                    |
       | hundreds wait                                         |
--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -14,6 +14,7 @@
 import looptime
 
 from bergamotsail import catalogue
+from bergamotsail import control
 from bergamotsail import daemon
 from bergamotsail import observe
 from bergamotsail import placement
@@ -26,6 +27,7 @@
 from bergamotsail.routing import _forward
 from bergamotsail.routing import _forward_types
 from bergamotsail.routing import _places
+from bergamotsail.routing import _survey
 from bergamotsail import targets
 from bergamotsail import wire
 
@@ -462,6 +464,8 @@
     session.daemon_by_boot = dict.fromkeys(map(str, range(daemons)))
     session.leader.moved = asyncio.Event()
     session.boot = "b"
+    session.silent_s.return_value = 0.0
+    session.digest.target_by_id = {}
     return session
 
 
@@ -496,6 +500,125 @@
     return [] if calls <= most else [f"{calls} calls in 2 s"]
 
 
+def long_silence() -> list[str]:
+    """Who comes into a long silence is refused while it is cheap.
+
+    The leader goes, and nobody leads for 10 s. Requests that can wait 3 s
+    come all the while. Those of the first 1.5 s wait, as an election may
+    end it; who comes later than 3 s is told within 0.1 s that it has not
+    run, and to come back no sooner than in 1 s. Before, each was held for
+    3 s and then refused all the same.
+    """
+
+    async def run() -> list[tuple[float, float, float | None]]:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        session = _session(83)
+        session.silent_s.side_effect = lambda: loop.time() - began_at
+        places = _places.Places(session, _NobodyLeads())
+        held = []
+
+        async def ask(number: int) -> None:
+            came_at = loop.time() - began_at
+            request = dataclasses.replace(
+                _place_request(number), patience_s=3.0, objective_s=1.0
+            )
+            try:
+                await places.take(request)
+            except wire.OverloadError as error:
+                held_s = loop.time() - began_at - came_at
+                held.append((came_at, held_s, error.retry_after_s))
+
+        asking = []
+        for number in range(100):
+            asking.append(asyncio.create_task(ask(number)))
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*asking)
+        return held
+
+    loop = looptime.new_event_loop()
+    with contextlib.closing(loop):
+        held = loop.run_until_complete(run())
+    faults = []
+    for came_at, held_s, retry_s in held:
+        least_s = 0.7 if came_at < 0.5 else 0.0
+        most_s = 0.1 if came_at > 3.0 else 3.1
+        if not least_s <= held_s <= most_s or (retry_s or 0.0) < 1.0:
+            faults.append(
+                f"came after {came_at:.1f} s: refused after {held_s:.2f} s, "
+                f"to come back in {retry_s} s"
+            )
+    return faults if len(held) == 100 else [f"{len(held)} were refused"]
+
+
+def surveyed(asks: bool = True) -> list[str]:
+    """In a long silence requests go where engines say that they can.
+
+    Of four engines one holds the adapter, one an older version than the
+    named one, one is leaving, and one says nothing. Each of twenty requests
+    is sent to the first, none has to wait 0.3 s, and engines are asked
+    once. An adapter that nobody holds is refused.
+    """
+    asked: list[str] = []
+    infos = [
+        control.TargetInfo(name, POOL, f"10.0.0.{number}:1", "a", name == "e3")
+        for number, name in enumerate(("e1", "e2", "e3", "e4"))
+    ]
+    version_by_target = {"e1": 7, "e2": 6, "e3": 7}
+
+    async def ask(info: control.TargetInfo) -> targets.AdapterReport:
+        asked.append(info.id)
+        await asyncio.sleep(0.01)
+        if info.id not in version_by_target:
+            raise wire.PeerLostError("It says nothing.")
+        held = targets.HeldAdapter(MODEL, "a1", version_by_target[info.id])
+        return targets.AdapterReport((MODEL,), (held,), (), False, 1)
+
+    async def run() -> tuple[list, list]:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time() - 2.0
+        session = _session(83)
+        session.silent_s.side_effect = lambda: loop.time() - began_at
+        session.digest.target_by_id = {info.id: info for info in infos}
+        session.view.named_version.return_value = 7
+        survey = _survey.Survey(ask, random.Random(1))
+        places = _places.Places(
+            session, _NobodyLeads(), survey=survey if asks else None
+        )
+        await asyncio.sleep(2.0)
+        began = loop.time()
+        requests = [
+            dataclasses.replace(_place_request(number), patience_s=9.0)
+            for number in range(20)
+        ]
+        found = await asyncio.gather(
+            *map(places.take, requests), return_exceptions=True
+        )
+        took_s = loop.time() - began
+        absent = dataclasses.replace(_place_request(20), adapter="a2")
+        refused = await asyncio.gather(
+            places.take(absent), return_exceptions=True
+        )
+        if took_s > 0.3:
+            refused.append(f"it took {took_s:.2f} s")
+        return found, refused
+
+    loop = looptime.new_event_loop()
+    with contextlib.closing(loop):
+        found, refused = loop.run_until_complete(run())
+    faults = [
+        str(reply)
+        for reply in found
+        if isinstance(reply, wire.OverloadError)
+        or (reply.target, reply.version) != ("e1", 7)
+    ]
+    if len(refused) != 1 or not isinstance(refused[0], wire.OverloadError):
+        faults.append(f"refused: {refused}")
+    if sorted(asked) != ["e1", "e2", "e4"]:
+        faults.append(f"asked: {sorted(asked)}")
+    return faults
+
+
 class _Asked(wire.PeerTransport):
     """Grants every place, and notes in which order they were asked for."""
 
@@ -627,6 +750,8 @@
 
 LOADS = {
     "nobody leads": lost_leader,
+    "nobody leads for long": long_silence,
+    "nobody leads while engines hold what is asked for": surveyed,
     "late requests ask beside others": late_wait,
     "a daemon is behind": behind,
     "hundreds wait": hundreds_wait,
@@ -652,5 +777,6 @@
     switched_off = {
         "learned pace": faster(learns=False),
         "further copies": asked_by_all(spread=False),
+        "engines are asked": surveyed(asks=False),
     }
     return [name for name, faults in switched_off.items() if not faults]
