--- a/features/growth.feature
+++ b/features/growth.feature
@@ -19,6 +19,9 @@
   Scenario: The longest prefix of the host selects the route
     Then the longest prefix selects the route
 
+  Scenario: Who gave orders to engines is known after a snapshot
+    Then who gave orders outlives a snapshot
+
   Scenario: A split follows its weights
     Then a split follows its weights
 
@@ -44,6 +47,7 @@
       | luck_of_its_own          |
       | split_votes_end          |
       | cut_off_entry            |
+      | former_daemons_count     |
       | moved_leader_wakes       |
       | two_restart_at_once      |
       | all_restart_at_once      |
--- a/features/holders.feature
+++ b/features/holders.feature
@@ -8,7 +8,7 @@
     When the lead moves at random with 4 seeds
     Then no engine saw holders take turns
 
-  Scenario Outline: <scenario>, without a wait that guards nothing
+  Scenario Outline: <scenario>: a wait only where it guards something
     When the scenario <scenario> of holders runs
     Then no engine saw holders take turns
 
@@ -17,6 +17,9 @@
       | handed_on_at_once |
       | regained_at_once  |
       | all_restarted_at_once |
+      | noted_before_it_orders |
+      | quiet_after_each_term |
+      | resident_meanwhile |
 
   Scenario: A tenure keeps to the lease over any elections and restarts
     When 400 random histories of elections are tried
--- a/features/steps/growth.py
+++ b/features/steps/growth.py
@@ -17,6 +17,12 @@
     assert not faults, faults
 
 
+@behave.then("who gave orders outlives a snapshot")
+def holders_outlive_snapshots(context) -> None:
+    faults = growth.holders_outlive_snapshots()
+    assert not faults, faults
+
+
 @behave.then("a split follows its weights")
 def split_by_weight(context) -> None:
     faults = growth.split_by_weight()
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -167,6 +167,51 @@
             assert machine.view.named_version("base", key) == newest
 
 
+def holders_outlive_snapshots() -> list[str]:
+    """Who gave orders is known after a snapshot was taken and restored."""
+    machine = catalogue.CatalogueMachine()
+    takes = (("r1", False), ("r2", False), ("r1", False))
+    for index, (holder, alone) in enumerate(takes, 1):
+        take = catalogue.TakeOrders(holder, index, alone)
+        machine.apply(index, wire.encode(catalogue.Command(take_orders=take)))
+    restored = catalogue.CatalogueMachine()
+    restored.restore(3, list(machine.snapshot()))
+    faults = []
+    if restored.order_holders != ("r2", "r1"):
+        faults.append(f"restored {restored.order_holders}")
+    take = catalogue.TakeOrders("r1", 4, alone=True)
+    restored.apply(4, wire.encode(catalogue.Command(take_orders=take)))
+    if restored.order_holders != ("r1",):
+        faults.append(f"alone {restored.order_holders}")
+    return faults
+
+
+async def former_daemons_count() -> list[str]:
+    """Daemons are known over two leaders in a row, each from little."""
+
+    def info(number: int) -> control.DaemonInfo:
+        name = f"e{number}"
+        return control.DaemonInfo(name, f"{name}#1", name, "mnl-a")
+
+    def delta(term: int, *numbers: int):
+        log = control.DigestLog(term)
+        for number in numbers:
+            log.put_daemon(info(number))
+        return log.delta(0, 0)
+
+    lease = control.LeaseTiming(2.0, 0.3, call_s=0.6)
+    session = control.Session(info(1), None, None, lease)
+    session.take_digest(delta(2, *range(30)))
+    await asyncio.sleep(10.0)
+    session.take_digest(delta(3, 1, 2))
+    await asyncio.sleep(0.2)
+    session.take_digest(delta(4, 1, 3))
+    known = len(session.daemon_by_boot)
+    await asyncio.sleep(2.5)
+    later = len(session.daemon_by_boot)
+    return [] if (known, later) == (30, 2) else [f"{known}, then {later}"]
+
+
 class Replicas:
     """Nodes of a log, each with its disk, on a network in memory."""
 
@@ -818,6 +863,7 @@
 
 
 SCENARIOS = {
+    "former_daemons_count": former_daemons_count,
     "part_of_a_library": part_of_a_library,
     "cut_off_entry": cut_off_entry,
     "restart_then_power_loss": restart_then_power_loss,
--- a/features/support/holders.py
+++ b/features/support/holders.py
@@ -36,8 +36,6 @@
 from features.support import ledger
 
 LEASE_S = 3.0
-# An order may be on its way for so long after it was let go.
-FLIGHT_S = 0.1
 POOL = ledger.POOL
 MODEL = ledger.MODEL
 ENTRY = "entry-1"
@@ -45,32 +43,28 @@
 
 
 class WatchedEngine(targets.AdapterEngine):
-    """An engine as one replica reaches it; notes the orders it accepts."""
+    """An engine as one replica reaches it; notes whose each number is."""
 
     def __init__(
         self,
         holder: str,
         engine: ledger.EngineOracle,
-        accepted: list[tuple[float, str]],
+        holder_by_fence: dict[int, str],
     ) -> None:
         self._holder = holder
         self._engine = engine
-        self._accepted = accepted
+        self._holder_by_fence = holder_by_fence
 
     async def report(self) -> targets.AdapterReport:
         return await self._engine.report()
 
     async def load(self, order: targets.EngineOrder) -> Outcome:
-        return self._note(await self._engine.load(order))
+        self._holder_by_fence[order.fence] = self._holder
+        return await self._engine.load(order)
 
     async def unload(self, order: targets.EngineOrder) -> Outcome:
-        return self._note(await self._engine.unload(order))
-
-    def _note(self, outcome: Outcome) -> Outcome:
-        if outcome in (Outcome.STARTED, Outcome.HOLDS):
-            now = asyncio.get_running_loop().time()
-            self._accepted.append((now, self._holder))
-        return outcome
+        self._holder_by_fence[order.fence] = self._holder
+        return await self._engine.unload(order)
 
 
 def turns_taken(accepted: list[tuple[float, str]], lease_s: float) -> list:
@@ -128,7 +122,13 @@
 class Holders:
     """Replicas before engines; an async context manager."""
 
-    def __init__(self, seed: int, engines: int = 2, **settings) -> None:
+    def __init__(
+        self,
+        seed: int,
+        engines: int = 2,
+        luck: ledger.Luck = ledger.Luck(),
+        **settings,
+    ) -> None:
         self._seed = seed
         self._starts = 0
         self.rng = random.Random(seed)
@@ -138,15 +138,13 @@
             64, 100_000, 1e6, 3, 4.0, (catalogue.BaseModel(MODEL, 1, 1),)
         )
         self.engine_by_id = {
-            f"e{n}": ledger.EngineOracle(self.spec, ledger.Luck(), self.rng)
+            f"e{n}": ledger.EngineOracle(self.spec, luck, self.rng)
             for n in range(engines)
         }
-        self.accepted_by_id: dict[str, list[tuple[float, str]]] = {
-            target: [] for target in self.engine_by_id
-        }
+        self._holder_by_fence: dict[int, str] = {}
         self.served = 0
         self._settings = settings
-        self._asked = 0
+        self.asked = 0
 
     async def __aenter__(self) -> "Holders":
         for place in self.places:
@@ -202,7 +200,7 @@
             lambda instance: WatchedEngine(
                 place.name,
                 self.engine_by_id[instance.id],
-                self.accepted_by_id[instance.id],
+                self._holder_by_fence,
             ),
             forms,
             0.5,
@@ -238,15 +236,20 @@
 
     async def ask(self, patience_s: float = 0.5) -> bool:
         """Ask who leads for a place with an adapter that is nowhere."""
-        self._asked += 1
-        name = f"r{self._asked}"
-        place = await self.leader()
+        return await self.ask_at(await self.leader(), patience_s)
+
+    async def ask_at(
+        self, place: Place, patience_s: float, adapter: str | None = None
+    ) -> bool:
+        """Ask a replica for a place."""
+        self.asked += 1
+        name = f"r{self.asked}"
         request = placement.PlaceRequest(
             ENTRY,
             name,
             POOL,
             MODEL,
-            f"a{self._asked}",
+            adapter or f"a{self.asked}",
             100,
             20,
             (),
@@ -277,12 +280,19 @@
             await asyncio.sleep(0.02)
         return None
 
+    def accepted(self, target: str) -> list[tuple[float, str]]:
+        """Return when an engine accepted whose orders."""
+        return [
+            (at, self._holder_by_fence[fence])
+            for at, fence in self.engine_by_id[target].accepted
+        ]
+
     def faults(self) -> list[str]:
         """Return which engines saw holders take turns."""
         return [
             f"{target}: {fault}"
-            for target, accepted in self.accepted_by_id.items()
-            for fault in turns_taken(accepted, LEASE_S - FLIGHT_S)[:1]
+            for target in self.engine_by_id
+            for fault in turns_taken(self.accepted(target), LEASE_S)[:1]
         ]
 
 
@@ -301,7 +311,7 @@
             await holders.ask(0.2)
             await asyncio.sleep(0.02)
         faults = holders.faults()
-        if {holder for _, holder in holders.accepted_by_id["e0"]} != {
+        if {holder for _, holder in holders.accepted("e0")} != {
             first.name,
             other.name,
         }:
@@ -329,9 +339,9 @@
             await holders.ask(0.2)
             await asyncio.sleep(0.02)
         faults = holders.faults()
-        if other.name not in {h for _, h in holders.accepted_by_id["e0"]}:
+        if other.name not in {h for _, h in holders.accepted("e0")}:
             other_ordered = [
-                h for _, h in holders.accepted_by_id["e0"] if h != first.name
+                h for _, h in holders.accepted("e0") if h != first.name
             ]
             if not other_ordered:
                 faults.append("Nobody else ordered meanwhile.")
@@ -394,9 +404,68 @@
     return faults
 
 
+async def noted_before_it_orders() -> list[str]:
+    """Who leads and can't note that it orders, orders nothing."""
+    async with Holders(1, engines=1) as holders:
+        first = await holders.leader()
+        other = next(p for p in holders.places if p is not first)
+        await holders.ask_until_served(3.0)
+        await asyncio.sleep(1.0)
+        await holders.ask()
+        node = other.replica.node
+        request = quorum_messages.LeadRequest(node.member.id, node.term)
+        await node.on_lead(request)
+        while not other.leads():
+            await asyncio.sleep(0.0005)
+        holders.network.isolate(other.address)
+        for _ in range(8):
+            await holders.ask_at(other, 0.05)
+        ordered = [h for _, h in holders.accepted("e0") if h == other.name]
+        return [f"{len(ordered)} orders"] if ordered else []
+
+
+async def quiet_after_each_term() -> list[str]:
+    """Where engines ignore fencing numbers, a regained lead waits too.
+
+    An own order of the term before may still be on its way.
+    """
+    faults = []
+    async with Holders(5, engines=1, order_quiet_s=LEASE_S) as holders:
+        first = await holders.leader()
+        await holders.ask_until_served(8.0)
+        first.replica.node._become_follower(None)
+        await holders.move_lead(first)
+        loop = asyncio.get_running_loop()
+        regained_at = loop.time()
+        before = len(holders.accepted("e0"))
+        await holders.ask_until_served(8.0)
+        ordered_at = holders.accepted("e0")[before][0]
+        if ordered_at < regained_at + LEASE_S - 0.2:
+            faults.append(f"It ordered {ordered_at - regained_at:.2f} s on.")
+    return faults
+
+
+async def resident_meanwhile() -> list[str]:
+    """Who may not order yet still places on what engines hold."""
+    async with Holders(6, engines=1) as holders:
+        first = await holders.leader()
+        other = next(p for p in holders.places if p is not first)
+        await holders.ask_until_served(3.0)
+        await asyncio.sleep(1.0)
+        await holders.ask()
+        known = f"a{holders.asked}"
+        await holders.move_lead(other)
+        await holders.ask_until_served(2.0)
+        await holders.move_lead(first)
+        if not await holders.ask_at(first, 0.5, known):
+            return ["What is resident was refused."]
+        return holders.faults()
+
+
 async def random_elections(seed: int) -> list[str]:
     """Leads that move at random, kills, lost disks; requests all the time."""
-    async with Holders(seed) as holders:
+    # Some answers are lost: the order was carried out all the same.
+    async with Holders(seed, luck=ledger.Luck(lost=0.1)) as holders:
         rng = random.Random(seed)
         await holders.ask_until_served(4.0)
         asking = asyncio.create_task(_ask_for_ever(holders, rng))
@@ -493,6 +562,9 @@
     "handed_on_at_once": handed_on_at_once,
     "regained_at_once": regained_at_once,
     "all_restarted_at_once": all_restarted_at_once,
+    "noted_before_it_orders": noted_before_it_orders,
+    "quiet_after_each_term": quiet_after_each_term,
+    "resident_meanwhile": resident_meanwhile,
 }
 
 
@@ -528,8 +600,18 @@
     return tenure._noted and not tenure._alone
 
 
+def _due_unnoted(tenure: placement.Tenure, fence: int) -> bool:
+    """Order when it is due, noted or not, as a mutant does."""
+    return fence == tenure.fence
+
+
 # Each switches a guard off: its name, its scenario, what it patches.
 MUTANTS = (
+    (
+        "order before it is noted",
+        "noted_before_it_orders",
+        (placement.Tenure, "may_order", _due_unnoted),
+    ),
     (
         "order whoever ordered before",
         "away_and_back",
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -65,6 +65,8 @@
         self._rng = rng
         self._leaving: set[str] = set()
         self._history: list[tuple[float, targets.AdapterReport]] = []
+        # Orders as they were accepted, also those whose answer was lost.
+        self.accepted: list[tuple[float, int]] = []
         self._tasks: set[asyncio.Task] = set()
         self.reports = 0
         self.unloads_in_use = 0
@@ -111,13 +113,21 @@
         await asyncio.sleep(0.001)
         if not order.gate():
             raise wire.NotSentError("The gate was shut.")
+
+        def carry_out_noted(order: targets.EngineOrder) -> Outcome:
+            outcome = carry_out(order)
+            if outcome in (Outcome.STARTED, Outcome.HOLDS):
+                now = asyncio.get_running_loop().time()
+                self.accepted.append((now, order.fence))
+            return outcome
+
         luck = self._rng.random()
         if luck < self.luck.late:
             delay_s = self._rng.uniform(2.0, self.luck.latest_s)
-            self._later(delay_s, carry_out, order)
+            self._later(delay_s, carry_out_noted, order)
             await asyncio.sleep(0.2)
             raise wire.PeerLostError("No answer came.")
-        outcome = carry_out(order)
+        outcome = carry_out_noted(order)
         if luck < self.luck.late + self.luck.lost:
             await asyncio.sleep(0.2)
             raise wire.PeerLostError("The answer was lost.")
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -383,15 +383,24 @@
         self._lease_until = max(
             self._lease_until, sent_at + self._timing.usable_s
         )
-        if reply.digest.full:
-            self._former_by_boot = dict(self.digest.daemon_by_boot)
-            self._former_until = self._clock.now() + self._timing.lease_s
-        self.digest.apply(reply.digest)
+        self.take_digest(reply.digest)
         self._participant.take_shares(reply.share_by_key)
         if reply.hand_over:
             self._participant.hand_over(reply.hand_over)
         self._participant.view_changed()
 
+    def take_digest(self, delta: _messages.DigestDelta) -> None:
+        """Take what a leader spreads; a new one starts from little.
+
+        Those that its predecessors knew go on counting for a lease, also
+        over several leaders in a row: forgotten at the second, 30 known
+        daemons were 3, and callers were told of so few addresses.
+        """
+        if delta.full:
+            self._former_by_boot = dict(self.daemon_by_boot)
+            self._former_until = self._clock.now() + self._timing.lease_s
+        self.digest.apply(delta)
+
     async def _send(
         self, request: _messages.Heartbeat
     ) -> _messages.HeartbeatReply:
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -22,8 +22,6 @@
 MOST_LOST_CONFIRMS = 2
 MODEL_POLL_S = 0.2
 MODEL_LOAD_TIMES = 2.5
-# How often a load in doubt looks whether orders may be given again.
-GATE_POLL_S = 0.1
 
 State = _holding.SlotState
 Order = targets.OrderOutcome
@@ -287,9 +285,13 @@
         await self._clock.sleep(max(0.0, slot.ready_at - self._clock.now()))
         lost = 0
         for _ in range(MOST_CONFIRMS):
-            await self._wait_for_gate()
             if self.holding.slot_by_name.get(name) is not slot:
                 return
+            if self._leads() and not self._gate_open():
+                # No order may leave yet; the report tells it as well.
+                await self._clock.sleep(SETTLE_RETRY_S)
+                self.settle()
+                return
             async with self._lock:
                 order = self._order(name, slot.version, self.holding.sequence)
                 outcome = await self._send(self._engine.load, order)
@@ -353,11 +355,6 @@
                 self._ordered_at = self._clock.now()
         return None
 
-    async def _wait_for_gate(self) -> None:
-        """Wait while this process leads and may not order yet."""
-        while self._leads() and not self._gate_open():
-            await self._clock.sleep(GATE_POLL_S)
-
     def _leads(self) -> bool:
         return self._gate.leads() and not self._stopped
 
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -187,7 +187,12 @@
                 self._waiters.remove(waiter)
 
     def _check_tenure(self, waiter: _waiting.Waiter, now: float) -> None:
-        """Refuse at once who needs a load that can't be ordered in time."""
+        """Refuse at once who needs a load that can't be ordered in time.
+
+        Before all engines are settled nobody knows what is resident.
+        """
+        if not all(holding.known for holding in self._usable(waiter)):
+            return
         request = waiter.request
         hope_s = min(request.hope_s - request.waited_s, request.patience_s)
         wait_s = self._rights.wait_s()
--- a/libs/placement/src/bergamotsail/placement/_rights.py
+++ b/libs/placement/src/bergamotsail/placement/_rights.py
@@ -12,6 +12,8 @@
 
 # How many former holders a log line names.
 LOGGED_HOLDERS = 3
+# A note that the log did not take is tried again after so long.
+NOTE_RETRY_S = 0.25
 
 
 class OrderRights(_engine_orders.OrderGate):
@@ -38,6 +40,7 @@
         self._clock = clock
         self._term = -1
         self._noting: asyncio.Task | None = None
+        self._retry_at = float("-inf")
 
     def leads(self) -> bool:
         leads = self._leadership.holds()
@@ -67,7 +70,8 @@
         now = self._clock.now()
         alone = self._tenure.alone_due(now)
         due = alone or self._tenure.due(now)
-        if due and (self._noting is None or self._noting.done()):
+        free = self._noting is None or self._noting.done()
+        if due and free and now >= self._retry_at:
             work = self._note(self._term, alone)
             self._noting = asyncio.create_task(work)
 
@@ -95,6 +99,7 @@
             if self._notes is not None:
                 await self._notes.note(term, alone)
         except (wire.ServingError, TimeoutError) as error:
+            self._retry_at = self._clock.now() + NOTE_RETRY_S
             observe.log_event(
                 "place", "tenure_not_noted", term=term, error=str(error)
             )
--- a/libs/placement/src/bergamotsail/placement/_tenure.py
+++ b/libs/placement/src/bergamotsail/placement/_tenure.py
@@ -58,8 +58,9 @@
             ordered after it.
         started_at: when this process started; what it ordered before, it
             ordered before then.
-        quiet_s: how long each new holder waits where engines ignore fencing
-            numbers, so that orders of the one before have surely ended.
+        quiet_s: how long the holder of each new term waits where engines
+            ignore fencing numbers, so that orders of the term before, its
+            own as well, have surely ended.
     """
 
     def __init__(
@@ -86,10 +87,11 @@
         """Begin with a fencing number, knowing who ordered before."""
         self.fence = fence
         # Nobody can have ordered since: others are noted before they do.
-        self._noted = bool(former) and former[-1] == name
+        last = bool(former) and former[-1] == name
+        self._noted = last and not self._quiet_s
         self._noted_at = now
-        self._alone = self._noted and len(former) == 1
-        self._returns = name in former
+        self._alone = last and len(former) == 1
+        self._returns = name in former and not last
         self._quiet_until = now + self._quiet_s
 
     def due(self, now: float) -> bool:
