--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -24,6 +24,7 @@
       | late requests ask beside others                       |
       | a daemon is behind                                    |
       | hundreds wait                                         |
+      | a load is done while hundreds wait                    |
 
   Scenario: Every switch of the decisions changes what callers get
     Then each switched-off mechanism breaks its load
