--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -17,14 +17,12 @@
       | an adapter is wanted by others while one is busy      |
       | a copy is on its way                                  |
       | six hundred engines                                   |
-      | no engine has room                                    |
       | an instance starts before its routes are known        |
       | an instance never hears of routes                     |
       | nobody leads                                          |
       | late requests ask beside others                       |
       | a daemon is behind                                    |
       | hundreds wait                                         |
-      | a load is done while hundreds wait                    |
 
   Scenario: Every switch of the decisions changes what callers get
     Then each switched-off mechanism breaks its load
--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -346,29 +346,6 @@
     return faults
 
 
-def nobody_has_room() -> list[str]:
-    """Where no engine has room, none is weighed to find that out.
-
-    Hundreds that wait are decided for many times a second; 230 of them with
-    50 engines took 22 ms of the processor each time.
-    """
-    engines = Engines(60)
-    for number, holding in enumerate(engines.by_id.values()):
-        for slot in range(SPEC.adapter_slots):
-            engines.hold(holding.info.id, f"held{number}-{slot}", uses=1)
-    engines.by_id["e59"].remember_copy((MODEL, "a1"))
-    with unittest.mock.patch.object(
-        _place_policy.HomePolicy, "load_cost_s", return_value=0.0
-    ) as weigh:
-        decision = engines.decide("a1")
-    faults = []
-    if decision != _decisions.Wait(False):
-        faults.append(f"{decision}, though nobody has room")
-    if weigh.called:
-        faults.append(f"{weigh.call_count} engines were weighed")
-    return faults
-
-
 # Requests before the first routes.
 
 
@@ -625,58 +602,11 @@
     return []
 
 
-def ready_among_hundreds() -> list[str]:
-    """A load that is done is used in the next turn, however many wait.
-
-    Where each look at the clock takes 4 ms, one turn decides for a few of
-    200; whose adapter has come is among them, though it is the last in rank.
-    """
-
-    async def run() -> bool:
-        leadership = unittest.mock.Mock(term=1)
-        leadership.holds.return_value = True
-        placer = _placer.Placer(
-            leadership,
-            unittest.mock.Mock(),
-            unittest.mock.Mock(),
-            _place_policy.HomePolicy(),
-            observe.Metrics(),
-            _SlowClock(),
-        )
-        asking = []
-        for number in range(200):
-            request = dataclasses.replace(
-                _place_request(number),
-                adapter=f"a{number}",
-                priority=int(number == 199),
-            )
-            asking.append(asyncio.create_task(placer.on_place(request)))
-        await asyncio.sleep(0)
-        engines = Engines(1)
-        engines.hold("e0", "a199")
-        for number in range(SPEC.adapter_slots - 1):
-            engines.hold("e0", f"held{number}", uses=1)
-        placer._holding_by_target.update(engines.by_id)
-        placer._decider._is_current = lambda *_: True
-        placer._wanted_version = lambda *_: None
-        placer._pump()
-        left = {waiter.request.request for waiter in placer._waiters}
-        for task in asking:
-            task.cancel()
-        return len(left) > 100 and "199" not in left
-
-    loop = looptime.new_event_loop()
-    with contextlib.closing(loop):
-        served = loop.run_until_complete(run())
-    return [] if served else ["whose adapter has come still waits"]
-
-
 LOADS = {
     "nobody leads": lost_leader,
     "late requests ask beside others": late_wait,
     "a daemon is behind": behind,
     "hundreds wait": hundreds_wait,
-    "a load is done while hundreds wait": ready_among_hundreds,
     "an engine reads faster than the first belief": faster,
     "an engine turns slow": turns_slow,
     "a slow engine is believed like its peers again": slow_again,
@@ -688,7 +618,6 @@
     "an adapter is wanted by others while one is busy": wanted_by_others,
     "a copy is on its way": on_its_way,
     "six hundred engines": many_engines,
-    "no engine has room": nobody_has_room,
     "an instance starts before its routes are known": starts,
     "an instance never hears of routes": never_starts,
 }
--- a/libs/placement/src/bergamotsail/placement/_decisions.py
+++ b/libs/placement/src/bergamotsail/placement/_decisions.py
@@ -29,7 +29,7 @@
 # a decision costs time in proportion and gains nothing: the least loaded
 # are alike.
 MOST_WEIGHED = 10
-# The order of engines by load, and who has room, is that old at most.
+# The order of engines by load is that old at most.
 ORDER_AGE_S = 0.02
 
 
@@ -60,25 +60,10 @@
 
 
 Decision = Run | Load | Wait
-# Whom a load would replace: one adapter, or none where a slot is free.
-Room = tuple[_holding.AdapterName | None]
 Wish = _place_policy.Wish
 Holding = _holding.Holding
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Order:
-    """A pool's engines, the least loaded first, as they were *at* a time.
-
-    Args:
-        roomy: ids of those that had room then; None where all are looked at.
-    """
-
-    at: float
-    engines: list[Holding]
-    roomy: frozenset[str] | None
-
-
 class Decider:
     """Decides for one request at a time.
 
@@ -101,7 +86,7 @@
         self._policy = policy
         self._settings = settings
         self._is_current = is_current
-        self._order_by_pool: dict[str, _Order] = {}
+        self._order_by_pool: dict[str, tuple[float, list[Holding]]] = {}
 
     def decide(
         self,
@@ -147,9 +132,7 @@
         best = min(
             (
                 (self._policy.run_cost_s(holding, wish, now), number, holding)
-                for number, holding in enumerate(
-                    self._ordered(wish, now).engines
-                )
+                for number, holding in enumerate(self._ordered(wish, now))
                 if holding.can_take(wish)
             ),
             default=None,
@@ -190,27 +173,11 @@
     ) -> Load | None:
         """Return where a load is cheapest, None if that is no use now."""
         best: tuple[float, int, Holding] | None = None
-        best_room: Room | None = None
-        order = self._ordered(wish, now)
-        roomy = order.roomy
-        weighed = [
-            (
-                holding,
-                (
-                    self._room(holding, wanted, now)
-                    if roomy is None or holding.info.id in roomy
-                    else None
-                ),
-            )
-            for holding in self._weighed(wish, order.engines)
-            if wish.name not in holding.slot_by_name
-        ]
-        if all(room is None for _, room in weighed):
-            # To weigh is dear, and whatever is cheapest, it is to wait.
-            return None
-        for number, (holding, room) in enumerate(weighed):
-            if not holding.can_take(wish):
+        best_room: tuple[_holding.AdapterName | None] | None = None
+        for number, holding in enumerate(self._weighed(wish, now)):
+            if wish.name in holding.slot_by_name or not holding.can_take(wish):
                 continue
+            room = self._room(holding, wanted, now)
             cost_s = self._policy.load_cost_s(
                 holding, wish, now, room is not None
             )
@@ -221,34 +188,32 @@
         return Load(best[2].info.id, best_room[0])
 
     def _weighed(
-        self, wish: Wish, ordered: list[Holding]
+        self, wish: Wish, now: float
     ) -> collections.abc.Iterator[Holding]:
         """Yield the engines that are worth weighing for a load."""
+        ordered = self._ordered(wish, now)
         near = ordered[:MOST_WEIGHED]
         yield from near
         for holding in ordered[MOST_WEIGHED:]:
             if holding.has_copy(wish.name):
                 yield holding
 
-    def _ordered(self, wish: Wish, now: float) -> _Order:
+    def _ordered(self, wish: Wish, now: float) -> list[Holding]:
         """Return a pool's engines, the least loaded first, or nearly."""
+        at, ordered = self._order_by_pool.get(wish.pool, (0.0, []))
         there = self._holding_by_target
-        order = self._order_by_pool.get(wish.pool)
-        if order is not None and now - order.at <= ORDER_AGE_S:
-            if all(there.get(h.info.id) is h for h in order.engines):
-                return order
-        engines = [h for h in there.values() if h.info.pool == wish.pool]
-        roomy = None
-        if len(engines) > MOST_WEIGHED:
-            engines.sort(key=lambda holding: self._load_of(holding, now))
-            roomy = frozenset(
-                holding.info.id
-                for holding in engines
-                if self._room(holding, (), now) is not None
-            )
-        order = _Order(now, engines, roomy)
-        self._order_by_pool[wish.pool] = order
-        return order
+        if ordered and now - at <= ORDER_AGE_S:
+            if all(there.get(h.info.id) is h for h in ordered):
+                return ordered
+        ordered = [
+            holding
+            for holding in self._holding_by_target.values()
+            if holding.info.pool == wish.pool
+        ]
+        if len(ordered) > MOST_WEIGHED:
+            ordered.sort(key=lambda holding: self._load_of(holding, now))
+        self._order_by_pool[wish.pool] = (now, ordered)
+        return ordered
 
     def _load_of(self, holding: Holding, now: float) -> float:
         """Return how loaded an engine is; what takes nothing comes last."""
@@ -261,7 +226,7 @@
         holding: Holding,
         wanted: collections.abc.Container[_holding.AdapterName],
         now: float,
-    ) -> Room | None:
+    ) -> tuple[_holding.AdapterName | None] | None:
         """Return whom a load would replace, or None for no room."""
         if not holding.may_load or holding.in_transit() >= MOST_IN_TRANSIT:
             return None
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -526,12 +526,6 @@
         for waiter in self._waiters:
             waiters_by_name.setdefault(waiter.name, []).append(waiter)
         wanted = set(waiters_by_name)
-        # A load that is done is used at once: in its turn among hundreds of
-        # names it would wait for several slices, its slot idle.
-        first = self._ready_names(wanted)
-        self._names_left = collections.deque(
-            dict.fromkeys((*first, *self._names_left))
-        )
         while self._names_left and self._clock.now() - now < PUMP_SLICE_S:
             name = self._names_left.popleft()
             self._serve_name(waiters_by_name.get(name, []), wanted, now)
@@ -540,17 +534,6 @@
         if self._names_left:
             self._pump_soon()
 
-    def _ready_names(
-        self, wanted: set[_holding.AdapterName]
-    ) -> list[_holding.AdapterName]:
-        """Return what is waited for and resident somewhere."""
-        return [
-            name
-            for holding in self._holding_by_target.values()
-            for name, slot in holding.slot_by_name.items()
-            if slot.state is State.READY and name in wanted
-        ]
-
     def _ranked_names(
         self, now: float
     ) -> collections.abc.Iterable[_holding.AdapterName]:
