--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -17,7 +17,6 @@
       | an adapter is wanted by others while one is busy      |
       | a copy is on its way                                  |
       | six hundred engines                                   |
-      | no engine has room                                    |
       | an instance starts before its routes are known        |
       | an instance never hears of routes                     |
       | nobody leads                                          |
@@ -26,7 +25,6 @@
       | late requests ask beside others                       |
       | a daemon is behind                                    |
       | hundreds wait                                         |
-      | a load is done while hundreds wait                    |
 
   Scenario: Every switch of the decisions changes what callers get
     Then each switched-off mechanism breaks its load
