--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -9,6 +9,7 @@
 from bergamotsail.daemon import _process
 from bergamotsail.daemon import _quiet
 from bergamotsail.daemon import _roles
+from bergamotsail.daemon import _vitals
 from bergamotsail import wire
 
 BODY_BYTES = _bounded_body.BODY_BYTES
@@ -24,6 +25,7 @@
 told_to_stop = _process.told_to_stop
 LoopLag = _peer_face.LoopLag
 PeerFace = _peer_face.PeerFace
+Vitals = _vitals.Vitals
 quiet_application = _quiet.quiet_application
 
 __getattr__ = wire.lazy_names(
