Let as many replicas vote as the losses to be borne want

Cause: the number of voters was that of the seeds, three, whatever the settings say may be lost at once; one replica ran in each data centre. With two of three voters away, or two disks lost, no majority is left.

Now twice the losses and one vote, three at least, grown one by one from the seeds through the learner stage. What that showed, each with a scenario and a mutant: several learners could come in at once, beyond the number; who was let go while away never asked again; a learner lost before it caught up kept its next self out for good; voters could crowd in one data centre, whose loss then ends the log.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -54,12 +54,14 @@
 
   Scenario: As many replicas may be lost as the deployment says
     When the scenarios of lost replicas run
-      | scenario                 |
+      | scenario                  |
       | disks_lost_in_a_power_cut |
-      | voters_away              |
-      | voters_grow_in_steps     |
-      | spare_takes_a_place      |
-      | disks_lost_during_repair |
+      | voters_away               |
+      | voters_grow_in_steps      |
+      | spare_takes_a_place       |
+      | disks_lost_during_repair  |
+      | disk_lost_twice           |
+      | lost_datacentre           |
     Then no promise is broken
 
   Scenario: Repeats over all daemons keep to one budget
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -16,6 +16,7 @@
 from bergamotsail import control
 from bergamotsail import daemon
 from bergamotsail import quorum
+from bergamotsail.quorum import _membership as quorum_membership
 from bergamotsail import routing
 from bergamotsail import standins
 from bergamotsail import targets
@@ -874,7 +875,7 @@
         await replicas.acknowledged(2)
         return await replicas.grown(5)
 
-    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(20))
+    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(10))
 
 
 async def voters_away() -> list[str]:
@@ -896,14 +897,14 @@
         faults += await replicas.grown(5)
         return faults + await replicas.keeps(2, 0.1)
 
-    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(20))
+    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(10))
 
 
 async def voters_grow_in_steps() -> list[str]:
     """The seeds form the log; one by one the others join, and no more."""
     faults = []
     for losses, count in ((2, 5), (2, 7), (1, 5), (3, 9)):
-        for seed in range(5):
+        for seed in range(3):
             found = await _growth_of(Deployed(count, seed, losses))
             where = f"{losses} losses, {count} replicas, seed {seed}"
             faults += [f"{where}: {fault}" for fault in found]
@@ -964,7 +965,7 @@
         faults += [f"then {wrong}"] if wrong else []
         return faults + await replicas.keeps(1, 0.1)
 
-    return await _for_seeds(work, lambda n: Deployed(6, n), range(10))
+    return await _for_seeds(work, lambda n: Deployed(6, n), range(6))
 
 
 async def disks_lost_during_repair() -> list[str]:
@@ -988,7 +989,67 @@
         await replicas.acknowledged(2)
         return await replicas.grown(5)
 
-    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(20))
+    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(10))
+
+
+async def disk_lost_twice() -> list[str]:
+    """A learner that loses its disk again is brought in all the same."""
+
+    async def work(replicas: Deployed) -> list[str]:
+        faults = await replicas.grown(5)
+        leader = await replicas.leader()
+        others = replicas.voters(leader) - {leader.member.address}
+        lost = replicas.rng.choice(sorted(others))
+        await replicas.lose_disk(lost)
+        # Slow enough to be lost before it has caught up.
+        replicas.disk_by_address[lost].sync_s = 1.0
+        first = await replicas.start(lost)
+        for _ in range(400):
+            if first.member in leader.config.learners:
+                break
+            await asyncio.sleep(0.01)
+        else:
+            faults.append("It never learned.")
+        await replicas.lose_disk(lost)
+        replicas.disk_by_address[lost].sync_s = 0.0
+        await replicas.start(lost)
+        wrong = await replicas.vote(set(replicas.addresses), 8.0)
+        return faults + ([wrong] if wrong else [])
+
+    return await _for_seeds(work, lambda n: Deployed(5, n), range(5))
+
+
+async def lost_datacentre() -> list[str]:
+    """Voters are spread, so that a data centre never holds a majority.
+
+    The seeds may all be in one; whoever asks first may be there too.
+    """
+
+    async def work(replicas: Deployed) -> list[str]:
+        wanted = 2 * replicas.losses + 1
+        faults = await replicas.grown(wanted)
+        await asyncio.sleep(6.0)
+        faults += await replicas.grown(wanted)
+        await replicas.acknowledged(1)
+        where = replicas.datacentre_by_address
+        for lost in sorted(set(where.values())):
+            leader = await replicas.leader()
+            voting = [where[a] for a in replicas.voters(leader)]
+            if 2 * voting.count(lost) >= len(voting):
+                faults.append(f"{voting} vote")
+        for address in [a for a in where if where[a] == "da"]:
+            await replicas.lose_power(address)
+        await asyncio.sleep(0.6)
+        return faults + await replicas.keeps(1, 3.0)
+
+    crowded = ("da", "da", "da", "da", "db", "db", "dc", "dc")
+    in_two = ("da", "da", "db", "da", "dc")
+    faults = await _for_seeds(
+        work, lambda n: Deployed(8, n, 2, crowded), range(5)
+    )
+    return faults + await _for_seeds(
+        work, lambda n: Deployed(5, n, 1, in_two), range(5)
+    )
 
 
 async def part_of_a_library() -> list[str]:
@@ -1041,6 +1102,8 @@
     "voters_grow_in_steps": voters_grow_in_steps,
     "spare_takes_a_place": spare_takes_a_place,
     "disks_lost_during_repair": disks_lost_during_repair,
+    "disk_lost_twice": disk_lost_twice,
+    "lost_datacentre": lost_datacentre,
 }
 
 
@@ -1055,6 +1118,7 @@
 
 
 # Each switches a guard off: its name, its scenario, what it patches.
+_IS_SILENT = quorum.Node._is_silent
 _ANSWERS_AT_ONCE = (quorum.Node, "_check_loaded", lambda _: None)
 MUTANTS = (
     (
@@ -1074,6 +1138,42 @@
         "caller_gone_in_append",
         (quorum.Node, "_to_its_end", _with_its_caller),
     ),
+    (
+        "as many voters as seeds",
+        "disks_lost_in_a_power_cut",
+        (daemon.RoleSettings, "voters", 3),
+    ),
+    (
+        "bring in whoever caught up",
+        "voters_grow_in_steps",
+        (
+            quorum.Node,
+            "_with_voter",
+            lambda _, config, member: quorum_membership.with_voter(
+                config, member
+            ),
+        ),
+    ),
+    (
+        "never ask again who was let go",
+        "spare_takes_a_place",
+        (quorum.Node, "_is_left_out", lambda _: False),
+    ),
+    (
+        "wait for a learner for ever",
+        "disk_lost_twice",
+        (
+            quorum.Node,
+            "_is_silent",
+            lambda node, member: member not in node.config.learners
+            and _IS_SILENT(node, member),
+        ),
+    ),
+    (
+        "let one data centre hold the majority",
+        "lost_datacentre",
+        (quorum.Node, "_crowded_voter", lambda *_: None),
+    ),
 )
 
 
--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -16,6 +16,7 @@
 BudgetSettings = _roles.BudgetSettings
 EntryPoint = _roles.EntryPoint
 Replica = _roles.Replica
+REPLICA_TIMING = _roles.REPLICA_TIMING
 RoleSettings = _roles.RoleSettings
 metrics_application = _roles.metrics_application
 LoopLag = _peer_face.LoopLag
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -29,6 +29,13 @@
 CUT_OFF_S = 2.5
 CONFIRM_TIMEOUT_S = 0.8
 PROPOSE_TIMEOUT_S = 3.0
+REPLICA_TIMING = quorum.Timing(
+    election_s=0.5,
+    heartbeat_s=0.1,
+    call_s=0.5,
+    snapshot_entries=300,
+    election_spread=1.8,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +52,8 @@
         borne_losses: how many replicas may be lost at once, also with
             their disks while all others lose power: what was acknowledged
             is kept then, and the log goes on.
+        domain: what may be lost as a whole with this process; its data
+            centre when None.
     """
 
     name: str
@@ -57,6 +66,16 @@
     order_quiet_s: float = 0.0
     places: placement.PlaceSettings = placement.PlaceSettings()
     borne_losses: int = 1
+    domain: str | None = None
+
+    @property
+    def voters(self) -> int:
+        """How many replicas vote, so that a majority outlives the losses.
+
+        With the seeds for a measure, a loss of two of three disks would
+        end the log for good. One loss is always borne.
+        """
+        return 2 * max(self.borne_losses, 1) + 1
 
 
 class MetricsHandler(web.RequestHandler):
@@ -155,8 +174,13 @@
             settings.consensus,
             clock,
             forms=forms,
-            max_voters=max(len(settings.seeds), 1),
+            max_voters=settings.voters,
             started_at=started_at,
+            domain=(
+                settings.datacentre
+                if settings.domain is None
+                else settings.domain
+            ),
         )
         self.placer = placement.Placer(
             _NodeLeadership(self.node),
--- a/libs/quorum/src/bergamotsail/quorum/_messages.py
+++ b/libs/quorum/src/bergamotsail/quorum/_messages.py
@@ -26,11 +26,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
-    """A replica. Its id is new with every blank disk; its name stays."""
+    """A replica. Its id is new with every blank disk; its name stays.
+
+    All replicas of one *domain*, such as a data centre, may be lost at once.
+    """
 
     id: str
     name: str
     address: str
+    domain: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -91,7 +92,9 @@
         forms: the first of the seeds forms the log by itself, once all of
             them are there and blank. True at the very first start only.
         max_voters: a further replica waits as a learner until a voter
-            falls silent, and then takes its place.
+            falls silent, or until one domain has two voters more than its
+            own, and then takes a place.
+        domain: what may be lost as a whole with this replica.
         started_at: when this process started, on the clock; the time of
             the first load when None.
     """
@@ -111,6 +114,7 @@
         forms: bool = False,
         max_voters: int | None = None,
         started_at: float | None = None,
+        domain: str = "",
     ) -> None:
         self.name = name
         self.role = Role.FOLLOWER
@@ -127,7 +131,8 @@
         self._timing = timing
         self._clock = clock
         self._steps = steps
-        self._me = Member("", name, address)
+        self._domain = domain
+        self._me = Member("", name, address, domain)
         self._vote = _messages.Vote()
         self._log = _log.Log()
         self._on_disk = 0
@@ -798,7 +803,7 @@
 
     async def _load(self) -> None:
         identity = await self._storage.identity(self.name)
-        self._me = Member(identity.id, self.name, self._address)
+        self._me = Member(identity.id, self.name, self._address, self._domain)
         loaded = await self._storage.load()
         self._vote = loaded.vote
         if loaded.meta is not None:
@@ -1077,12 +1082,22 @@
             if self._forms and not self.config.voters:
                 await self._form_first()
             await self._clock.sleep(JOIN_INTERVAL_S)
-            if self.config.has_voter(self._me.id):
+            if self.config.has_voter(self._me.id) and not self._is_left_out():
                 continue
             for seed in self._seeds:
                 if seed != self._address and await self._ask_to_join(seed):
                     break
 
+    def _is_left_out(self) -> bool:
+        """Whether this replica may have been let go while it was away.
+
+        Nobody tells it: its own configuration still says that it votes.
+        """
+        heard_s = self._clock.now() - self._heard_at
+        return self.role is not Role.LEADER and (
+            heard_s >= self._timing.election_s
+        )
+
     async def _form_first(self) -> None:
         """Form the log, if this is the first of the seeds."""
         if not self._seeds or self._address != min(self._seeds):
@@ -1116,6 +1131,8 @@
         entry. Adding first would need three of four voters meanwhile, so
         that a second loss at that moment would stop the log for good.
         """
+        if self.config.has_voter(member.id):
+            return
         with contextlib.suppress(wire.ServingError):
             await self._steps.reach(wire.Step.JOIN, wire.Phase.BEFORE)
             await self._change(
@@ -1124,41 +1141,84 @@
             await self._wait_caught_up(member)
             if not await self._make_room(member):
                 return
-            await self._change(
-                lambda config: _membership.with_voter(config, member)
-            )
+            await self._change(lambda config: self._with_voter(config, member))
+            if self.config.has_voter(member.id):
+                logging.info(
+                    "quorum: Brings in %s as a voter. voters=%d",
+                    member.id,
+                    len(self.config.voters),
+                )
             await self._steps.reach(wire.Step.JOIN, wire.Phase.AFTER)
 
+    def _has_place(self, config: Config, member: Member) -> bool:
+        """Whether a replica may vote: its old self does, or too few do."""
+        comes_back = any(voter.name == member.name for voter in config.voters)
+        if comes_back or self._max_voters is None:
+            return True
+        return len(config.voters) < self._max_voters
+
+    def _with_voter(self, config: Config, member: Member) -> Config:
+        """Another may have taken the place since it was looked for."""
+        if not self._has_place(config, member):
+            return config
+        return _membership.with_voter(config, member)
+
     async def _make_room(self, member: Member) -> bool:
-        """Let a silent voter go when there are enough; False if none is.
+        """Let a voter go when there are enough; False if all are to stay.
 
         Its disk may still exist, so it goes in a step of its own: after
         that no majority of the old and the new voters can be disjoint.
         """
-        voters = self.config.voters
-        comes_back = any(voter.name == member.name for voter in voters)
-        if comes_back or self._max_voters is None:
+        if self._has_place(self.config, member):
             return True
-        if len(voters) < self._max_voters:
-            return True
-        now = self._clock.now()
-        silent = [
-            voter
-            for voter in voters
-            if voter.id != self._me.id
-            and now - self._acked_by_peer.get(voter.id, 0.0) > SILENT_VOTER_S
-        ]
-        if not silent:
+        leaves = self._silent_voter() or self._crowded_voter(member)
+        if leaves is None:
             return False
-        await self._change(
-            lambda config: _membership.without_voter(config, silent[0])
-        )
+
+        def without(config: Config) -> Config:
+            if self._has_place(config, member):
+                return config
+            return _membership.without_voter(config, leaves)
+
+        await self._change(without)
         return True
 
+    def _is_silent(self, member: Member) -> bool:
+        silent_s = self._clock.now() - self._acked_by_peer.get(member.id, 0.0)
+        return member.id != self._me.id and silent_s > SILENT_VOTER_S
+
+    def _silent_voter(self) -> Member | None:
+        silent = filter(self._is_silent, self.config.voters)
+        return next(silent, None)
+
+    def _crowded_voter(self, member: Member) -> Member | None:
+        """Return a voter of a domain with two voters more than the member's.
+
+        With the voters spread evenly, the loss of a whole domain leaves a
+        majority wherever that can be. Each exchange makes them more even,
+        so that exchanges end.
+        """
+        counts = collections.Counter(v.domain for v in self.config.voters)
+        others = [v for v in self.config.voters if v.id != self._me.id]
+        crowded = max(others, key=lambda v: counts[v.domain], default=None)
+        if crowded is None:
+            return None
+        more = counts[crowded.domain] - counts[member.domain]
+        return crowded if more > 1 else None
+
     async def _wait_caught_up(self, member: Member) -> None:
+        """Wait until a learner has all that is committed.
+
+        Raises:
+            NotLeaderError: this replica leads no more.
+            PeerLostError: the learner is gone. It may have lost its disk
+                again, and its next self can't be brought in meanwhile.
+        """
         while self._match_by_peer.get(member.id, 0) < self.commit:
             if not self.is_leader:
                 raise self.not_leader()
+            if self._is_silent(member):
+                raise wire.PeerLostError(f"{member.name} does not answer.")
             await self._clock.sleep(self._timing.heartbeat_s / 4)
 
     async def _change(
