--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -1,7 +1,9 @@
 """Scenarios of routes, the log that forms itself, and retry budgets."""
 
 import asyncio
+import collections.abc
 import contextlib
+import itertools
 import random
 import subprocess
 import sys
@@ -14,6 +16,7 @@
 from bergamotsail import control
 from bergamotsail import daemon
 from bergamotsail import quorum
+from bergamotsail.quorum import _membership as quorum_membership
 from bergamotsail import routing
 from bergamotsail import standins
 from bergamotsail import targets
@@ -837,6 +840,351 @@
     return [f"It stood {stood} times in 6 s."] if stood > 20 else []
 
 
+class Deployed(Replicas):
+    """Replicas as a deployment starts them; the first three are seeds.
+
+    Args:
+        losses: how many may be lost at once.
+        datacentres: where they are, by turns.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        seed: int = 1,
+        losses: int = 2,
+        datacentres: tuple[str, ...] = ("da", "db", "dc"),
+    ) -> None:
+        super().__init__(count, seed)
+        self.losses = losses
+        self.datacentre_by_address = dict(
+            zip(self.addresses, itertools.cycle(datacentres))
+        )
+        self.replica_by_address: dict[str, daemon.Replica] = {}
+
+    async def start(self, address: str, forms: bool = False) -> quorum.Node:
+        """Start a replica's process."""
+        settings = daemon.RoleSettings(
+            address,
+            address,
+            self.datacentre_by_address[address],
+            tuple(self.addresses[:3]),
+            "peers",
+            control.LeaseTiming(2.0, 0.3, call_s=0.6),
+            quorum.Timing(0.5, 0.1, call_s=0.5),
+            borne_losses=self.losses,
+        )
+        luck = random.Random(self.rng.random())
+        with unittest.mock.patch.object(wire, "own_luck", lambda _: luck):
+            replica = daemon.Replica(
+                settings,
+                standins.MemoryTransport(self.network, address),
+                self.disk_by_address[address],
+                EmptyList(),
+                lambda instance: None,
+                forms,
+                0.5,
+                wire.LoopClock(),
+            )
+        self.network.join(address, replica.server)
+        self.machine_by_address[address] = replica.machine
+        self.node_by_address[address] = replica.node
+        self.replica_by_address[address] = replica
+        await replica.__aenter__()
+        return replica.node
+
+    async def stop(self, address: str) -> None:
+        """Kill a replica."""
+        self.network.kill(address)
+        del self.node_by_address[address]
+        replica = self.replica_by_address.pop(address)
+        await replica.__aexit__(None, None, None)
+
+    async def start_all(self) -> None:
+        """Start at once all that do not run; the log forms by itself."""
+        away = set(self.addresses) - set(self.node_by_address)
+        await asyncio.gather(*(self.start(a, True) for a in sorted(away)))
+
+    async def lose_disk(self, address: str) -> None:
+        """Kill a replica, and its disk with it."""
+        await self.stop(address)
+        self.disk_by_address[address].lose()
+        self.disk_by_address[address].start_again()
+
+    def voters(self, node: quorum.Node) -> set[str]:
+        """Return the addresses of those that vote, as one replica knows."""
+        return {member.address for member in node.config.voters}
+
+    async def vote(self, addresses: set[str], within_s: float) -> str | None:
+        """Wait until just these vote and run; say who does otherwise."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + within_s
+        found: set[str] = set()
+        while loop.time() < ends_at:
+            leader = await self.leader()
+            found = self.voters(leader)
+            ids = {m.id for m in leader.config.voters}
+            there = {n.member.id for n in self.node_by_address.values()}
+            if found == addresses and ids <= there:
+                return None
+            await asyncio.sleep(0.05)
+        return f"{sorted(found)} vote, not {sorted(addresses)}"
+
+    async def grown(self, wanted: int, within_s: float = 8.0) -> list[str]:
+        """Wait until so many vote; return what is wrong."""
+        ends_at = asyncio.get_running_loop().time() + within_s
+        while asyncio.get_running_loop().time() < ends_at:
+            leader = await self.leader()
+            if len(leader.config.voters) == wanted:
+                return []
+            await asyncio.sleep(0.05)
+        return [f"{len(leader.config.voters)} of {wanted} vote"]
+
+    async def acknowledged(self, version: int) -> None:
+        """Have a change of the routes acknowledged."""
+        leader = await self.leader()
+        await leader.propose(_change(version))
+
+    async def keeps(self, version: int, within_s: float) -> list[str]:
+        """Wait for a leader that knows this version; say what is wrong."""
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        try:
+            leader = await self.leader()
+        except AssertionError:
+            return ["none leads"]
+        took_s = loop.time() - before
+        found = self.machine_by_address[leader.member.address].routes_document
+        faults = []
+        if took_s > within_s:
+            faults.append(f"{took_s:.1f} s without a leader")
+        if found != str(version):
+            faults.append(f"{found} in force, {version} acknowledged")
+        return faults
+
+    def lost_at_random(self, leader: quorum.Node) -> list[str]:
+        """Draw as many voters as may be lost; the leader is often one."""
+        return self.rng.sample(sorted(self.voters(leader)), self.losses)
+
+
+async def _for_seeds(
+    work: collections.abc.Callable[
+        [Deployed], collections.abc.Awaitable[list[str]]
+    ],
+    make: collections.abc.Callable[[int], Deployed],
+    seeds: range,
+) -> list[str]:
+    """Play a scenario with several seeds; return what went wrong where."""
+    faults = []
+    for seed in seeds:
+        replicas = make(seed)
+        await replicas.start_all()
+        try:
+            found = await work(replicas)
+        except wire.ServingError as error:
+            found = [error.message]
+        faults += [f"seed {seed}: {fault}" for fault in found]
+        await replicas.stop_all()
+    return faults
+
+
+async def disks_lost_in_a_power_cut() -> list[str]:
+    """As many disks as may be are lost while all others lose power."""
+
+    async def work(replicas: Deployed) -> list[str]:
+        faults = await replicas.grown(5)
+        await replicas.acknowledged(1)
+        lost = replicas.lost_at_random(await replicas.leader())
+        for address in replicas.addresses:
+            if address in lost:
+                await replicas.lose_disk(address)
+            else:
+                await replicas.lose_power(address)
+        await asyncio.sleep(1.0)
+        await replicas.start_all()
+        faults += await replicas.keeps(1, 4.0)
+        if faults:
+            return faults
+        await replicas.acknowledged(2)
+        return await replicas.grown(5)
+
+    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(10))
+
+
+async def voters_away() -> list[str]:
+    """The log goes on while as many as may be lost are without power."""
+
+    async def work(replicas: Deployed) -> list[str]:
+        faults = await replicas.grown(5)
+        await replicas.acknowledged(1)
+        for address in replicas.lost_at_random(await replicas.leader()):
+            await replicas.lose_power(address)
+        await asyncio.sleep(0.6)
+        faults += await replicas.keeps(1, 3.0)
+        if faults:
+            return faults
+        await replicas.acknowledged(2)
+        await asyncio.sleep(7.0)
+        await replicas.start_all()
+        await asyncio.sleep(4.0)
+        faults += await replicas.grown(5)
+        return faults + await replicas.keeps(2, 0.1)
+
+    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(10))
+
+
+async def voters_grow_in_steps() -> list[str]:
+    """The seeds form the log; one by one the others join, and no more."""
+    faults = []
+    for losses, count in ((2, 5), (2, 7), (1, 5), (3, 9)):
+        for seed in range(3):
+            found = await _growth_of(Deployed(count, seed, losses))
+            where = f"{losses} losses, {count} replicas, seed {seed}"
+            faults += [f"{where}: {fault}" for fault in found]
+    return faults
+
+
+async def _growth_of(replicas: Deployed) -> list[str]:
+    """Start all, and look at each configuration that comes in force."""
+    faults: list[str] = []
+    await replicas.start_all()
+    last: quorum.Config | None = None
+    for _ in range(3000):
+        configs = [node.config for node in replicas.node_by_address.values()]
+        newest = max(configs, key=lambda c: (len(c.members), len(c.voters)))
+        if newest.voters and newest != last:
+            if last is None and len(newest.voters) != 3:
+                faults.append(f"formed with {len(newest.voters)} voters")
+            if last is not None:
+                added = set(newest.voters) - set(last.voters)
+                if len(added) > 1 or not added <= set(last.learners):
+                    faults.append(f"{len(added)} came at once")
+            last = newest
+        await asyncio.sleep(0.002)
+    wanted = 2 * replicas.losses + 1
+    if len(last.voters) != wanted:
+        faults.append(f"{len(last.voters)} of {wanted} vote")
+    if len(last.members) != len(replicas.addresses):
+        faults.append(f"{len(last.members)} members")
+    await replicas.stop_all()
+    return faults
+
+
+async def spare_takes_a_place() -> list[str]:
+    """A sixth learns, votes for one that is gone, and that one may return."""
+
+    async def work(replicas: Deployed) -> list[str]:
+        faults = await replicas.grown(5)
+        await asyncio.sleep(2.0)
+        leader = await replicas.leader()
+        everyone = set(replicas.addresses)
+        spare = everyone - replicas.voters(leader)
+        learners = {m.address for m in leader.config.learners}
+        if len(spare) != 1 or learners != spare:
+            faults.append(f"{len(learners)} learn, {len(spare)} don't vote")
+        gone = replicas.rng.choice(sorted(replicas.voters(leader)))
+        await replicas.lose_power(gone)
+        wrong = await replicas.vote(everyone - {gone}, 8.0)
+        faults += [wrong] if wrong else []
+        await replicas.acknowledged(1)
+        await replicas.start(gone)
+        await asyncio.sleep(4.0)
+        leader = await replicas.leader()
+        if gone not in {m.address for m in leader.config.learners}:
+            faults.append("The one that returned does not learn.")
+        next_gone = replicas.rng.choice(sorted(replicas.voters(leader)))
+        await replicas.lose_power(next_gone)
+        wrong = await replicas.vote(everyone - {next_gone}, 8.0)
+        faults += [f"then {wrong}"] if wrong else []
+        return faults + await replicas.keeps(1, 0.1)
+
+    return await _for_seeds(work, lambda n: Deployed(6, n), range(6))
+
+
+async def disks_lost_during_repair() -> list[str]:
+    """A second disk is lost while the first is made good."""
+
+    async def work(replicas: Deployed) -> list[str]:
+        faults = await replicas.grown(5)
+        await replicas.acknowledged(1)
+        lost = replicas.lost_at_random(await replicas.leader())
+        for address in lost:
+            await replicas.lose_disk(address)
+            await asyncio.sleep(0.3)
+            await replicas.start(address)
+            await asyncio.sleep(replicas.rng.uniform(0.0, 1.5))
+        for address in set(replicas.addresses) - set(lost):
+            await replicas.lose_power(address)
+        await replicas.start_all()
+        faults += await replicas.keeps(1, 4.0)
+        if faults:
+            return faults
+        await replicas.acknowledged(2)
+        return await replicas.grown(5)
+
+    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(10))
+
+
+async def disk_lost_twice() -> list[str]:
+    """A learner that loses its disk again is brought in all the same."""
+
+    async def work(replicas: Deployed) -> list[str]:
+        faults = await replicas.grown(5)
+        leader = await replicas.leader()
+        others = replicas.voters(leader) - {leader.member.address}
+        lost = replicas.rng.choice(sorted(others))
+        await replicas.lose_disk(lost)
+        # Slow enough to be lost before it has caught up.
+        replicas.disk_by_address[lost].sync_s = 1.0
+        first = await replicas.start(lost)
+        for _ in range(400):
+            if first.member in leader.config.learners:
+                break
+            await asyncio.sleep(0.01)
+        else:
+            faults.append("It never learned.")
+        await replicas.lose_disk(lost)
+        replicas.disk_by_address[lost].sync_s = 0.0
+        await replicas.start(lost)
+        wrong = await replicas.vote(set(replicas.addresses), 8.0)
+        return faults + ([wrong] if wrong else [])
+
+    return await _for_seeds(work, lambda n: Deployed(5, n), range(5))
+
+
+async def lost_datacentre() -> list[str]:
+    """Voters are spread, so that a data centre never holds a majority.
+
+    The seeds may all be in one; whoever asks first may be there too.
+    """
+
+    async def work(replicas: Deployed) -> list[str]:
+        wanted = 2 * replicas.losses + 1
+        faults = await replicas.grown(wanted)
+        await asyncio.sleep(6.0)
+        faults += await replicas.grown(wanted)
+        await replicas.acknowledged(1)
+        where = replicas.datacentre_by_address
+        for lost in sorted(set(where.values())):
+            leader = await replicas.leader()
+            voting = [where[a] for a in replicas.voters(leader)]
+            if 2 * voting.count(lost) >= len(voting):
+                faults.append(f"{voting} vote")
+        for address in [a for a in where if where[a] == "da"]:
+            await replicas.lose_power(address)
+        await asyncio.sleep(0.6)
+        return faults + await replicas.keeps(1, 3.0)
+
+    crowded = ("da", "da", "da", "da", "db", "db", "dc", "dc")
+    in_two = ("da", "da", "db", "da", "dc")
+    faults = await _for_seeds(
+        work, lambda n: Deployed(8, n, 2, crowded), range(5)
+    )
+    return faults + await _for_seeds(
+        work, lambda n: Deployed(5, n, 1, in_two), range(5)
+    )
+
+
 async def part_of_a_library() -> list[str]:
     """A program of two roles starts without what it does not use."""
     program = (
@@ -885,6 +1233,13 @@
     "never_forms_twice": never_forms_twice,
     "successor_takes_a_place": successor_takes_a_place,
     "reads_are_the_newest": reads_are_the_newest,
+    "disks_lost_in_a_power_cut": disks_lost_in_a_power_cut,
+    "voters_away": voters_away,
+    "voters_grow_in_steps": voters_grow_in_steps,
+    "spare_takes_a_place": spare_takes_a_place,
+    "disks_lost_during_repair": disks_lost_during_repair,
+    "disk_lost_twice": disk_lost_twice,
+    "lost_datacentre": lost_datacentre,
 }
 
 
@@ -899,6 +1254,7 @@
 
 
 # Each switches a guard off: its name, its scenario, what it patches.
+_IS_SILENT = quorum.Node._is_silent
 _ANSWERS_AT_ONCE = (quorum.Node, "_check_loaded", lambda _: None)
 MUTANTS = (
     (
@@ -928,6 +1284,42 @@
         "caller_gone_in_append",
         (quorum.Node, "_to_its_end", _with_its_caller),
     ),
+    (
+        "as many voters as seeds",
+        "disks_lost_in_a_power_cut",
+        (daemon.RoleSettings, "voters", 3),
+    ),
+    (
+        "bring in whoever caught up",
+        "voters_grow_in_steps",
+        (
+            quorum.Node,
+            "_with_voter",
+            lambda _, config, member: quorum_membership.with_voter(
+                config, member
+            ),
+        ),
+    ),
+    (
+        "never ask again who was let go",
+        "spare_takes_a_place",
+        (quorum.Node, "_is_left_out", lambda _: False),
+    ),
+    (
+        "wait for a learner for ever",
+        "disk_lost_twice",
+        (
+            quorum.Node,
+            "_is_silent",
+            lambda node, member: member not in node.config.learners
+            and _IS_SILENT(node, member),
+        ),
+    ),
+    (
+        "let one data centre hold the majority",
+        "lost_datacentre",
+        (quorum.Node, "_crowded_voter", lambda *_: None),
+    ),
 )
 
 
