Write why a lead was lost, with the replica's own figures

Lines told that a replica stood or led no more, not why, nor whether its own loop stood in its way; calls refused by a leader that is behind were counted in memory only.

Now each change of role, each stand (who granted, who refused and why) and each vote asked for is a line with the worst and mean lag of the loop in the last second, processor time, garbage collection and memory; a second whose worst lag is over 0.1 s is a line, each second's worst lag and each refused call a metric, and refused calls share a line a second. Lines go the bounded way of all; nothing waits for them. Refusals carry their reason in the reply.

--- /dev/null
+++ b/features/support/sight.py
@@ -0,0 +1,174 @@
+"""What is written about elections, late loops and refused calls."""
+
+import asyncio
+import gc
+import io
+import json
+import time
+
+from bergamotsail import daemon
+from bergamotsail import observe
+from bergamotsail import quorum
+from bergamotsail import wire
+from features.support import growth
+from features.support import ledger
+
+BLOCKED_S = 0.25
+CALLS = 500
+
+
+class _Told(quorum.Witness):
+    """Keeps what one replica tells."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict]] = []
+
+    def saw(self, what: str, fields: dict[str, object]) -> None:
+        self.lines.append((what, fields))
+
+    def of(self, kind: str, **wanted: object) -> list[dict]:
+        """Return the lines of a kind that have these fields."""
+        return [
+            fields
+            for what, fields in self.lines
+            if what == kind
+            and all(fields[key] == value for key, value in wanted.items())
+        ]
+
+
+async def _watched() -> tuple[growth.Replicas, dict[str, _Told]]:
+    replicas = growth.Replicas(3)
+    await replicas.form()
+    await asyncio.sleep(1.0)
+    told = {}
+    for address, node in replicas.node_by_address.items():
+        node.witness = told[address] = _Told()
+    return replicas, told
+
+
+async def _lost_lead() -> list[str]:
+    replicas, told = await _watched()
+    old = await replicas.leader()
+    replicas.network.isolate(old.member.address)
+    await asyncio.sleep(3.0)
+    new = await replicas.leader()
+    faults = []
+    lost = told[old.member.address].of("role", **{"is": "leads no more"})
+    if len(lost) != 1 or not lost[0]["why"].startswith("unanswered 0."):
+        faults.append(f"lost: {lost}")
+    elif min(lost[0]["answered_s"].values()) < 0.6:
+        faults.append(f"answers: {lost}")
+    won = told[new.member.address].of("stand", end="won")
+    if len(won) != 1 or "granted" not in won[0]["answers"].values():
+        faults.append(f"won: {won}")
+    elif won[0]["heard_s"] < 0.6:
+        faults.append(f"stood early: {won}")
+    if not told[new.member.address].of("role", **{"is": "leads"}):
+        faults.append("Nobody told that it leads.")
+    third = (set(told) - {old.member.address, new.member.address}).pop()
+    if not told[third].of("role", **{"is": "follows"}):
+        faults.append("Nobody told that it follows.")
+    if not told[third].of("ballot", pre=False, refused=None):
+        faults.append("Nobody told that it voted.")
+    return faults
+
+
+async def _refused_stand() -> list[str]:
+    replicas, told = await _watched()
+    leader = await replicas.leader()
+    node = next(
+        node
+        for node in replicas.node_by_address.values()
+        if node is not leader
+    )
+    term = leader.term
+    await node._stand(False)
+    faults = []
+    stands = told[node.member.address].of("stand", end="no word")
+    if len(stands) != 1:
+        return [f"stands: {stands}"]
+    answers = stands[0]["answers"]
+    if len(answers) != 2 or answers[leader.name] != "holds the lease":
+        faults.append(f"answers: {answers}")
+    for address, one in told.items():
+        ballots = one.of("ballot", candidate=node.member.id, pre=True)
+        if address != node.member.address and not ballots[0]["refused"]:
+            faults.append(f"{address}: {ballots}")
+    if leader.term != term or not leader.holds_lease():
+        faults.append("The leader was disturbed.")
+    return faults
+
+
+def _lines(written: io.StringIO, what: str) -> list[dict]:
+    lines = map(json.loads, written.getvalue().splitlines())
+    return [line for line in lines if line["what"] == what]
+
+
+async def _block() -> str:
+    metrics = observe.Metrics()
+    lag = daemon.LoopLag()
+    async with lag, daemon.Vitals(lag, metrics) as vitals:
+        await asyncio.sleep(0.3)
+        until = time.perf_counter() + BLOCKED_S
+        while time.perf_counter() < until:
+            pass
+        gc.collect()
+        # Before the loop could look at how late it is.
+        vitals.saw("role", {"is": "leads no more"})
+        await asyncio.sleep(1.0)
+    return observe.as_text(metrics.snapshot())
+
+
+def _late_loop() -> list[str]:
+    """A loop that stood still shows in the very next line."""
+    written = io.StringIO()
+    with observe.EventLog("r1", written):
+        text = asyncio.run(_block())
+    faults = []
+    (line,) = _lines(written, "role")
+    if line["lag_s"] < BLOCKED_S - 0.03 or line["cpu_s"] <= 0.05:
+        faults.append(f"figures: {line}")
+    if line["collected_s"] <= 0 or line["resident_mb"] <= 1:
+        faults.append(f"memory: {line}")
+    if not _lines(written, "late"):
+        faults.append("No line on the late second.")
+    if "loop_lag_worst_count" not in text:
+        faults.append(text)
+    return faults
+
+
+def _shed_calls() -> list[str]:
+    """Refused calls are counted, and share a line a second."""
+    written = io.StringIO()
+    metrics = observe.Metrics()
+    server = wire.PeerServer()
+    call = wire.Call("ask", dict, dict)
+    server.serve(call, dict, shed_after_s=0.1)
+    lag = daemon.LoopLag()
+    lag.now_s = 0.2
+    face = daemon.PeerFace(server, "token", lag, metrics)
+    began_at = time.monotonic()
+    with observe.EventLog("r1", written):
+        for _ in range(CALLS):
+            try:
+                face._check_lag(call.name)
+            except wire.BehindError:
+                continue
+    most = 1 + (time.monotonic() - began_at)
+    lines = _lines(written, "shed")
+    faults = []
+    if not 1 <= len(lines) <= most:
+        faults.append(f"{len(lines)} lines")
+    if f"calls_shed_count{{call=ask}} {CALLS}" not in observe.as_text(
+        metrics.snapshot()
+    ):
+        faults.append(observe.as_text(metrics.snapshot()))
+    return faults
+
+
+SCENARIOS = {
+    "lost_lead": lambda: ledger.run(_lost_lead()),
+    "refused_stand": lambda: ledger.run(_refused_stand()),
+    "late_loop": _late_loop,
+    "shed_calls": _shed_calls,
+}
--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -8,6 +8,7 @@
 from bergamotsail.daemon import _peer_face
 from bergamotsail.daemon import _quiet
 from bergamotsail.daemon import _roles
+from bergamotsail.daemon import _vitals
 from bergamotsail import wire
 
 BODY_BYTES = _bounded_body.BODY_BYTES
@@ -20,6 +21,7 @@
 metrics_application = _roles.metrics_application
 LoopLag = _peer_face.LoopLag
 PeerFace = _peer_face.PeerFace
+Vitals = _vitals.Vitals
 quiet_application = _quiet.quiet_application
 
 __getattr__ = wire.lazy_names(
--- a/libs/daemon/src/bergamotsail/daemon/_peer_face.py
+++ b/libs/daemon/src/bergamotsail/daemon/_peer_face.py
@@ -7,18 +7,26 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import hmac
 import http.client
+import time
 
 from absl import logging
 from tornado import httputil
 from tornado import iostream
 
+from bergamotsail import observe
 from bergamotsail import wire
 
 # How often the loop is asked how late it is.
 LAG_POLL_S = 0.02
+# How many looks are remembered, and for how long they count.
+LAG_LOOKS = 50
+LAG_WINDOW_S = 1.0
+# Refused calls share a line for so long.
+SHED_LINE_S = 1.0
 NOT_FOUND = wire.NotFoundError("This address answers daemons only.")
 
 
@@ -27,6 +35,9 @@
 
     def __init__(self, clock: wire.Clock = wire.LoopClock()) -> None:
         self.now_s = 0.0
+        self._due_at = float("inf")
+        self._looks: collections.deque[tuple[float, float]]
+        self._looks = collections.deque(maxlen=LAG_LOOKS)
         self._clock = clock
         self._background = wire.Background()
 
@@ -37,11 +48,27 @@
     async def __aexit__(self, *_: object) -> None:
         await self._background.stop()
 
+    def worst_s(self) -> float:
+        """Return the worst of the last second, with a look that is due."""
+        overdue_s = self._clock.now() - self._due_at
+        return max(0.0, overdue_s, *self._recent())
+
+    def mean_s(self) -> float:
+        """Return the mean of the last second; it tells how busy it is."""
+        recent = self._recent()
+        return sum(recent) / max(len(recent), 1)
+
+    def _recent(self) -> list[float]:
+        since = self._clock.now() - LAG_WINDOW_S
+        return [lag_s for at, lag_s in self._looks if at >= since]
+
     async def _watch(self) -> None:
         while True:
-            due_at = self._clock.now() + LAG_POLL_S
+            self._due_at = self._clock.now() + LAG_POLL_S
             await self._clock.sleep(LAG_POLL_S)
-            self.now_s = max(0.0, self._clock.now() - due_at)
+            now = self._clock.now()
+            self.now_s = max(0.0, now - self._due_at)
+            self._looks.append((now, self.now_s))
 
 
 class PeerFace:
@@ -53,13 +80,20 @@
     """
 
     def __init__(
-        self, server: wire.PeerServer, token: str, lag: LoopLag
+        self,
+        server: wire.PeerServer,
+        token: str,
+        lag: LoopLag,
+        metrics: observe.Metrics | None = None,
     ) -> None:
         self._server = server
         self._token = token.encode()
         self._lag = lag
         self._tasks: set[asyncio.Task] = set()
         self.shed = 0
+        self._metrics = metrics or observe.Metrics()
+        self._shed_told = 0
+        self._tell_shed_at = float("-inf")
 
     def __call__(self, request: httputil.HTTPServerRequest) -> None:
         """Answer a request; the web server calls this."""
@@ -98,12 +132,28 @@
     def _check_lag(self, name: str) -> None:
         most_s = self._server.shed_after_s.get(name)
         if most_s is not None and self._lag.now_s > most_s:
-            self.shed += 1
+            self._note_shed(name)
             raise wire.BehindError(
                 "This daemon is behind with its work. Ask again.",
                 retry_after_s=self._lag.now_s,
             )
 
+    def _note_shed(self, name: str) -> None:
+        self.shed += 1
+        self._metrics.count("calls_shed", call=name)
+        now = time.monotonic()
+        if now < self._tell_shed_at:
+            return
+        self._tell_shed_at = now + SHED_LINE_S
+        count, self._shed_told = self.shed - self._shed_told, self.shed
+        observe.log_event(
+            "peer",
+            "shed",
+            call=name,
+            count=count,
+            lag_s=round(self._lag.now_s, 4),
+        )
+
 
 def _send(
     request: httputil.HTTPServerRequest, status: int, body: bytes
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -17,6 +17,7 @@
 from bergamotsail import control
 from bergamotsail.daemon import _peer_face
 from bergamotsail.daemon import _quiet
+from bergamotsail.daemon import _vitals
 from bergamotsail import observe
 from bergamotsail import placement
 from bergamotsail import quorum
@@ -135,10 +136,11 @@
     ) -> None:
         self.server = wire.PeerServer()
         self.lag = _peer_face.LoopLag(clock)
+        self.metrics = observe.Metrics()
+        self.vitals = _vitals.Vitals(self.lag, self.metrics, clock)
         self.peer_face = _peer_face.PeerFace(
-            self.server, settings.peer_token, self.lag
+            self.server, settings.peer_token, self.lag, self.metrics
         )
-        self.metrics = observe.Metrics()
         self.machine = catalogue.CatalogueMachine()
         self.node = quorum.Node(
             settings.name,
@@ -154,6 +156,7 @@
             max_voters=max(len(settings.seeds), 1),
             started_at=started_at,
         )
+        self.node.witness = self.vitals
         self.placer = placement.Placer(
             _NodeLeadership(self.node),
             lambda: self.machine.view,
@@ -185,7 +188,8 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> "Replica":
-        for part in (self.lag, self.node, self.coordinator, self.placer):
+        parts = self.lag, self.vitals, self.node, self.coordinator, self.placer
+        for part in parts:
             await self._stack.enter_async_context(part)
         return self
 
@@ -295,7 +299,7 @@
         self.server = wire.PeerServer()
         self.lag = _peer_face.LoopLag(clock)
         self.peer_face = _peer_face.PeerFace(
-            self.server, settings.peer_token, self.lag
+            self.server, settings.peer_token, self.lag, self.metrics
         )
         self.leader = control.Leader(transport, settings.seeds)
         self.session = control.Session(
--- /dev/null
+++ b/libs/daemon/src/bergamotsail/daemon/_vitals.py
@@ -0,0 +1,122 @@
+"""What tells whether this process itself stood in its own way.
+
+How late its loop was, how much of a processor it used, how long it
+collected garbage, and how much memory it holds.
+"""
+
+import collections
+import contextlib
+import gc
+import pathlib
+import resource
+import time
+
+from bergamotsail.daemon import _peer_face
+from bergamotsail import observe
+from bergamotsail import quorum
+from bergamotsail import wire
+
+SAMPLE_S = 0.1
+# Figures tell of the last second.
+SAMPLES = 10
+SAMPLES_PER_LINE = 10
+# A second whose worst lag is above this is worth a line.
+LATE_S = 0.1
+STATM = pathlib.Path("/proc/self/statm")
+
+
+class Collections:
+    """Pauses of the garbage collector; a context manager."""
+
+    def __init__(self) -> None:
+        self.paused_s = 0.0
+        self._began_at = 0.0
+
+    def __enter__(self) -> "Collections":
+        gc.callbacks.append(self._seen)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        gc.callbacks.remove(self._seen)
+
+    def _seen(self, phase: str, _: dict[str, int]) -> None:
+        now = time.perf_counter()
+        if phase == "start":
+            self._began_at = now
+        else:
+            self.paused_s += now - self._began_at
+
+
+class Vitals(quorum.Witness):
+    """Writes elections with the figures of this process; a context manager.
+
+    Enter it after the loop's lag. A line of its own tells of a second in
+    which the loop was late; each second's worst lag goes into the metrics.
+    """
+
+    def __init__(
+        self,
+        lag: _peer_face.LoopLag,
+        metrics: observe.Metrics,
+        clock: wire.Clock = wire.LoopClock(),
+    ) -> None:
+        self._lag = lag
+        self._metrics = metrics
+        self._clock = clock
+        self._collections = Collections()
+        self._samples: collections.deque[tuple[float, float, float]]
+        self._samples = collections.deque(maxlen=SAMPLES)
+        self._background = wire.Background()
+        self._stack = contextlib.ExitStack()
+
+    async def __aenter__(self) -> "Vitals":
+        self._stack.enter_context(self._collections)
+        self._background.start(self._watch)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._background.stop()
+        self._stack.close()
+
+    def saw(self, what: str, fields: dict[str, object]) -> None:
+        """Write a line on an election."""
+        observe.log_event("quorum", what, **fields, **self.figures())
+
+    def figures(self) -> dict[str, float]:
+        """Return the figures of the last second, and how long it was."""
+        now, cpu_s, paused_s = self._sample()
+        then = self._samples[0] if self._samples else (now, cpu_s, paused_s)
+        return {
+            "lag_s": round(self._lag.worst_s(), 4),
+            "lag_mean_s": round(self._lag.mean_s(), 4),
+            "over_s": round(now - then[0], 3),
+            "cpu_s": round(cpu_s - then[1], 4),
+            "collected_s": round(paused_s - then[2], 4),
+            "resident_mb": round(_resident_bytes() / 1e6, 1),
+        }
+
+    def _sample(self) -> tuple[float, float, float]:
+        now = self._clock.now()
+        return now, time.process_time(), self._collections.paused_s
+
+    async def _watch(self) -> None:
+        while True:
+            for _ in range(SAMPLES_PER_LINE):
+                self._samples.append(self._sample())
+                await self._clock.sleep(SAMPLE_S)
+            self._tell()
+
+    def _tell(self) -> None:
+        worst_s = self._lag.worst_s()
+        self._metrics.record_s("loop_lag_worst", worst_s)
+        if worst_s > LATE_S:
+            observe.log_event("vitals", "late", **self.figures())
+
+
+def _resident_bytes() -> int:
+    """Return the memory held; 0 where the system does not tell."""
+    try:
+        pages = int(STATM.read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * resource.getpagesize()
--- a/libs/quorum/src/bergamotsail/quorum/__init__.py
+++ b/libs/quorum/src/bergamotsail/quorum/__init__.py
@@ -26,6 +26,7 @@
 Node = _node.Node
 Role = _node.Role
 Timing = _node.Timing
+Witness = _node.Witness
 
 SnapshotMeta = _messages.SnapshotMeta
 
--- a/libs/quorum/src/bergamotsail/quorum/_messages.py
+++ b/libs/quorum/src/bergamotsail/quorum/_messages.py
@@ -94,10 +94,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VoteReply:
-    """The answer to a vote request."""
+    """The answer to a vote request; *why* tells of a refusal."""
 
     term: int
     granted: bool
+    why: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -5,6 +5,7 @@
 applying, and one for each peer while this replica leads.
 """
 
+import abc
 import asyncio
 import collections.abc
 import contextlib
@@ -75,6 +76,21 @@
     election_spread: float = 2.0
 
 
+class Witness(abc.ABC):
+    """Hears of each change of role, each stand and each vote asked for."""
+
+    @abc.abstractmethod
+    def saw(self, what: str, fields: dict[str, object]) -> None:
+        """Take it without blocking; *what* is role, stand or ballot."""
+
+
+class NoWitness(Witness):
+    """Hears nothing."""
+
+    def saw(self, what: str, fields: dict[str, object]) -> None:
+        pass
+
+
 class _Waiter(typing.NamedTuple):
     term: int
     done: asyncio.Future
@@ -121,6 +137,7 @@
         self.commit = 0
         self.applied = 0
         self.error: BaseException | None = None
+        self.witness: Witness = NoWitness()
         self._address = address
         self._seeds = tuple(seeds)
         self._storage = storage
@@ -137,6 +154,7 @@
         self._heard_at = 0.0
         self._stands_after = float("-inf")
         self._heard_leader = False
+        self._answer_by_name: dict[str, str] = {}
         self._word_for: str | None = None
         self._word_until = 0.0
         self._ready_index = 0
@@ -341,7 +359,7 @@
             # The heir may stand at any later moment without waiting for
             # our lease to end, so this lease is never used again.
             if self.role is Role.LEADER:
-                self._become_follower(None)
+                self._become_follower(None, "handed on")
 
     async def form(self) -> None:
         """Start a new log with all the seeds, which must all be blank.
@@ -406,14 +424,13 @@
         self._check_to(request.to)
         async with self._lock:
             self._check_disk()
-            if not self._may_vote(request):
-                return _messages.VoteReply(self.term, False)
-            if request.pre:
-                given = self._takes_turn(request.candidate)
-                return _messages.VoteReply(self.term, given)
+            why = self._refusal(request)
+            self._note_ballot(request, why)
+            if why or request.pre:
+                return _messages.VoteReply(self.term, not why, why)
             await self._steps.reach(wire.Step.VOTE, wire.Phase.BEFORE)
             if request.term > self.term:
-                self._become_follower(None)
+                self._become_follower(None, "voted for another")
             self._heard_at = self._clock.now()
             await self._save_vote(
                 _messages.Vote(request.term, request.candidate)
@@ -510,23 +527,32 @@
 
     # Elections.
 
-    def _may_vote(self, request: _messages.VoteRequest) -> bool:
+    def _refusal(self, request: _messages.VoteRequest) -> str:
+        """Return why no vote is given; empty when it is.
+
+        Why stands in lines of the log and is for people only.
+        """
         heard_s = self._clock.now() - self._heard_at
         waits = heard_s < self._timing.election_s and not request.transfer
         # Who heard no leader since its start waits only for the lease of
         # one that still leads, and a leader does not give its vote.
         alone = request.unanimous and not self._heard_leader
-        sticky = waits and not alone
-        sticky = sticky or (self.holds_lease() and not request.transfer)
-        if request.term < self.term or sticky:
-            return False
+        if request.term < self.term:
+            return "old term"
+        if waits and not alone:
+            return f"heard {heard_s:.3f} s ago"
+        if self.holds_lease() and not request.transfer:
+            return "holds the lease"
         if self.role is Role.LEADER and request.term == self.term:
-            return False
+            return "leads"
         mine = (self._log.term_at(self.last_index), self.last_index)
         if (request.last_term, request.last_index) < mine:
-            return False
+            return "log behind"
+        if request.pre:
+            taken = self._takes_turn(request.candidate)
+            return "" if taken else "another's turn"
         free = self._vote.voted_for in (None, request.candidate)
-        return request.pre or request.term > self.term or free
+        return "" if request.term > self.term or free else "voted"
 
     async def _elect(self) -> None:
         await self._stand_early()
@@ -589,7 +615,7 @@
             logging.info(
                 "quorum: No majority answers. silent_s=%.3f", silent_s
             )
-            self._become_follower(None)
+            self._become_follower(None, f"unanswered {silent_s:.3f} s")
 
     async def _stand(self, transfer: bool, unanimous: bool = False) -> None:
         logging.info(
@@ -600,10 +626,12 @@
             unanimous,
         )
         term, heard_at = self.term, self._heard_at
+        self._answer_by_name.clear()
         if transfer:
             # The leader that asked for this stand may be heard meanwhile.
             heard_at = float("inf")
         elif not await self._passes_before(unanimous):
+            self._note_stand("no word", heard_at, unanimous)
             if unanimous:
                 return
             self._heard_at = max(
@@ -612,6 +640,7 @@
             return
         async with self._lock:
             if not self._still_stands(term, heard_at):
+                self._note_stand("another ahead", heard_at, unanimous)
                 return
             self._become_follower(None)
             self.role = Role.CANDIDATE
@@ -620,7 +649,10 @@
         asked_at = self._clock.now()
         won = await self._ask_votes(False, transfer, unanimous)
         async with self._lock:
-            if self.role is not Role.CANDIDATE or self.term != term:
+            still = self.role is Role.CANDIDATE and self.term == term
+            end = ("won" if won else "not won") if still else "overtaken"
+            self._note_stand(end, heard_at, unanimous)
+            if not still:
                 return
             if won:
                 self._become_leader(asked_at)
@@ -716,8 +748,10 @@
             timeout_s = self._timing.election_s * EARLY_CALL
         try:
             reply = await self._call(peer, _messages.VOTE, request, timeout_s)
-        except wire.ServingError:
+        except wire.ServingError as error:
+            self._answer_by_name[peer.name] = error.code
             return 0
+        self._answer_by_name[peer.name] = reply.why or "granted"
         if reply.term > self.term and not reply.granted:
             await self._to_its_end(self._learn_term, reply.term)
         return int(reply.granted)
@@ -728,7 +762,7 @@
 
     async def _adopt_term(self, term: int) -> None:
         if term > self.term:
-            self._become_follower(None)
+            self._become_follower(None, f"term {term} heard")
             await self._save_vote(_messages.Vote(term, None))
 
     async def _follow(self, term: int, leader: Member) -> bool:
@@ -745,12 +779,13 @@
                 term,
                 self.last_index,
             )
+            self._note_role("follows", f"heard {leader.name}")
         self.leader = leader
         self._heard_leader = True
         self._heard_at = self._clock.now()
         return True
 
-    def _become_follower(self, leader: Member | None) -> None:
+    def _become_follower(self, leader: Member | None, why: str = "") -> None:
         was_leader = self.role is Role.LEADER
         if self.role is not Role.FAILED:
             self.role = Role.FOLLOWER
@@ -762,6 +797,7 @@
                 self.term,
                 self.commit,
             )
+            self._note_role("leads no more", why, self._answered_s())
             self._heard_at = self._clock.now()
             self._fail_waiters()
             self._stop_replicators()
@@ -777,6 +813,7 @@
             self.last_index,
             self.commit,
         )
+        self._note_role("leads", "")
         self._transferring = False
         self._next_by_peer.clear()
         self._match_by_peer.clear()
@@ -784,6 +821,57 @@
         self._ready_index = self._append_local(_messages.EntryKind.NOOP, b"")
         self._start_replicators()
 
+    # What a witness is told.
+
+    def _note_role(
+        self,
+        what: str,
+        why: str,
+        answered_s: dict[str, float] | None = None,
+    ) -> None:
+        now = self._clock.now()
+        fields = {
+            "is": what,
+            "why": why,
+            "term": self.term,
+            "heard_s": round(now - self._heard_at, 3),
+            "answered_s": answered_s,
+            "last": self.last_index,
+            "commit": self.commit,
+        }
+        self.witness.saw("role", fields)
+
+    def _answered_s(self) -> dict[str, float]:
+        """Return how long ago what each peer answered last was sent."""
+        now = self._clock.now()
+        return {
+            peer.name: round(now - self._acked_by_peer[peer.id], 3)
+            for peer in self.config.members
+            if peer.id in self._acked_by_peer and peer != self._me
+        }
+
+    def _note_stand(self, end: str, heard_at: float, unanimous: bool) -> None:
+        heard_s = self._clock.now() - min(heard_at, self._heard_at)
+        fields = {
+            "end": end,
+            "term": self.term,
+            "heard_s": round(heard_s, 3),
+            "unanimous": unanimous,
+            "answers": dict(self._answer_by_name),
+        }
+        self.witness.saw("stand", fields)
+
+    def _note_ballot(self, request: _messages.VoteRequest, why: str) -> None:
+        fields = {
+            "candidate": request.candidate,
+            "asked_term": request.term,
+            "pre": request.pre,
+            "unanimous": request.unanimous,
+            "term": self.term,
+            "refused": why or None,
+        }
+        self.witness.saw("ballot", fields)
+
     def _fail_waiters(self) -> None:
         for waiter in self._waiter_by_index.values():
             if not waiter.done.done():
@@ -925,7 +1013,7 @@
     def _fail(self, error: BaseException) -> None:
         """Stop for good: what a failed sync left on disk is not known."""
         self.error = error
-        self._become_follower(None)
+        self._become_follower(None, "the disk failed")
         self.role = Role.FAILED
 
     # Replication.
