Count a word to take the lead in its own term only

Cause, by reading and by late_hand_over (fails without the mend): an heir whose loop was at another stand took the word in a later term, and stood without a wait past the lease of that term's leader.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -55,6 +55,7 @@
       | never_forms_twice        |
       | successor_takes_a_place  |
       | reads_are_the_newest     |
+      | late_hand_over           |
 
   Scenario: A lead once won is not lost to a candidate that wins nothing
     When the scenario won_leads_last of the log runs
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -17,6 +17,7 @@
 from bergamotsail import daemon
 from bergamotsail import quorum
 from bergamotsail.quorum import _membership as quorum_membership
+from bergamotsail.quorum import _messages as quorum_messages
 from bergamotsail import routing
 from bergamotsail import standins
 from bergamotsail import targets
@@ -722,6 +723,27 @@
     return faults
 
 
+async def late_hand_over() -> list[str]:
+    """A word to take the lead counts in the term that it was given in.
+
+    Taken later it would pass by the lease of the next leader.
+    """
+    replicas = await _formed()
+    leader = await replicas.leader()
+    heir = next(n for n in replicas.node_by_address.values() if n != leader)
+    stands: list[bool] = []
+
+    async def stand(transfer: bool, unanimous: bool = False) -> None:
+        stands.append(transfer)
+
+    heir._stand = stand
+    await heir.on_lead(quorum_messages.LeadRequest(heir.member.id, heir.term))
+    # The loop that stands gets its turn only after the next term is known.
+    heir._vote = quorum_messages.Vote(heir.term + 1)
+    await asyncio.sleep(0.3)
+    return ["It stood past the lease of the next."] if any(stands) else []
+
+
 async def slow_votes_end_stands() -> list[str]:
     """A candidate that has voted for another since it stood stands no more.
 
@@ -1223,6 +1245,7 @@
     "lease_outlives_restarts": lease_outlives_restarts,
     "won_leads_last": won_leads_last,
     "slow_votes_end_stands": slow_votes_end_stands,
+    "late_hand_over": late_hand_over,
     "forms_by_itself": forms_by_itself,
     "forms_with_slow_starters": forms_with_slow_starters,
     "forms_by_order_while_loading": forms_by_order_while_loading,
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -160,6 +160,7 @@
         self._stands_after = float("-inf")
         self._heard_leader = False
         self._answer_by_name: dict[str, str] = {}
+        self._handed_in = -1
         self._word_for: str | None = None
         self._word_until = 0.0
         self._ready_index = 0
@@ -491,6 +492,7 @@
         """Stand for election at once, on the leader's own word."""
         self._check_to(request.to)
         if request.term == self.term:
+            self._handed_in = request.term
             self._stand_now.set()
         return _messages.Empty()
 
@@ -569,7 +571,9 @@
             if self.role is Role.LEADER:
                 self._check_quorum()
                 continue
-            transfer = self._stand_now.is_set()
+            # The word of a leader of an earlier term passes by no lease.
+            handed = self._handed_in == self.term
+            transfer = self._stand_now.is_set() and handed
             self._stand_now.clear()
             heard_s = self._clock.now() - self._heard_at
             if heard_s < wait_s and not transfer:
