--- a/libs/daemon/src/bergamotsail/daemon/_vitals.py
+++ b/libs/daemon/src/bergamotsail/daemon/_vitals.py
@@ -11,6 +11,8 @@
 import resource
 import time
 
+from absl import logging
+
 from bergamotsail.daemon import _peer_face
 from bergamotsail import observe
 from bergamotsail import quorum
@@ -82,7 +84,7 @@
         """Write a line on an election."""
         observe.log_event("quorum", what, **fields, **self.figures())
 
-    def figures(self) -> dict[str, float]:
+    def figures(self) -> dict[str, float | None]:
         """Return the figures of the last second, and how long it was."""
         now, cpu_s, paused_s = self._sample()
         then = self._samples[0] if self._samples else (now, cpu_s, paused_s)
@@ -92,7 +94,7 @@
             "over_s": round(now - then[0], 3),
             "cpu_s": round(cpu_s - then[1], 4),
             "collected_s": round(paused_s - then[2], 4),
-            "resident_mb": round(_resident_bytes() / 1e6, 1),
+            "resident_mb": _resident_mb(),
         }
 
     def _sample(self) -> tuple[float, float, float]:
@@ -113,10 +115,13 @@
             observe.log_event("vitals", "late", **self.figures())
 
 
-def _resident_bytes() -> int:
-    """Return the memory held; 0 where the system does not tell."""
+def _resident_mb() -> float | None:
+    """Return the memory held, None where the system does not tell."""
     try:
         pages = int(STATM.read_text().split()[1])
-    except (OSError, ValueError, IndexError):
-        return 0
-    return pages * resource.getpagesize()
+    except (OSError, ValueError, IndexError) as error:
+        logging.log_first_n(
+            logging.INFO, "vitals: No figure of memory. %s", 1, error
+        )
+        return None
+    return round(pages * resource.getpagesize() / 1e6, 1)
