Known red: leaders in a row starve shares of limits

Cause: a leader raises no share before leases given by earlier leaders have ended; with the lead moved each 2.5 s no share is ever raised.

features/run.py compared names with a blank at their end, as rows of an outline have, so that none of these could be listed; it strips both now.

--- a/features/run.py
+++ b/features/run.py
@@ -55,9 +55,9 @@
         s for s in scenarios if s.status.name not in ("passed", "skipped")
     ]
     known = known_red()
-    unknown = [s for s in failed if s.name not in known]
+    unknown = [s for s in failed if s.name.strip() not in known]
     for scenario in failed:
-        line = known.get(scenario.name)
+        line = known.get(scenario.name.strip())
         print(f"known red: {line}" if line else f"FAILED: {scenario.name}")
         for step in scenario.all_steps:
             if step.error_message:
