--- a/features/steps/holders.py
+++ b/features/steps/holders.py
@@ -33,7 +33,7 @@
         derandomize=True,
         database=None,
         deadline=None,
-    )(hypothesis.given(holders.SHOP_STEPS)(holders.tenures_agree))
+    )(hypothesis.given(holders.TENURE_STEPS)(holders.tenures_agree))
     try:
         check()
     except AssertionError as error:
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -862,6 +862,53 @@
     return [f"It stood {stood} times in 6 s."] if stood > 20 else []
 
 
+def make_replica(
+    settings: daemon.RoleSettings,
+    network: standins.MemoryNetwork,
+    disk: standins.MemoryDisk,
+    instances: targets.InstanceList,
+    make_engine: collections.abc.Callable[
+        [targets.Instance], targets.AdapterEngine | None
+    ],
+    forms: bool,
+    luck: random.Random,
+) -> daemon.Replica:
+    """Return a replica's process on a network in memory; not started."""
+    with unittest.mock.patch.object(wire, "own_luck", lambda _: luck):
+        replica = daemon.Replica(
+            settings,
+            standins.MemoryTransport(network, settings.address),
+            disk,
+            instances,
+            make_engine,
+            forms,
+            0.5,
+            wire.LoopClock(),
+        )
+    network.join(settings.address, replica.server)
+    return replica
+
+
+def replica_settings(
+    name: str,
+    address: str,
+    datacentre: str,
+    seeds: collections.abc.Sequence[str],
+    **fields: object,
+) -> daemon.RoleSettings:
+    """Return settings of a replica, with the time-outs of a small log."""
+    return daemon.RoleSettings(
+        name,
+        address,
+        datacentre,
+        tuple(seeds),
+        "peers",
+        control.LeaseTiming(2.0, 0.3, call_s=0.6),
+        quorum.Timing(0.5, 0.1, call_s=0.5),
+        **fields,
+    )
+
+
 class Deployed(Replicas):
     """Replicas as a deployment starts them; the first three are seeds.
 
@@ -886,29 +933,22 @@
 
     async def start(self, address: str, forms: bool = False) -> quorum.Node:
         """Start a replica's process."""
-        settings = daemon.RoleSettings(
+        settings = replica_settings(
             address,
             address,
             self.datacentre_by_address[address],
-            tuple(self.addresses[:3]),
-            "peers",
-            control.LeaseTiming(2.0, 0.3, call_s=0.6),
-            quorum.Timing(0.5, 0.1, call_s=0.5),
+            self.addresses[:3],
             borne_losses=self.losses,
         )
-        luck = random.Random(self.rng.random())
-        with unittest.mock.patch.object(wire, "own_luck", lambda _: luck):
-            replica = daemon.Replica(
-                settings,
-                standins.MemoryTransport(self.network, address),
-                self.disk_by_address[address],
-                EmptyList(),
-                lambda instance: None,
-                forms,
-                0.5,
-                wire.LoopClock(),
-            )
-        self.network.join(address, replica.server)
+        replica = make_replica(
+            settings,
+            self.network,
+            self.disk_by_address[address],
+            EmptyList(),
+            lambda instance: None,
+            forms,
+            random.Random(self.rng.random()),
+        )
         self.machine_by_address[address] = replica.machine
         self.node_by_address[address] = replica.node
         self.replica_by_address[address] = replica
@@ -984,6 +1024,13 @@
             faults.append(f"{found} in force, {version} acknowledged")
         return faults
 
+    async def recovers(self, within_s: float) -> list[str]:
+        """Wait for a leader that knows version 1, then have it take one."""
+        faults = await self.keeps(1, within_s)
+        if not faults:
+            await self.acknowledged(2)
+        return faults
+
     def lost_at_random(self, leader: quorum.Node) -> list[str]:
         """Draw as many voters as may be lost; the leader is often one."""
         return self.rng.sample(sorted(self.voters(leader)), self.losses)
@@ -1010,6 +1057,11 @@
     return faults
 
 
+def _five_or_six(seed: int) -> Deployed:
+    """Return five replicas, or six of which one does not vote."""
+    return Deployed(5 + seed % 2, seed)
+
+
 async def disks_lost_in_a_power_cut() -> list[str]:
     """As many disks as may be are lost while all others lose power."""
 
@@ -1024,13 +1076,10 @@
                 await replicas.lose_power(address)
         await asyncio.sleep(1.0)
         await replicas.start_all()
-        faults += await replicas.keeps(1, 4.0)
-        if faults:
-            return faults
-        await replicas.acknowledged(2)
-        return await replicas.grown(5)
+        faults += await replicas.recovers(4.0)
+        return faults or await replicas.grown(5)
 
-    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(10))
+    return await _for_seeds(work, _five_or_six, range(10))
 
 
 async def voters_away() -> list[str]:
@@ -1042,17 +1091,16 @@
         for address in replicas.lost_at_random(await replicas.leader()):
             await replicas.lose_power(address)
         await asyncio.sleep(0.6)
-        faults += await replicas.keeps(1, 3.0)
+        faults += await replicas.recovers(3.0)
         if faults:
             return faults
-        await replicas.acknowledged(2)
         await asyncio.sleep(7.0)
         await replicas.start_all()
         await asyncio.sleep(4.0)
         faults += await replicas.grown(5)
         return faults + await replicas.keeps(2, 0.1)
 
-    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(10))
+    return await _for_seeds(work, _five_or_six, range(10))
 
 
 async def voters_grow_in_steps() -> list[str]:
@@ -1138,13 +1186,10 @@
         for address in set(replicas.addresses) - set(lost):
             await replicas.lose_power(address)
         await replicas.start_all()
-        faults += await replicas.keeps(1, 4.0)
-        if faults:
-            return faults
-        await replicas.acknowledged(2)
-        return await replicas.grown(5)
+        faults += await replicas.recovers(4.0)
+        return faults or await replicas.grown(5)
 
-    return await _for_seeds(work, lambda n: Deployed(5 + n % 2, n), range(10))
+    return await _for_seeds(work, _five_or_six, range(10))
 
 
 async def disk_lost_twice() -> list[str]:
--- a/features/support/holders.py
+++ b/features/support/holders.py
@@ -20,19 +20,17 @@
 import asyncio
 import contextlib
 import random
-import unittest.mock
 
 from hypothesis import strategies as st
 
 from bergamotsail import catalogue
-from bergamotsail import control
 from bergamotsail import daemon
 from bergamotsail import placement
-from bergamotsail import quorum
 from bergamotsail.quorum import _messages as quorum_messages
 from bergamotsail import standins
 from bergamotsail import targets
 from bergamotsail import wire
+from features.support import growth
 from features.support import ledger
 
 LEASE_S = 3.0
@@ -142,7 +140,6 @@
             for n in range(engines)
         }
         self._holder_by_fence: dict[int, str] = {}
-        self.served = 0
         self._settings = settings
         self.asked = 0
 
@@ -166,35 +163,18 @@
             targets.Instance(target, POOL, f"10.1.0.{n}:1", "mnl-a")
             for n, target in enumerate(self.engine_by_id)
         )
-        settings = daemon.RoleSettings(
+        settings = growth.replica_settings(
             place.name,
             place.address,
             "mnl-a",
-            tuple(other.address for other in self.places),
-            "peers",
-            control.LeaseTiming(2.0, 0.3, call_s=0.6),
-            quorum.Timing(0.5, 0.1, call_s=0.5),
+            [other.address for other in self.places],
             **self._settings,
         )
         place.disk.start_again()
         self._starts += 1
-        luck = random.Random(f"{self._seed}/{self._starts}")
-        with unittest.mock.patch.object(wire, "own_luck", lambda _: luck):
-            replica = self._replica(place, settings, instances, forms)
-        self.network.join(place.address, replica.server)
-        place.replica = replica
-        await replica.__aenter__()
-
-    def _replica(
-        self,
-        place: Place,
-        settings: daemon.RoleSettings,
-        instances: tuple[targets.Instance, ...],
-        forms: bool,
-    ) -> daemon.Replica:
-        return daemon.Replica(
+        place.replica = growth.make_replica(
             settings,
-            standins.MemoryTransport(self.network, place.address),
+            self.network,
             place.disk,
             ListedEngines(instances),
             lambda instance: WatchedEngine(
@@ -203,9 +183,9 @@
                 self._holder_by_fence,
             ),
             forms,
-            0.5,
-            wire.LoopClock(),
+            random.Random(f"{self._seed}/{self._starts}"),
         )
+        await place.replica.__aenter__()
 
     async def stop(self, place: Place) -> None:
         """Kill a replica's process."""
@@ -223,6 +203,15 @@
             await asyncio.sleep(0.02)
         raise AssertionError("There is no leader.")
 
+    async def ordering(self) -> tuple[Place, Place]:
+        """Wait until the leader orders; return it and another replica."""
+        first = await self.leader()
+        other = next(place for place in self.places if place is not first)
+        await self.ask_until_served(3.0)
+        await asyncio.sleep(1.0)
+        await self.ask()
+        return first, other
+
     async def move_lead(self, place: Place) -> None:
         """Let another replica be elected, at once and without a fault."""
         node = place.replica.node
@@ -267,9 +256,14 @@
             )
         except wire.ServingError:
             return False
-        self.served += 1
         return True
 
+    async def ask_often(self) -> None:
+        """Ask for some seconds, served or not."""
+        for _ in range(20):
+            await self.ask(0.2)
+            await asyncio.sleep(0.02)
+
     async def ask_until_served(self, within_s: float) -> float | None:
         """Ask again and again; return when it was served, None if never."""
         loop = asyncio.get_running_loop()
@@ -299,22 +293,14 @@
 async def away_and_back() -> list[str]:
     """The lead moves to another replica and back within one lease."""
     async with Holders(1, engines=1) as holders:
-        first = await holders.leader()
-        other = next(p for p in holders.places if p is not first)
-        await holders.ask_until_served(3.0)
-        await asyncio.sleep(1.0)
-        await holders.ask()
+        first, other = await holders.ordering()
         await holders.move_lead(other)
         await holders.ask_until_served(2.0)
         await holders.move_lead(first)
-        for _ in range(20):
-            await holders.ask(0.2)
-            await asyncio.sleep(0.02)
+        await holders.ask_often()
         faults = holders.faults()
-        if {holder for _, holder in holders.accepted("e0")} != {
-            first.name,
-            other.name,
-        }:
+        ordered = {holder for _, holder in holders.accepted("e0")}
+        if ordered != {first.name, other.name}:
             faults.append("Not both of them ordered.")
         if await holders.ask_until_served(5.0) is None:
             faults.append("It never ordered again.")
@@ -324,27 +310,17 @@
 async def back_after_a_restart() -> list[str]:
     """A process that forgot its last order waits as if it were its start."""
     async with Holders(2, engines=1) as holders:
-        first = await holders.leader()
-        other = next(p for p in holders.places if p is not first)
-        await holders.ask_until_served(3.0)
-        await asyncio.sleep(1.0)
-        await holders.ask()
+        first, _ = await holders.ordering()
         await holders.stop(first)
         await holders.ask_until_served(4.0)
         await holders.start(first)
         await asyncio.sleep(0.3)
         await holders.ask()
         await holders.move_lead(first)
-        for _ in range(20):
-            await holders.ask(0.2)
-            await asyncio.sleep(0.02)
+        await holders.ask_often()
         faults = holders.faults()
-        if other.name not in {h for _, h in holders.accepted("e0")}:
-            other_ordered = [
-                h for _, h in holders.accepted("e0") if h != first.name
-            ]
-            if not other_ordered:
-                faults.append("Nobody else ordered meanwhile.")
+        if {h for _, h in holders.accepted("e0")} == {first.name}:
+            faults.append("Nobody else ordered meanwhile.")
         if await holders.ask_until_served(5.0) is None:
             faults.append("It never ordered again.")
         return faults
@@ -353,11 +329,7 @@
 async def handed_on_at_once() -> list[str]:
     """A replica that never ordered begins as soon as it leads."""
     async with Holders(3, engines=1) as holders:
-        first = await holders.leader()
-        await holders.ask_until_served(3.0)
-        await asyncio.sleep(1.0)
-        await holders.ask()
-        other = next(p for p in holders.places if p is not first)
+        _, other = await holders.ordering()
         await holders.move_lead(other)
         took_s = await holders.ask_until_served(3.0)
         if took_s is None or took_s > 1.5:
@@ -368,10 +340,7 @@
 async def regained_at_once() -> list[str]:
     """Who leads again with nobody between goes on without a wait."""
     async with Holders(4, engines=1) as holders:
-        first = await holders.leader()
-        await holders.ask_until_served(3.0)
-        await asyncio.sleep(1.0)
-        await holders.ask()
+        first, _ = await holders.ordering()
         node = first.replica.node
         node._become_follower(None)
         await holders.move_lead(first)
@@ -407,11 +376,7 @@
 async def noted_before_it_orders() -> list[str]:
     """Who leads and can't note that it orders, orders nothing."""
     async with Holders(1, engines=1) as holders:
-        first = await holders.leader()
-        other = next(p for p in holders.places if p is not first)
-        await holders.ask_until_served(3.0)
-        await asyncio.sleep(1.0)
-        await holders.ask()
+        first, other = await holders.ordering()
         node = other.replica.node
         request = quorum_messages.LeadRequest(node.member.id, node.term)
         await node.on_lead(request)
@@ -448,11 +413,7 @@
 async def resident_meanwhile() -> list[str]:
     """Who may not order yet still places on what engines hold."""
     async with Holders(6, engines=1) as holders:
-        first = await holders.leader()
-        other = next(p for p in holders.places if p is not first)
-        await holders.ask_until_served(3.0)
-        await asyncio.sleep(1.0)
-        await holders.ask()
+        first, other = await holders.ordering()
         known = f"a{holders.asked}"
         await holders.move_lead(other)
         await holders.ask_until_served(2.0)
@@ -491,8 +452,8 @@
         return [f"seed {seed}: {fault}" for fault in faults]
 
 
-class Shop:
-    """Processes that take turns, each with its tenure; one engine sees."""
+class TenureModel:
+    """Processes with a tenure each, elections, and what an engine saw."""
 
     def __init__(self, names: tuple[str, ...], lease_s: float) -> None:
         self.now = 0.0
@@ -529,7 +490,7 @@
                 self.accepted.append((self.now, name))
 
 
-SHOP_STEPS = st.lists(
+TENURE_STEPS = st.lists(
     st.tuples(
         st.sampled_from(("elect", "restart", "order", "order")),
         st.sampled_from(("r1", "r2", "r3")),
@@ -541,11 +502,11 @@
 
 def tenures_agree(steps: list[tuple[str, str, float]]) -> None:
     """Whatever the elections, no holder has two turns within a lease."""
-    shop = Shop(("r1", "r2", "r3"), LEASE_S)
+    model = TenureModel(("r1", "r2", "r3"), LEASE_S)
     for what, name, pause_s in steps:
-        shop.now += pause_s
-        getattr(shop, what)(name)
-    faults = turns_taken(shop.accepted, LEASE_S)
+        model.now += pause_s
+        getattr(model, what)(name)
+    faults = turns_taken(model.accepted, LEASE_S)
     assert not faults, faults[:1]
 
 
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -285,7 +285,7 @@
             lambda instance: self.engine_by_id[instance.id],
             placement.HomePolicy(),
             observe.Metrics(),
-            quiet_s=quiet_s,
+            tenure=placement.Tenure(0.0, 0.0, quiet_s),
         )
         self.served = 0
         self.refused = 0
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -119,6 +119,12 @@
         return self._node.not_leader()
 
 
+async def _propose(node: quorum.Node, command: catalogue.Command) -> object:
+    """Commit a command within a bounded time."""
+    async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+        return await node.propose(wire.encode(command))
+
+
 class _LogNotes(placement.CopyNotes):
     """Remembers copies in the log, so that the next leader knows them."""
 
@@ -132,9 +138,7 @@
         return self._machine.copies_by_target.get(target, ())
 
     async def note(self, note: catalogue.NoteCopies) -> None:
-        command = catalogue.Command(note_copies=note)
-        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
-            await self._node.propose(wire.encode(command))
+        await _propose(self._node, catalogue.Command(note_copies=note))
 
 
 class _LogHolders(placement.HolderNotes):
@@ -159,9 +163,7 @@
 
     async def note(self, fence: int, alone: bool) -> None:
         take = catalogue.TakeOrders(self._name, fence, alone)
-        command = catalogue.Command(take_orders=take)
-        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
-            await self._node.propose(wire.encode(command))
+        await _propose(self._node, catalogue.Command(take_orders=take))
 
 
 class Replica:
@@ -299,8 +301,7 @@
     async def _propose(
         self, command: catalogue.Command
     ) -> catalogue.VersionReply:
-        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
-            return await self.node.propose(wire.encode(command))
+        return await _propose(self.node, command)
 
 
 class _EntryParticipant(control.Bystander):
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -79,9 +79,6 @@
         view: gives the catalogue as it stands.
         make_engine: gives the engine of a listed target.
         notes: where copies are remembered for the next holder.
-        quiet_s: give no orders for so long after a term began, so that
-            orders of the holder before have surely ended; 0 where engines
-            refuse an old fencing number. Not used with *tenure*.
         holder_notes: where it is remembered who gave orders.
         tenure: when this process may give orders.
     """
@@ -97,17 +94,16 @@
         metrics: observe.Metrics,
         clock: wire.Clock = wire.LoopClock(),
         notes: CopyNotes | None = None,
-        quiet_s: float = 0.0,
         settings: _place_settings.PlaceSettings = (
             _place_settings.PlaceSettings()
         ),
-        holder_notes: _tenure.HolderNotes | None = None,
+        holder_notes: _tenure.HolderNotes = _tenure.NoHolderNotes(),
         tenure: _tenure.Tenure | None = None,
     ) -> None:
         self._settings = settings
         self._rights = _rights.OrderRights(
             leadership,
-            tenure or _tenure.Tenure(0.0, 0.0, quiet_s),
+            tenure or _tenure.Tenure(lease_s=0.0, started_at=0.0),
             holder_notes,
             self._pump_soon,
             clock,
@@ -178,7 +174,7 @@
         try:
             now = self._clock.now()
             if not self._serve_at_once(waiter, now):
-                self._check_tenure(waiter, now)
+                self._check_tenure(waiter)
                 self._log_wait(waiter)
                 self._pump_soon()
             return await self._wait(waiter)
@@ -186,17 +182,17 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
-    def _check_tenure(self, waiter: _waiting.Waiter, now: float) -> None:
+    def _check_tenure(self, waiter: _waiting.Waiter) -> None:
         """Refuse at once who needs a load that can't be ordered in time.
 
-        Before all engines are settled nobody knows what is resident.
+        Before all engines are settled nobody knows what is resident. As a
+        rule orders may leave, so that is looked at before the engines.
         """
-        if not all(holding.known for holding in self._usable(waiter)):
-            return
-        request = waiter.request
-        hope_s = min(request.hope_s - request.waited_s, request.patience_s)
         wait_s = self._rights.wait_s()
-        if wait_s <= max(hope_s, 0.0) or self._on_its_way(waiter):
+        if wait_s <= _hope_s(waiter.request):
+            return
+        known = all(holding.known for holding in self._usable(waiter))
+        if not known or self._on_its_way(waiter):
             return
         self._metrics.count("placements_refused", reason="no_orders_yet")
         self._log_refusal(waiter)
@@ -211,9 +207,9 @@
     ) -> _place_messages.PlaceReply:
         """Wait for a grant as long as there is hope and patience."""
         request = waiter.request
-        hope_s = min(request.hope_s - request.waited_s, request.patience_s)
+        hope_s = _hope_s(request)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(hope_s, 0.0)):
+            async with asyncio.timeout(hope_s):
                 return await asyncio.shield(waiter.done)
         if not self._on_its_way(waiter):
             self._metrics.count("placements_refused", reason="no_place")
@@ -223,7 +219,7 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(request.patience_s - max(hope_s, 0.0)):
+            async with asyncio.timeout(request.patience_s - hope_s):
                 return await waiter.done
         raise wire.StillWaitingError(
             "No engine took this request so far. Ask again.",
@@ -542,9 +538,12 @@
         for waiter in self._waiters:
             waiters_by_name.setdefault(waiter.name, []).append(waiter)
         wanted = set(waiters_by_name)
+        may_load = self._rights.may_order()
         while self._names_left and self._clock.now() - now < PUMP_SLICE_S:
             name = self._names_left.popleft()
-            self._serve_name(waiters_by_name.get(name, []), wanted, now)
+            self._serve_name(
+                waiters_by_name.get(name, []), wanted, now, may_load
+            )
         self._waiters = [w for w in self._waiters if not w.done.done()]
         self._pump_took_s = self._clock.now() - now
         if self._names_left:
@@ -569,11 +568,12 @@
         waiters: list[_waiting.Waiter],
         wanted: set[_holding.AdapterName],
         now: float,
+        may_load: bool,
     ) -> None:
         """Grant those who wait for one adapter, and load it if need be."""
         for waiter in waiters:
             if not waiter.done.done():
-                if not self._serve_one(waiter, wanted, now):
+                if not self._serve_one(waiter, wanted, now, may_load):
                     return
 
     def _serve_at_once(self, waiter: _waiting.Waiter, now: float) -> bool:
@@ -599,11 +599,11 @@
         waiter: _waiting.Waiter,
         wanted: collections.abc.Container[_holding.AdapterName],
         now: float,
+        may_load: bool,
     ) -> bool:
         """Carry out what is decided for a request; False if it waits."""
-        decision = self._decider.decide(
-            self._wish(waiter, now), wanted, now, self._rights.may_order()
-        )
+        wish = self._wish(waiter, now)
+        decision = self._decider.decide(wish, wanted, now, may_load)
         if isinstance(decision, _decisions.Run):
             self._grant(waiter, decision.target, now)
             return True
@@ -712,3 +712,9 @@
                     and orders.holding.may_load
                 ):
                     orders.start_load(name, wanted, None, now)
+
+
+def _hope_s(request: _place_messages.PlaceRequest) -> float:
+    """Return how long a request may wait with no load on its way."""
+    hope_s = min(request.hope_s - request.waited_s, request.patience_s)
+    return max(hope_s, 0.0)
--- a/libs/placement/src/bergamotsail/placement/_rights.py
+++ b/libs/placement/src/bergamotsail/placement/_rights.py
@@ -20,8 +20,7 @@
     """Follows the lead and claims the right to order, when it is due.
 
     Args:
-        notes: where it is remembered who gave orders; None where nobody
-            else ever does.
+        notes: where it is remembered who gave orders.
         opened: called when orders may leave from now on.
     """
 
@@ -29,7 +28,7 @@
         self,
         leadership: _leadership.Leadership,
         tenure: _tenure.Tenure,
-        notes: _tenure.HolderNotes | None,
+        notes: _tenure.HolderNotes,
         opened: collections.abc.Callable[[], None],
         clock: wire.Clock,
     ) -> None:
@@ -81,10 +80,9 @@
             self._noting.cancel()
 
     def _begin(self) -> None:
-        name, former = "", ()
-        if self._notes is not None:
-            name, former = self._notes.name, tuple(self._notes.former())
-        self._tenure.begin(self._term, name, former, self._clock.now())
+        former = tuple(self._notes.former())
+        now = self._clock.now()
+        self._tenure.begin(self._term, self._notes.name, former, now)
         observe.log_event(
             "place",
             "tenure",
@@ -96,8 +94,7 @@
     async def _note(self, term: int, alone: bool) -> None:
         """Note who orders before the first order leaves."""
         try:
-            if self._notes is not None:
-                await self._notes.note(term, alone)
+            await self._notes.note(term, alone)
         except (wire.ServingError, TimeoutError) as error:
             self._retry_at = self._clock.now() + NOTE_RETRY_S
             observe.log_event(
--- a/libs/placement/src/bergamotsail/placement/_tenure.py
+++ b/libs/placement/src/bergamotsail/placement/_tenure.py
@@ -42,6 +42,20 @@
         """
 
 
+class NoHolderNotes(HolderNotes):
+    """Remembers nothing, where no other process ever gives orders."""
+
+    @property
+    def name(self) -> str:
+        return ""
+
+    def former(self) -> tuple[str, ...]:
+        return ()
+
+    async def note(self, fence: int, alone: bool) -> None:
+        return None
+
+
 class Tenure:
     """The right of one process to give orders; it reads no clock.
 
--- a/libs/routing/src/bergamotsail/routing/_survey.py
+++ b/libs/routing/src/bergamotsail/routing/_survey.py
@@ -3,9 +3,10 @@
 import asyncio
 import collections
 import collections.abc
-import contextlib
 import random
 
+from absl import logging
+
 from bergamotsail import control
 from bergamotsail import observe
 from bergamotsail import placement
@@ -83,10 +84,13 @@
         self, info: control.TargetInfo, turns: asyncio.Semaphore
     ) -> None:
         async with turns:
-            with contextlib.suppress(wire.ServingError):
+            try:
                 report = await self._ask(info)
-                if info.id in self._asked:
-                    self._report_by_target[info.id] = report
+            except wire.ServingError as error:
+                logging.debug("survey: No report. %s", error.message)
+                return
+        if info.id in self._asked:
+            self._report_by_target[info.id] = report
 
     def choose(
         self,
