Let a leader raise shares once all that may hold some have answered it

Cause: a new leader raised no share of a limit until leases given by earlier leaders had ended (3.65 s), since it could not know who holds one; leads that move each 2.5 s refused callers for ever (known red, moving_leader). The same class as the turns of holders: state that starts from nothing with each election.

The log now notes a daemon before its first share, so the next leader knows all that may hold one. A leader raises when each of them has sent a heartbeat after a reply of this leader's own term, or when leases have ended as before.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -28,6 +28,7 @@
       | moving_leader              |
       | leave_at_dispatch          |
       | limits_over_all            |
+      | limits_over_leaders        |
       | rate_over_all              |
 
   Scenario: Every guard that is switched off is noticed
--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -461,6 +461,37 @@
         return faults
 
 
+async def limits_over_leaders(seed: int = 1) -> list[str]:
+    """A limit holds while leaders change and daemons are silent meanwhile.
+
+    A leader that raised shares before it heard from all that may hold some
+    of its predecessor's would give the same part of the limit twice.
+    """
+    settings = Settings(seed=seed, member_concurrency=6)
+    async with World(settings) as world:
+        sending = asyncio.create_task(
+            _send(world, 160, 0.05, tokens=40, deadline_s=6.0)
+        )
+        for number in range(4):
+            await asyncio.sleep(1.0)
+            leader = world.leader()
+            if leader is None:
+                continue
+            others = [p for p in world.places if p is not leader]
+            silent = others[number % len(others)]
+            if silent.disk is None:
+                world.freeze(silent)
+            await leader.daemon.node.transfer()
+            await asyncio.sleep(1.5)
+            world.wake(silent)
+        answers = await sending
+        faults = world.oracle.check_at_end()
+        done = sum(answer.error is None for answer in answers)
+        if done < 40:
+            faults.append(f"limits: only {done} answered")
+        return faults
+
+
 async def rate_over_all(seed: int = 1) -> list[str]:
     """A rate of five a second holds over all daemons."""
     async with World(Settings(seed=seed)) as world:
@@ -514,6 +545,7 @@
     moving_leader,
     leave_at_dispatch,
     limits_over_all,
+    limits_over_leaders,
     rate_over_all,
 )
 SCENARIO_BY_NAME = {scenario.__name__: scenario for scenario in SCENARIOS}
@@ -713,6 +745,13 @@
         yield
 
 
+@contextlib.contextmanager
+def shares_at_once() -> collections.abc.Iterator[None]:
+    """Raise shares before it is known who holds some."""
+    with patch(control.Coordinator, "_may_raise", lambda *_: True):
+        yield
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Mutant:
     """A guard that is off, and the scenario that must notice."""
@@ -747,6 +786,7 @@
     Mutant(8, "operators_race", no_compare),
     Mutant(8, "operators_race", operations_forgotten),
     Mutant(8, "limits_over_all", shares_unbounded),
+    Mutant(8, "limits_over_leaders", shares_at_once),
 )
 
 
--- a/libs/catalogue/src/bergamotsail/catalogue/__init__.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -42,6 +42,7 @@
 Copies = _commands.Copies
 NoteCopies = _commands.NoteCopies
 TakeOrders = _commands.TakeOrders
+NoteSharers = _commands.NoteSharers
 VersionReply = _commands.VersionReply
 
 AdapterVersion = _routes.AdapterVersion
--- a/libs/catalogue/src/bergamotsail/catalogue/_commands.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_commands.py
@@ -205,6 +205,22 @@
     alone: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteSharers:
+    """Note which boots of daemons may hold shares of limits.
+
+    A boot is noted before its first share, so that whoever leads next knows
+    of all that may hold one.
+
+    Args:
+        joined: boots that may from now on.
+        gone: boots that surely hold none any more.
+    """
+
+    joined: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionReply:
     """Which version stands after a command that sets one.
@@ -231,3 +247,4 @@
     name_version: NameVersion | None = None
     note_copies: NoteCopies | None = None
     take_orders: TakeOrders | None = None
+    note_sharers: NoteSharers | None = None
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -53,6 +53,7 @@
     document: str | None = None
     copies: _commands.Copies | None = None
     order_holders: tuple[str, ...] = ()
+    sharers: tuple[str, ...] = ()
 
 
 class CatalogueMachine(quorum.Machine):
@@ -65,6 +66,8 @@
         self.copies_by_target: dict[str, tuple[str, ...]] = {}
         # Who gave orders to engines, the last one last.
         self.order_holders: tuple[str, ...] = ()
+        # Boots of daemons that may hold shares of limits.
+        self.sharers: set[str] = set()
         self.changes: collections.deque[_commands.Change] = collections.deque(
             maxlen=KEPT_CHANGES
         )
@@ -103,6 +106,9 @@
             self._note_copies(parsed.note_copies)
         elif parsed.take_orders is not None:
             self._take_orders(parsed.take_orders)
+        elif parsed.note_sharers is not None:
+            self.sharers -= set(parsed.note_sharers.gone)
+            self.sharers |= set(parsed.note_sharers.joined)
         self.view.index = index
         return result
 
@@ -343,6 +349,7 @@
                 floor_ms=self.floor_ms,
                 document=self.routes_document,
                 order_holders=self.order_holders,
+                sharers=tuple(sorted(self.sharers)),
             ),
             dict(self.copies_by_target),
         )
@@ -371,6 +378,7 @@
                 self.floor_ms = line.floor_ms
                 self.routes_document = line.document
                 self.order_holders = line.order_holders
+                self.sharers = set(line.sharers)
         self.view.index = index
         self._effects_after = index
 
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -31,6 +31,9 @@
 RELAY_TIMEOUT_S = 2.0
 ASSIGN_INTERVAL_S = 0.25
 LEAD_POLL_S = 0.05
+# A heartbeat waits so long for the log to note its daemon; a later one can
+# get the share as well.
+NOTE_TIMEOUT_S = 0.2
 MILLI = 1000
 
 
@@ -64,13 +67,24 @@
 
 
 class _Term:
-    """The soft state of one term of leadership."""
+    """The soft state of one term of leadership.
 
-    def __init__(self, term: int, now: float) -> None:
+    Args:
+        sharers: boots that may hold shares given by earlier leaders.
+    """
+
+    def __init__(
+        self,
+        term: int,
+        now: float,
+        sharers: collections.abc.Iterable[str] = (),
+    ) -> None:
         self.term = term
         self.started_at = now
         self.digest = _digest.DigestLog(term)
         self.ledger = _ledger.Ledger()
+        self.undeclared = set(sharers)
+        self.forgotten: set[str] = set()
         self.fleet = _fleet.Fleet()
         self.session_by_boot: dict[str, _Session] = {}
         self.store_by_name: dict[str, _turns.StoreQueue] = {}
@@ -156,10 +170,17 @@
         session.sequence = request.sequence
         session.seen_at = self._clock.now()
         session.daemon = daemon
+        await self._note_sharer(request)
+        if not self._node.holds_lease() or self._current() is not term:
+            raise self._node.not_leader()
         term.digest.put_daemon(daemon)
         self._take_statuses(term, request)
         if self._use_keeper is not None:
             self._use_keeper.take_uses(daemon.boot, request.uses)
+        if request.digest_term == term.term:
+            # Sent after a reply of this term, so after all of earlier ones:
+            # no share that it was given is missing from its word.
+            term.undeclared.discard(daemon.boot)
         term.ledger.declare(
             daemon.boot, request.held_by_key, request.wanted_by_key
         )
@@ -278,7 +299,8 @@
     def _current(self) -> _Term:
         """Return the soft state of this term, new with each term."""
         if self._term.term != self._node.term:
-            self._term = _Term(self._node.term, self._clock.now())
+            now, sharers = self._clock.now(), self._machine.sharers
+            self._term = _Term(self._node.term, now, sharers)
             self._take_over(self._term)
         return self._term
 
@@ -306,6 +328,30 @@
         since_s = self._clock.now() - term.started_at
         return since_s > self._timing.surely_ended_s
 
+    def _may_raise(self, term: _Term, boot: str) -> bool:
+        """Whether a daemon's shares may grow.
+
+        Either earlier leaders' leases have ended, or all daemons that may
+        hold shares of theirs have said what they hold: leads that moved
+        each 2.5 s refused callers where only the former counted.
+        """
+        known = self._settled(term) or not term.undeclared
+        noted = self._machine.sharers - term.forgotten
+        return known and boot in noted
+
+    async def _note_sharer(self, request: _messages.Heartbeat) -> None:
+        """Note a daemon in the log before its first share."""
+        boot = request.daemon.boot
+        wants = request.held_by_key or request.wanted_by_key
+        if not wants or boot in self._machine.sharers:
+            return
+        note = catalogue.NoteSharers(joined=(boot,))
+        try:
+            async with asyncio.timeout(NOTE_TIMEOUT_S):
+                await self._propose(catalogue.Command(note_sharers=note))
+        except (wire.ServingError, TimeoutError) as error:
+            logging.info("control: %s is not noted yet. %r", boot, error)
+
     def _take_statuses(
         self, term: _Term, request: _messages.Heartbeat
     ) -> None:
@@ -352,13 +398,13 @@
         self, term: _Term, request: _messages.Heartbeat
     ) -> dict[str, int]:
         keys = request.held_by_key.keys() | request.wanted_by_key.keys()
-        settled = self._settled(term)
+        may_raise = self._may_raise(term, request.daemon.boot)
         shares = {}
         for key in keys:
             limit = limit_of(self._machine.view, key)
             if limit is not None:
                 shares[key] = term.ledger.grant(
-                    key, request.daemon.boot, limit, settled
+                    key, request.daemon.boot, limit, may_raise
                 )
         return shares
 
@@ -429,6 +475,7 @@
     async def _lead_once(self) -> None:
         term = self._current()
         self._end_sessions(term)
+        await self._forget_sharers(term)
         if self._use_keeper is None:
             await self._assign_once(term)
         await self._raise_floor()
@@ -443,6 +490,22 @@
             raised = catalogue.RaiseFloor(floor_ms)
             await self._propose(catalogue.Command(raise_floor=raised))
 
+    async def _forget_sharers(self, term: _Term) -> None:
+        """Forget daemons that surely hold no share any more."""
+        if not self._settled(term):
+            return
+        gone = self._machine.sharers - term.session_by_boot.keys()
+        if not gone:
+            return
+        note = catalogue.NoteSharers(gone=tuple(sorted(gone)))
+        # One that comes back meanwhile is given nothing before it is noted
+        # again.
+        term.forgotten = gone
+        try:
+            await self._propose(catalogue.Command(note_sharers=note))
+        finally:
+            term.forgotten = set()
+
     def _end_sessions(self, term: _Term) -> None:
         now = self._clock.now()
         for boot, session in list(term.session_by_boot.items()):
