Test: a table of many routes over small links (known red)

Each version of the table is one effect with the whole table as text, and the answer to a heartbeat holds every version since the entry's index.

An answer that takes longer than its time-out is lost and asked for again, for ever.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -65,6 +65,10 @@
     When the scenario slow_votes_end_stands of the log runs
     Then no promise is broken
 
+  Scenario: Changes of a table of many routes reach entries in time
+    When the scenario many_routes_over_small_links of the log runs
+    Then no promise is broken
+
   Scenario: As many replicas may be lost as the deployment says
     When the scenarios of lost replicas run
       | scenario                  |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import itertools
 import random
 import subprocess
@@ -602,6 +603,90 @@
     return faults
 
 
+def _grown_table(
+    version: int, count: int, rng: random.Random
+) -> catalogue.RouteTable:
+    """Return a table of many routes with names that share nothing."""
+    names = [f"{rng.getrandbits(48):012x}" for _ in range(count)]
+    return table(
+        *(route(n, host=f"{n}.example", timeout_s=9.5) for n in names),
+        version=version,
+    )
+
+
+async def _replace_table(
+    replicas: Replicas, changed: catalogue.RouteTable
+) -> None:
+    replace = catalogue.ReplaceRoutes(changed, str(changed.version))
+    command = catalogue.Command(replace_routes=replace)
+    await (await replicas.leader()).propose(wire.encode(command))
+
+
+async def _watch_leases(
+    sessions: list[control.Session], faults: list[str], for_s: float
+) -> None:
+    """Note who is without a lease at some moment."""
+    for _ in range(int(for_s / 0.05)):
+        await asyncio.sleep(0.05)
+        lost = [s.daemon.id for s in sessions if not s.fresh()]
+        if lost:
+            faults.append(f"{len(lost)} without a lease")
+            return
+
+
+async def _changes_of_a_table(
+    routes: int, changes: int, gap_s: float, link_bytes_per_s: float
+) -> tuple[list[str], list[int]]:
+    """Change a table often; return faults and bytes by entry.
+
+    Each change adds a route at the end. Entries have slow links, and must
+    hold their leases and have the newest table a lease after the last.
+    """
+    replicas = await _formed()
+    lease = control.LeaseTiming(2.0, 0.3, call_s=0.6)
+    faults: list[str] = []
+    async with contextlib.AsyncExitStack() as stack:
+        await _coordinate(replicas, lease, stack)
+        sessions = [_entry(replicas, number, lease) for number in (1, 2, 3)]
+        for session in sessions:
+            address = session.daemon.address
+            replicas.network.bytes_per_s[address] = link_bytes_per_s
+            await stack.enter_async_context(session)
+        await asyncio.sleep(3.0)
+        replicas.network.received.clear()
+        changed = _grown_table(1, routes, replicas.rng)
+        watching = asyncio.create_task(
+            _watch_leases(sessions, faults, changes * gap_s + lease.lease_s)
+        )
+        for version in range(1, changes + 1):
+            more = route(f"more-{version}")
+            changed = dataclasses.replace(
+                changed, version=version, routes=(*changed.routes, more)
+            )
+            await _replace_table(replicas, changed)
+            await asyncio.sleep(gap_s)
+        await asyncio.sleep(lease.lease_s - gap_s)
+        await watching
+        found = {s.view.routes.table.version for s in sessions}
+        if found != {changes}:
+            faults.append(f"versions {found} of {changes} in force")
+        received = [replicas.network.received[s.daemon.id] for s in sessions]
+    await replicas.stop_all()
+    return faults, received
+
+
+async def many_routes_over_small_links() -> list[str]:
+    """Changes of a table of 1,500 routes reach entries behind 5 Mbit/s.
+
+    Ten of them within a second need no more than three times the plain
+    text of the table (about 0.4 MB).
+    """
+    faults, received = await _changes_of_a_table(1_500, 10, 0.1, 625_000)
+    if max(received) > 1_200_000:
+        faults.append(f"{max(received)} bytes to an entry")
+    return faults
+
+
 async def moved_leader_wakes() -> list[str]:
     """Who waits for an answer of a lost leader hears of the next one."""
     faults = []
@@ -1239,6 +1324,7 @@
     "restart_then_power_loss": restart_then_power_loss,
     "luck_of_its_own": luck_of_its_own,
     "split_votes_end": split_votes_end,
+    "many_routes_over_small_links": many_routes_over_small_links,
     "moved_leader_wakes": moved_leader_wakes,
     "two_restart_at_once": two_restart_at_once,
     "all_restart_at_once": all_restart_at_once,
--- a/libs/standins/src/bergamotsail/standins/_network.py
+++ b/libs/standins/src/bergamotsail/standins/_network.py
@@ -1,6 +1,7 @@
 """Daemons' calls within one process, with faults on the way."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -10,6 +11,8 @@
 from bergamotsail import wire
 
 DELAY_S = 0.0005
+# A slow link is shared by the replies on it in turns of so many bytes.
+TURN_BYTES = 8_192
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -32,6 +35,23 @@
         self.duplicate = 0.0
         self.slow = 0.0
         self.rng = rng
+        # Links that are slow, by the address of who receives.
+        self.bytes_per_s: dict[str, float] = {}
+        self.received: collections.Counter[str] = collections.Counter()
+        self._link_by_address: dict[str, asyncio.Lock] = {}
+
+    async def carry(self, address: str, size: int) -> None:
+        """Take the time that a reply needs on the link to its receiver."""
+        rate = self.bytes_per_s.get(address)
+        if rate is None:
+            return
+        link = self._link_by_address.setdefault(address, asyncio.Lock())
+        while size > 0:
+            turn = min(size, TURN_BYTES)
+            size -= turn
+            async with link:
+                self.received[address] += turn
+                await asyncio.sleep(turn / rate)
 
     def join(self, address: str, server: wire.PeerServer) -> Host:
         """Put a new process at an address."""
@@ -101,7 +121,9 @@
                 work = self._deliver(target, call, message)
                 reply = await asyncio.shield(work)
                 await self._back(address, target)
-                return wire.decode(wire.encode(reply), call.reply)
+                data = wire.encode(reply)
+                await self._network.carry(self._address, len(data))
+                return wire.decode(data, call.reply)
         except TimeoutError:
             raise _lost(address, work is not None) from None
         except asyncio.CancelledError:
@@ -140,7 +162,9 @@
                     raise wire.error_from_body(reply.body())
                 if reply is None:
                     return
-                yield wire.decode(wire.encode(reply), call.reply)
+                data = wire.encode(reply)
+                await self._network.carry(self._address, len(data))
+                yield wire.decode(data, call.reply)
         finally:
             work.cancel()
 
