Control: what is too large for an answer is fetched beside heartbeats

The fetch of a whole state, which stood in the heartbeat's place, gave no lease either.

Now an answer carries 64 kB of changes at most; what is more is fetched in pieces of 32 kB, for as long as pieces come, while heartbeats go on. The lease keeps its meaning: it is taken for the heartbeats whose index the view has reached, from the moment when they were sent, once the fetch is done; a fetch slower than a lease therefore still ends it. Through a neighbour, which passes on no fetch, all comes with the answer as before.

Mutants: answers of any size, leases that wait forgotten, a silent fetch waited for; each is noticed.

--- a/features/growth.feature
+++ b/features/growth.feature
@@ -69,6 +69,16 @@
     When the scenario many_routes_over_small_links of the log runs
     Then no promise is broken
 
+  Scenario Outline: <scenario> of routes holds
+    When the scenario <scenario> of the log runs
+    Then no promise is broken
+
+    Examples:
+      | scenario                    |
+      | huge_table_over_small_links |
+      | huge_tables_in_a_row        |
+      | lost_fetch_is_repeated      |
+
   Scenario: As many replicas may be lost as the deployment says
     When the scenarios of lost replicas run
       | scenario                  |
--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -15,6 +15,8 @@
 
 from bergamotsail import catalogue
 from bergamotsail import control
+from bergamotsail.control import _coordinator as control_coordinator
+from bergamotsail.control import _session as control_session
 from bergamotsail import daemon
 from bergamotsail import quorum
 from bergamotsail.quorum import _membership as quorum_membership
@@ -713,6 +715,48 @@
     return faults
 
 
+async def huge_table_over_small_links() -> list[str]:
+    """A table that takes longer than an answer may comes beside heartbeats.
+
+    Of 12,000 routes with names that share nothing 0.3 MB travel; at
+    2.4 Mbit/s they take 1 s, an answer has 0.6 s, a lease 2 s.
+    """
+    faults, _ = await _changes_of_a_table(12_000, 3, 2.0, 300_000)
+    return faults
+
+
+async def huge_tables_in_a_row() -> list[str]:
+    """Leases hold while each answer is behind, as changes do not end.
+
+    A fetch takes 0.6 s, and a change comes each 0.2 s.
+    """
+    faults, _ = await _changes_of_a_table(12_000, 14, 0.2, 450_000)
+    return faults
+
+
+async def lost_fetch_is_repeated() -> list[str]:
+    """A fetch that went silent is given up and begun again, soon."""
+    replicas = await _formed()
+    lease = control.LeaseTiming(2.0, 0.3, call_s=0.6)
+    async with contextlib.AsyncExitStack() as stack:
+        await _coordinate(replicas, lease, stack)
+        session = _entry(replicas, 1, lease)
+        replicas.network.bytes_per_s[session.daemon.address] = 300_000
+        await stack.enter_async_context(session)
+        await asyncio.sleep(3.0)
+        await _replace_table(replicas, _grown_table(1, 12_000, replicas.rng))
+        await asyncio.sleep(0.6)
+        # What is on its way now is lost; the connection does not end.
+        replicas.network.stalled.add(session.daemon.address)
+        await asyncio.sleep(0.3)
+        replicas.network.stalled.clear()
+        await asyncio.sleep(4.0)
+        version = session.view.routes.table.version
+        faults = [] if version == 1 else [f"version {version} after 4 s"]
+    await replicas.stop_all()
+    return faults
+
+
 async def moved_leader_wakes() -> list[str]:
     """Who waits for an answer of a lost leader hears of the next one."""
     faults = []
@@ -1351,6 +1395,9 @@
     "luck_of_its_own": luck_of_its_own,
     "split_votes_end": split_votes_end,
     "many_routes_over_small_links": many_routes_over_small_links,
+    "huge_table_over_small_links": huge_table_over_small_links,
+    "lost_fetch_is_repeated": lost_fetch_is_repeated,
+    "huge_tables_in_a_row": huge_tables_in_a_row,
     "moved_leader_wakes": moved_leader_wakes,
     "two_restart_at_once": two_restart_at_once,
     "all_restart_at_once": all_restart_at_once,
@@ -1392,6 +1439,21 @@
 _IS_SILENT = quorum.Node._is_silent
 _ANSWERS_AT_ONCE = (quorum.Node, "_check_loaded", lambda _: None)
 MUTANTS = (
+    (
+        "answer with any table",
+        "huge_table_over_small_links",
+        (control_coordinator, "MAX_EFFECT_BYTES", 1_000_000_000),
+    ),
+    (
+        "lose the leases that wait for a fetch",
+        "huge_tables_in_a_row",
+        (control_session, "MOST_WAITING", 0),
+    ),
+    (
+        "wait for a silent fetch",
+        "lost_fetch_is_repeated",
+        (control_session, "STATE_SILENCE_S", 60.0),
+    ),
     (
         "send tables as text",
         "many_routes_over_small_links",
--- a/libs/catalogue/src/bergamotsail/catalogue/__init__.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -60,6 +60,8 @@
 KEPT_COPIES = _machine.KEPT_COPIES
 
 Effect = _view.Effect
+Joiner = _view.Joiner
+parts_of = _view.parts_of
 Ownership = _view.Ownership
 View = _view.View
 adapter_key = _view.adapter_key
--- a/libs/catalogue/src/bergamotsail/catalogue/_view.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_view.py
@@ -36,6 +36,7 @@
         index: of the log entry that made it.
         value: the entry's JSON, None when it was dropped.
         deflated: the entry's JSON, deflated, in the place of a long value.
+        more: the rest of what was deflated follows in the next effect.
     """
 
     index: int
@@ -44,6 +45,7 @@
     value: str | None = None
     ownership: Ownership | None = None
     deflated: bytes | None = None
+    more: bool = False
 
     @property
     def text(self) -> str | None:
@@ -61,6 +63,11 @@
                 f"Entry {self.id} came damaged: {error}. Ask again."
             ) from error
 
+    @property
+    def size(self) -> int:
+        """About how many bytes it takes on its way, in base 64 if deflated."""
+        return len(self.value or "") + len(self.deflated or b"") * 4 // 3
+
     def packed(self) -> "Effect":
         """Return this effect as it travels, with a long value deflated."""
         if self.value is None or len(self.value) < DEFLATED_FROM:
@@ -69,6 +76,37 @@
         return dataclasses.replace(self, value=None, deflated=deflated)
 
 
+def parts_of(effect: Effect, most: int) -> collections.abc.Iterator[Effect]:
+    """Return an effect in parts of so many bytes at most, if deflated."""
+    data = effect.deflated
+    if data is None or len(data) <= most:
+        yield effect
+        return
+    for start in range(0, len(data), most):
+        end = start + most
+        yield dataclasses.replace(
+            effect, deflated=data[start:end], more=end < len(data)
+        )
+
+
+class Joiner:
+    """Puts effects that came in parts together again."""
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+
+    def join(self, effect: Effect) -> Effect | None:
+        """Return the whole effect, None while parts of it are missing."""
+        if effect.more:
+            self._parts.append(effect.deflated)
+            return None
+        if not self._parts:
+            return effect
+        data = b"".join((*self._parts, effect.deflated))
+        self._parts.clear()
+        return dataclasses.replace(effect, deflated=data)
+
+
 TABLE_ID = "table"
 
 
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -27,7 +27,13 @@
 # outlive a replica that is later than its election.
 HEARTBEAT_SHED_S = 0.3
 MAX_EFFECTS = 500
+# Bytes of changes in the answer to a heartbeat; a link of 1 Mbit/s carries
+# them in 0.5 s, and a daemon waits for an answer for 0.6 s and more.
+MAX_EFFECT_BYTES = 65_536
 STATE_BATCH = 500
+# Bytes of one piece of a table: what a link of 1 Mbit/s carries well within
+# the second after which a fetch without a piece is given up.
+STATE_PART_BYTES = 32_768
 RELAY_TIMEOUT_S = 2.0
 ASSIGN_INTERVAL_S = 0.25
 LEAD_POLL_S = 0.05
@@ -166,7 +172,7 @@
         # What was acknowledged was applied here first, so this index covers
         # it; commit may be ahead of what the effects show.
         commit = self._machine.view.index
-        effects, behind = self._effects(request.applied)
+        effects, behind = self._effects(request)
         reply = _messages.HeartbeatReply(
             self._address,
             term.term,
@@ -182,18 +188,31 @@
         return reply
 
     async def on_state(
-        self, _: _messages.StateRequest
+        self, request: _messages.StateRequest
     ) -> collections.abc.AsyncIterator[_messages.StatePiece]:
-        """Stream the whole view."""
+        """Stream what changed in the view, or all of it."""
         index = self._machine.view.index
+        effects = None
+        if request.after is not None:
+            effects = self._machine.effects_after(request.after)
+        whole = effects is None
+        if effects is None:
+            effects = self._machine.view.effects()
         batch: list[catalogue.Effect] = []
-        for effect in self._machine.view.effects():
-            batch.append(effect.packed())
+        for effect in effects:
+            *parts, last = catalogue.parts_of(
+                effect.packed(), STATE_PART_BYTES
+            )
+            for part in parts:
+                yield _messages.StatePiece(index, (*batch, part), whole)
+                batch = []
+                await asyncio.sleep(0)
+            batch.append(last)
             if len(batch) >= STATE_BATCH:
-                yield _messages.StatePiece(index, tuple(batch))
+                yield _messages.StatePiece(index, tuple(batch), whole)
                 batch = []
                 await asyncio.sleep(0)
-        yield _messages.StatePiece(index, tuple(batch))
+        yield _messages.StatePiece(index, tuple(batch), whole)
 
     async def on_command(
         self, request: _messages.CommandRequest
@@ -339,13 +358,16 @@
         )
 
     def _effects(
-        self, applied: int | None
+        self, request: _messages.Heartbeat
     ) -> tuple[tuple[catalogue.Effect, ...], bool]:
-        if applied is None:
+        if request.applied is None:
             return (), False
-        found = self._machine.effects_after(applied)
+        found = self._machine.effects_after(request.applied)
         if found is None or len(found) > MAX_EFFECTS:
             return (), True
+        size = sum(effect.size for effect in found)
+        if request.fetches and size > MAX_EFFECT_BYTES:
+            return (), True
         return tuple(found), False
 
     def _shares(
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -140,6 +140,7 @@
         wanted_by_key: the share that it could use.
         relayed: passed on by a replica that does not lead.
         uses: requests that run at targets now, from this daemon.
+        fetches: it can fetch what is too large for an answer.
     """
 
     daemon: DaemonInfo
@@ -152,6 +153,7 @@
     digest_version: int
     relayed: bool = False
     uses: tuple[Use, ...] = ()
+    fetches: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,7 +163,7 @@
     Args:
         commit: index that the daemon must have applied to use the lease.
         effects: catalogue changes after ``applied``, in order.
-        behind: the daemon must fetch the whole state first.
+        behind: the daemon must fetch the changes, or the whole state.
         hand_over: targets that the daemon should give back.
         replicas: addresses of all replicas.
     """
@@ -179,15 +181,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateRequest:
-    """Ask a replica for its whole view."""
+    """Ask a replica for its whole view, or for what changed.
+
+    Args:
+        after: index up to which the view is known, None for all.
+    """
+
+    after: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatePiece:
-    """A part of a view that stood at *index*."""
+    """A part of a view that stood at *index*.
+
+    Args:
+        whole: whether the parts make a view, or else the changes of one.
+    """
 
     index: int
     effects: tuple[catalogue.Effect, ...]
+    whole: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -17,6 +17,8 @@
 CALL_TIMEOUT_S = 1.0
 COMMAND_TIMEOUT_S = 3.0
 STATE_TIMEOUT_S = 30.0
+# A fetch goes on for as long as pieces come.
+STATE_SILENCE_S = 1.0
 KICK_SPACING_S = 0.02
 MOST_REPLICAS = 9
 NEIGHBOUR_AFTER_S = 0.8
@@ -32,6 +34,9 @@
 # So many while they look for a lost leader; most are refused at little cost.
 MOST_SEARCHES_PER_S = 300.0
 CATCH_UP_POLL_S = 0.01
+# Answers whose lease waits for a fetch; the first ones are the first that
+# what is fetched covers.
+MOST_WAITING = 100
 
 
 class Participant(abc.ABC):
@@ -231,6 +236,10 @@
         self._steps = steps
         self._participant: Participant | None = None
         self._lease_until = float("-inf")
+        self._fetching: asyncio.Task | None = None
+        self._fetches_from = ""
+        # Index that the view needs, and when the heartbeat was sent.
+        self._waiting: list[tuple[int, float]] = []
         self._sequence = 0
         self._kicked = asyncio.Event()
         self._background = wire.Background()
@@ -278,6 +287,9 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self._background.stop()
+        if self._fetching is not None:
+            self._fetching.cancel()
+            await asyncio.gather(self._fetching, return_exceptions=True)
 
     def silent_s(self) -> float:
         """Return for how long the leader has not been heard."""
@@ -379,16 +391,20 @@
         reply = await self._send(request)
         self.leader.found(reply.leader)
         self.leader.learn(reply.replicas)
-        await self._catch_up(reply)
-        self._lease_until = max(
-            self._lease_until, sent_at + self._timing.usable_s
-        )
+        if await self._catch_up(reply):
+            self._renew(sent_at)
+        elif len(self._waiting) < MOST_WAITING:
+            self._waiting.append((reply.commit, sent_at))
         self.take_digest(reply.digest)
         self._participant.take_shares(reply.share_by_key)
         if reply.hand_over:
             self._participant.hand_over(reply.hand_over)
         self._participant.view_changed()
 
+    def _renew(self, sent_at: float) -> None:
+        until = sent_at + self._timing.usable_s
+        self._lease_until = max(self._lease_until, until)
+
     def take_digest(self, delta: _messages.DigestDelta) -> None:
         """Take what a leader spreads; a new one starts from little.
 
@@ -407,7 +423,7 @@
         """Send a heartbeat to the leader, through a neighbour if need be.
 
         An instance that is cut off from the replicas may reach others that
-        are not.
+        are not. These pass on no fetch, so all comes with the answer.
         """
         neighbour = self.leader.neighbour
         if neighbour is not None:
@@ -432,6 +448,7 @@
         self, request: _messages.Heartbeat, neighbour: str
     ) -> _messages.HeartbeatReply | None:
         """Send through the same neighbour; now and then try directly."""
+        request = dataclasses.replace(request, fetches=False)
         calls = [(neighbour, self._timing.call_s)]
         if self._clock.now() - self._direct_at > DIRECT_EVERY_S:
             self._direct_at = self._clock.now()
@@ -452,6 +469,7 @@
         self, request: _messages.Heartbeat
     ) -> _messages.HeartbeatReply | None:
         """Try some neighbours, each time others first."""
+        request = dataclasses.replace(request, fetches=False)
         neighbours = [
             info.peer_address
             for info in self.daemon_by_boot.values()
@@ -473,37 +491,88 @@
         self.leader.go_through(None)
         return None
 
-    async def _catch_up(self, reply: _messages.HeartbeatReply) -> None:
-        """Bring the view up to the commit index of the reply."""
+    async def _catch_up(self, reply: _messages.HeartbeatReply) -> bool:
+        """Bring the view up to the commit index of the reply.
+
+        Returns:
+            False when that needs a fetch, which then runs beside further
+            heartbeats: the session goes on, the lease waits.
+        """
         if self._node is not None:
             deadline = self._clock.now() + CALL_TIMEOUT_S
             while self._node.applied < reply.commit:
                 if self._clock.now() > deadline:
                     raise wire.PeerLostError("The local replica lags.")
                 await self._clock.sleep(CATCH_UP_POLL_S)
-            return
+            return True
         if reply.behind:
-            await self._fetch_state(reply.leader)
-            self.kick()
-            raise wire.PeerLostError("The state was fetched; beat again.")
+            self._start_fetch(reply.leader)
+            return False
         for effect in reply.effects:
             self._own_view.apply(effect)
         self._own_view.index = max(self._own_view.index, reply.commit)
+        return True
+
+    def _start_fetch(self, address: str) -> None:
+        """Fetch from this leader, unless that goes on already."""
+        if self._fetching is not None and not self._fetching.done():
+            if self._fetches_from == address:
+                return
+            self._fetching.cancel()
+        self._fetches_from = address
+        self._fetching = asyncio.create_task(self._fetch(address))
+
+    async def _fetch(self, address: str) -> None:
+        """Fetch, and take the leases that waited for it."""
+        try:
+            await self._fetch_state(address)
+        except wire.ServingError as error:
+            logging.debug("session: Nothing fetched. %s", error.message)
+            return
+        except Exception:
+            logging.exception("session: A fetch broke.")
+            return
+        waiting, self._waiting = self._waiting, []
+        for commit, sent_at in waiting:
+            if commit <= self._own_view.index:
+                self._renew(sent_at)
+        self.kick()
 
     async def _fetch_state(self, address: str) -> None:
+        known, after = self._own_view, self._own_view.index
         fresh_view = catalogue.View()
-        index = 0
+        changes: list[catalogue.Effect] = []
+        index, whole = 0, True
         pieces = self._transport.stream(
             address,
             _messages.STATE,
-            _messages.StateRequest(),
+            _messages.StateRequest(after),
             STATE_TIMEOUT_S,
         )
-        async for piece in pieces:
-            index = piece.index
-            for effect in piece.effects:
-                fresh_view.apply(effect)
-        if index >= self._own_view.index:
-            fresh_view.index = index
+        joiner = catalogue.Joiner()
+        watched = wire.watched(pieces, _silent, STATE_SILENCE_S)
+        async with contextlib.aclosing(watched):
+            async for piece in watched:
+                index, whole = piece.index, piece.whole
+                came = [joiner.join(effect) for effect in piece.effects]
+                ready = [effect for effect in came if effect is not None]
+                if not whole:
+                    changes.extend(ready)
+                    continue
+                for effect in ready:
+                    fresh_view.apply(effect)
+        if self._own_view is not known or known.index != after:
+            # A heartbeat brought the view further meanwhile.
+            return
+        if index < after:
+            return
+        if whole:
             self._own_view = fresh_view
-            logging.info("session: State fetched at index %d.", index)
+        for effect in changes:
+            self._own_view.apply(effect)
+        self._own_view.index = index
+        logging.info("session: State fetched at index %d.", index)
+
+
+def _silent() -> wire.ServingError:
+    return wire.PeerLostError("No piece of the state came. Fetch it again.")
--- a/libs/standins/src/bergamotsail/standins/_network.py
+++ b/libs/standins/src/bergamotsail/standins/_network.py
@@ -38,6 +38,8 @@
         # Links that are slow, by the address of who receives.
         self.bytes_per_s: dict[str, float] = {}
         self.received: collections.Counter[str] = collections.Counter()
+        # What is carried to these hosts now never arrives.
+        self.stalled: set[str] = set()
         self._link_by_address: dict[str, asyncio.Lock] = {}
 
     async def carry(self, address: str, size: int) -> None:
@@ -52,6 +54,8 @@
             async with link:
                 self.received[address] += turn
                 await asyncio.sleep(turn / rate)
+            if address in self.stalled:
+                await asyncio.Event().wait()
 
     def join(self, address: str, server: wire.PeerServer) -> Host:
         """Put a new process at an address."""
