Control: a fetch begins with no leases that waited for an earlier one

Those of fetches that failed would else fill the list (100), and the first heartbeat of the next fetch find no place in it.

--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -519,6 +519,7 @@
             if self._fetches_from == address:
                 return
             self._fetching.cancel()
+        self._waiting.clear()
         self._fetches_from = address
         self._fetching = asyncio.create_task(self._fetch(address))
 
