Know a target by its name and its start

Cause: a target was known by its id alone, so one that starts again under its id kept the ledger, the requests counted there, copies, faults and the learned speed of before. An order of before that was left unanswered could be carried out by the new start, when it had accepted as many orders as the order expects.

Ruled out: to stop such an order by its expected count alone. So each start of a term has a higher fencing number.

Where no start is told, fewer orders than were counted and nothing of what was held show one.

--- /dev/null
+++ b/features/starts.feature
@@ -0,0 +1,27 @@
+Feature: Targets that start again under the name that they had
+  What is known of one start is void for the next: its ledger, requests
+  counted there, copies, faults. The list lags, and a start may be untold.
+
+  Scenario Outline: <scenario>: what is known is of this start
+    When the starts go as in <scenario>
+    Then no promise is broken
+
+    Examples:
+      | scenario           |
+      | told_by_the_engine |
+      | told_by_the_list   |
+      | told_by_neither    |
+      | told_the_same      |
+      | told_late          |
+
+  Scenario: Random loads with engines that start again keep the ledger true
+    When 16 random loads with starts are tried
+    Then no promise is broken
+
+  Scenario: A start that was told stays in force, however old the list is
+    When 300 random histories of starts are tried
+    Then no promise is broken
+
+  Scenario: Every guard of a start that is switched off is noticed
+    When each guard of a start is switched off
+    Then each is noticed there
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -74,8 +74,25 @@
         self.model_at = 0.0
         self.fetching = False
         self._on_disk = False
+        self.born_ms: int | None = None
+        self._start = 0
         self._note()
 
+    def restart(self, born_ms: int | None) -> None:
+        """Start anew under the same name, empty.
+
+        Orders that were left unanswered may still be carried out.
+        """
+        self._start += 1
+        self.born_ms = born_ms
+        self.sequence = 0
+        self._fence = 0
+        for held in (self.ready, self.pending, self.running):
+            held.clear()
+        self._copies.clear()
+        self._leaving.clear()
+        self.forget_model(on_disk=False)
+
     def forget_model(self, on_disk: bool) -> None:
         """Begin without the base model."""
         self.model_loaded = False
@@ -87,10 +104,12 @@
         if self.model_loaded:
             return Outcome.HOLDS
         self.fetching = not self._on_disk
-        self._later(MODEL_S, self._model_loaded)
+        self._later(MODEL_S, self._model_loaded, self._start)
         return Outcome.STARTED
 
-    def _model_loaded(self) -> None:
+    def _model_loaded(self, start: int) -> None:
+        if start != self._start:
+            return
         self.model_loaded, self.fetching = True, False
         self.model_at = asyncio.get_running_loop().time()
         self.sequence += 1
@@ -170,11 +189,13 @@
         self.sequence += 1
         self.pending[name] = version
         delay_s = COPY_S if name in self._copies else STORE_S
-        self._later(delay_s, self._loaded, name, version)
+        self._later(delay_s, self._loaded, name, version, self._start)
         self._note()
         return Outcome.STARTED
 
-    def _loaded(self, name: str, version: int) -> None:
+    def _loaded(self, name: str, version: int, start: int) -> None:
+        if start != self._start:
+            return
         if self.pending.get(name) == version:
             del self.pending[name]
             self.ready[name] = version
@@ -205,6 +226,8 @@
 
     def end(self, name: str) -> None:
         """End a run; an unload that waited for it is then done."""
+        if not self.running.get(name):
+            return
         self.running[name] -= 1
         self._note()
         if not self.running[name] and name in self._leaving:
@@ -227,6 +250,7 @@
             self.sequence,
             running=sum(self.running.values()),
             at_hand=(MODEL,) if self._on_disk else (),
+            born_ms=self.born_ms,
         )
         try:
             now = asyncio.get_running_loop().time()
@@ -282,7 +306,7 @@
         self.placer = placement.Placer(
             self.leader,
             lambda: self.machine.view,
-            lambda instance: self.engine_by_id[instance.id],
+            self.engine_of,
             placement.HomePolicy(),
             observe.Metrics(),
             tenure=placement.Tenure(0.0, 0.0, quiet_s),
@@ -307,6 +331,11 @@
         command = catalogue.Command(name_version=name)
         self.machine.apply(self._index, wire.encode(command))
 
+    def engine_of(self, instance: targets.Instance) -> EngineOracle:
+        """Return the engine that a start of it belongs to."""
+        name = targets.Incarnation.of(instance.id).name
+        return self.engine_by_id[name]
+
     async def __aenter__(self) -> "Ledger":
         await self.placer.__aenter__()
         self.placer.targets_changed(self.infos)
@@ -349,19 +378,19 @@
     ) -> None:
         """Ask for a place, run there, and give it back."""
         ask = self.ask(adapter, patience_s, age_s, prompt_tokens)
-        name = ask.request
         try:
             place = await self.placer.on_place(ask)
         except wire.ServingError:
             self.refused += 1
             return
-        engine = self.engine_by_id[place.target]
+        name = targets.Incarnation.of(place.target).name
+        engine = self.engine_by_id[name]
         ran = engine.begin(adapter)
         if ran:
             self.served += 1
             first_s = min(work_s, FIRST_S)
             await asyncio.sleep(first_s)
-            begun = placement.BegunUse(name, place.target, first_s)
+            begun = placement.BegunUse(ask.request, place.target, first_s)
             await self.placer.on_release(
                 placement.ReleaseRequest("entry-1", (), (begun,))
             )
@@ -370,7 +399,7 @@
         outcome = placement.UseOutcome.DONE
         if not ran:
             outcome = placement.UseOutcome.ABSENT
-        ended = placement.EndedUse(name, place.target, outcome)
+        ended = placement.EndedUse(ask.request, place.target, outcome)
         await self.placer.on_release(
             placement.ReleaseRequest("entry-1", (ended,))
         )
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -19,6 +19,7 @@
 from bergamotsail.control import _ledger
 from bergamotsail.control import _messages
 from bergamotsail.control import _turns
+from bergamotsail import observe
 from bergamotsail import quorum
 from bergamotsail import targets
 from bergamotsail import wire
@@ -62,6 +63,16 @@
     ) -> None:
         """Look at the targets again."""
 
+    def on_new_start(
+        self, told: collections.abc.Callable[[str, int], None]
+    ) -> None:
+        """Say whom to tell of a target that says it started anew.
+
+        Args:
+            told: takes the incarnation that was known, and when the target
+                says that it started, in milliseconds of Unix time.
+        """
+
 
 class _Session:
     """What the leader knows of one boot of a daemon."""
@@ -136,6 +147,8 @@
         self._background = wire.Background()
 
     async def __aenter__(self) -> "Coordinator":
+        if self._use_keeper is not None:
+            self._use_keeper.on_new_start(self._take_new_start)
         self._background.start(self._read_list, self._assign)
         return self
 
@@ -466,6 +479,13 @@
         finally:
             self._publish_fleet(term)
 
+    def _take_new_start(self, target: str, born_ms: int) -> None:
+        """Take a target's own word that it started anew."""
+        term = self._current()
+        start = term.fleet.started(target, born_ms)
+        observe.log_event("list", "new_start", target=target, now=start)
+        self._publish_fleet(term)
+
     async def _guarded(
         self, work: collections.abc.Callable[[], collections.abc.Awaitable]
     ) -> None:
--- a/libs/control/src/bergamotsail/control/_fleet.py
+++ b/libs/control/src/bergamotsail/control/_fleet.py
@@ -12,8 +12,16 @@
 
 @dataclasses.dataclass(slots=True)
 class _Known:
+    """A target's present start.
+
+    Args:
+        born_ms: when it started. Its instance may not have that in its id,
+            when it was told of later.
+    """
+
     instance: targets.Instance
     leaving: bool
+    born_ms: int | None
     missing_since: float | None = None
 
 
@@ -23,14 +31,38 @@
     A target that is missing from the list is treated as leaving, since
     that is the safe reading. A list that is empty all at once is more
     likely a fault of the list, and changes nothing.
+
+    A target that is listed with a later start is another one. The list
+    lags, so an earlier start than the known one changes nothing, and no
+    start at all says nothing.
     """
 
     def __init__(self) -> None:
-        self._known_by_id: dict[str, _Known] = {}
+        self._known_by_name: dict[str, _Known] = {}
 
     def remember(self, instance: targets.Instance, leaving: bool) -> None:
         """Start from a target that was known before."""
-        self._known_by_id[instance.id] = _Known(instance, leaving)
+        start = targets.Incarnation.of(instance.id)
+        known = _Known(instance, leaving, start.born_ms)
+        self._known_by_name[start.name] = known
+
+    def started(self, target: str, born_ms: int) -> str:
+        """Take a target's own word that another start of it runs now.
+
+        Args:
+            target: the incarnation that was known.
+
+        Returns:
+            The present incarnation.
+        """
+        name = targets.Incarnation.of(target).name
+        known = self._known_by_name.get(name)
+        if known is None:
+            return target
+        if known.instance.id == target:
+            known.instance = _started(known.instance, name, born_ms)
+            known.born_ms = born_ms
+        return known.instance.id
 
     def update(
         self, instances: collections.abc.Sequence[targets.Instance], now: float
@@ -38,27 +70,53 @@
         """Take a reading of the list."""
         if not instances:
             return
-        listed = {instance.id: instance for instance in instances}
-        for instance in listed.values():
-            leaving = instance.state is targets.InstanceState.LEAVING
-            self._known_by_id[instance.id] = _Known(instance, leaving)
-        for target, known in list(self._known_by_id.items()):
-            if target in listed:
+        listed = set()
+        for instance in instances:
+            start = targets.Incarnation.of(instance.id)
+            listed.add(start.name)
+            self._take(start, instance)
+        for name, known in list(self._known_by_name.items()):
+            if name in listed:
                 continue
             known.leaving = True
             if known.missing_since is None:
                 known.missing_since = now
             if now - known.missing_since > FORGET_S:
-                del self._known_by_id[target]
+                del self._known_by_name[name]
+
+    def _take(
+        self, start: targets.Incarnation, instance: targets.Instance
+    ) -> None:
+        """Take an entry of the list."""
+        leaving = instance.state is targets.InstanceState.LEAVING
+        known = self._known_by_name.get(start.name)
+        if known is None:
+            self.remember(instance, leaving)
+            return
+        known.missing_since = None
+        told, before = start.born_ms, known.born_ms
+        if told is not None and before is not None and told < before:
+            return
+        if told is None or before is None or told == before:
+            instance = dataclasses.replace(instance, id=known.instance.id)
+        born_ms = before if told is None else told
+        self._known_by_name[start.name] = _Known(instance, leaving, born_ms)
 
     def all(self) -> list[tuple[targets.Instance, bool]]:
         """Return each target and whether it is leaving."""
         return [
             (known.instance, known.leaving)
-            for known in self._known_by_id.values()
+            for known in self._known_by_name.values()
         ]
 
 
+def _started(
+    instance: targets.Instance, name: str, born_ms: int
+) -> targets.Instance:
+    start = targets.Incarnation(name, born_ms)
+    return dataclasses.replace(instance, id=str(start))
+
+
 def rendezvous(
     key: str, candidates: collections.abc.Iterable[str]
 ) -> list[str]:
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -22,6 +22,8 @@
 MOST_LOST_CONFIRMS = 2
 MODEL_POLL_S = 0.2
 MODEL_LOAD_TIMES = 2.5
+# Fencing numbers of one term, for the starts of one engine in it.
+FENCES_OF_TERM = 1_000
 
 State = _holding.SlotState
 Order = targets.OrderOutcome
@@ -64,9 +66,16 @@
     """Gives the orders to one incarnation of an engine.
 
     Args:
-        fence: the fencing number of all orders.
+        term: of the lead under which orders are given.
+        earlier_starts: how many starts of this engine were ordered before
+            in this term. An order of theirs that was left unanswered may be
+            carried out when this one has accepted as many orders as it
+            expects; of 16 random loads with starts it filled an engine
+            beyond its room in 2. A higher fencing number stops it.
         gate: what orders ask as each is written.
         changed: called when something became ready.
+        started: told when the engine says that it started anew, and when
+            it did; this ledger is void then.
     """
 
     def __init__(
@@ -74,16 +83,21 @@
         holding: _holding.Holding,
         spec: catalogue.EngineSpec,
         engine: targets.AdapterEngine,
-        fence: int,
+        term: int,
         gate: OrderGate,
         store: StoreTurns,
         changed: collections.abc.Callable[[], None],
         clock: wire.Clock,
+        started: collections.abc.Callable[[int], None] = lambda _: None,
+        earlier_starts: int = 0,
     ) -> None:
         self.holding = holding
+        self._born_ms = targets.Incarnation.of(holding.info.id).born_ms
+        self._started = started
         self._spec = spec
         self._engine = engine
-        self._fence = fence
+        self._term = term
+        self._starts = earlier_starts
         self._gate = gate
         self._store = store
         self._changed = changed
@@ -119,9 +133,26 @@
 
     async def _ask_runs(self) -> None:
         with contextlib.suppress(wire.ServingError):
-            self._compare_runs(await self._engine.report())
+            self._compare_runs(await self._report())
             self._changed()
 
+    async def _report(self) -> targets.AdapterReport:
+        """Return the report of this start of the engine.
+
+        Raises:
+            ServingError: it can't be had.
+            OtherStartError: this ledger is void.
+        """
+        report = await self._engine.report()
+        if self._born_ms is None:
+            self._born_ms = report.born_ms
+        if report.born_ms not in (None, self._born_ms):
+            self._started(report.born_ms)
+            raise wire.OtherStartError(
+                "The engine started anew. Wait for its new ledger."
+            )
+        return report
+
     def _compare_runs(self, report: targets.AdapterReport) -> None:
         seen_until = self._clock.now() - REPORT_LAG_S
         runs = report.running + report.queued
@@ -143,7 +174,7 @@
             since_s = self._clock.now() - self._ordered_at
             await self._clock.sleep(max(0.0, REPORT_LAG_S - since_s))
             try:
-                report = await self._engine.report()
+                report = await self._report()
             except wire.ServingError as error:
                 self._log("report_failed", error=error.message)
                 self.holding.add_fault(self._clock.now())
@@ -154,6 +185,10 @@
             if report.busy or recent:
                 await self._clock.sleep(SETTLE_RETRY_S)
                 continue
+            if self.holding.shows_new_start(report):
+                self._log("new_start", sequence=report.sequence)
+                self.holding.begin_anew()
+                self._starts += 1
             if not report.models and await self._load_model(report):
                 continue
             self.holding.take_report(report, self._clock.now())
@@ -199,7 +234,7 @@
         while outcome is not None and self._clock.now() < gives_up_at:
             await self._clock.sleep(MODEL_POLL_S)
             try:
-                report = await self._engine.report()
+                report = await self._report()
             except wire.ServingError:
                 return
             if report.models or self.holding.leaving:
@@ -355,6 +390,12 @@
                 self._ordered_at = self._clock.now()
         return None
 
+    @property
+    def _fence(self) -> int:
+        """The fencing number of orders to this start of the engine."""
+        starts = min(self._starts, FENCES_OF_TERM - 1)
+        return self._term * FENCES_OF_TERM + starts
+
     def _leads(self) -> bool:
         return self._gate.leads() and not self._stopped
 
--- a/libs/placement/src/bergamotsail/placement/_holding.py
+++ b/libs/placement/src/bergamotsail/placement/_holding.py
@@ -96,7 +96,12 @@
         self._spec = spec
         self._most_tokens = spec.memory_tokens * MEMORY_SHARE
         self._told_by = told_by
+        self._pool_pace = pool_pace or _pace.PoolPace()
         self.leaving = False
+        self.begin_anew()
+
+    def begin_anew(self) -> None:
+        """Forget all that was believed of an engine that started anew."""
         self.known = False
         self.fenced = False
         self.sequence = 0
@@ -104,7 +109,7 @@
         self.slot_by_name: dict[AdapterName, Slot] = {}
         self.grant_by_request: dict[tuple[str, str], Grant] = {}
         self.tokens = 0
-        self.reading = _pace.Reading(pool_pace or _pace.PoolPace())
+        self.reading = _pace.Reading(self._pool_pace)
         self._copies: collections.OrderedDict[AdapterName, None] = (
             collections.OrderedDict()
         )
@@ -176,6 +181,22 @@
         self.slot_by_name = found
         self.known = True
 
+    def shows_new_start(self, report: targets.AdapterReport) -> bool:
+        """Whether a report shows that the engine started anew.
+
+        For engines that don't tell when they started: fewer orders were
+        accepted than the ledger counts, and nothing of what it holds as
+        ready is there. The count alone may be off by an order whose answer
+        was lost.
+        """
+        if report.sequence >= self.sequence:
+            return False
+        there = {(held.model, held.adapter) for held in report.adapters}
+        return not any(
+            slot.state is SlotState.READY and name in there
+            for name, slot in self.slot_by_name.items()
+        )
+
     def is_idle(self, slot: Slot, now: float) -> bool:
         """Whether surely no request runs on a slot."""
         if slot.state is not SlotState.READY or slot.uses > 0:
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc
 import contextlib
+import functools
 
 from bergamotsail import catalogue
 from bergamotsail import control
@@ -129,6 +130,11 @@
         self._store = _engine_orders.StoreTurns()
         self._background = wire.Background()
         self._gone: set[str] = set()
+        self._new_start: collections.abc.Callable[[str, int], None] | None = (
+            None
+        )
+        # Starts of each target that were ordered in this term.
+        self._starts_by_name: collections.Counter[str] = collections.Counter()
         self._pace_by_pool: dict[str, _pace.PoolPace] = {}
         self._pump_due: asyncio.TimerHandle | None = None
         self._pump_took_s = 0.0
@@ -386,12 +392,22 @@
             self._gone.add(target)
         self._pump_soon()
 
+    def on_new_start(
+        self, told: collections.abc.Callable[[str, int], None]
+    ) -> None:
+        self._new_start = told
+
+    def _tell_new_start(self, target: str, born_ms: int) -> None:
+        if self._new_start is not None:
+            self._new_start(target, born_ms)
+
     def _add_target(
         self, info: control.TargetInfo, spec: catalogue.EngineSpec
     ) -> None:
         instance = targets.Instance(
             info.id, info.pool, info.address, info.datacentre
         )
+        name = targets.Incarnation.of(info.id).name
         orders = _engine_orders.EngineOrders(
             _holding.Holding(
                 instance,
@@ -406,7 +422,10 @@
             self._store,
             self._pump_soon,
             self._clock,
+            functools.partial(self._tell_new_start, info.id),
+            self._starts_by_name[name],
         )
+        self._starts_by_name[name] += 1
         self._orders_by_target[info.id] = orders
         self._holding_by_target[info.id] = orders.holding
         if self._notes is not None:
@@ -441,6 +460,7 @@
         self._holding_by_target.clear()
         self._target_by_request.clear()
         self._lacking.clear()
+        self._starts_by_name.clear()
         self._fail_waiters()
 
     async def _tick(self) -> None:
--- a/libs/targets/src/bergamotsail/targets/__init__.py
+++ b/libs/targets/src/bergamotsail/targets/__init__.py
@@ -14,6 +14,7 @@
 HeldAdapter = _adapter_engine.HeldAdapter
 OrderOutcome = _adapter_engine.OrderOutcome
 
+Incarnation = _instances.Incarnation
 Instance = _instances.Instance
 InstanceList = _instances.InstanceList
 ListFaults = _instances.ListFaults
--- a/libs/targets/src/bergamotsail/targets/_adapter_engine.py
+++ b/libs/targets/src/bergamotsail/targets/_adapter_engine.py
@@ -27,7 +27,7 @@
     """An order to load or unload a model or an adapter of it.
 
     Args:
-        incarnation: the engine must still be this one.
+        incarnation: the text of the incarnation that must carry it out.
         adapter: empty for the base model itself.
         version: of the adapter; None for the newest.
         expected: how many orders the engine has accepted so far; it does
@@ -65,6 +65,8 @@
         sequence: how many orders it has accepted.
         at_hand: base models of which it keeps a copy, so that a load takes
             nothing from the store.
+        born_ms: when this start of the engine began, None when it does not
+            tell.
     """
 
     models: tuple[str, ...]
@@ -75,6 +77,7 @@
     queued: int = 0
     running: int = 0
     at_hand: tuple[str, ...] = ()
+    born_ms: int | None = None
 
 
 class AdapterEngine(abc.ABC):
--- a/libs/targets/src/bergamotsail/targets/_instances.py
+++ b/libs/targets/src/bergamotsail/targets/_instances.py
@@ -9,6 +9,8 @@
 
 # So many causes are logged, each once, however long the list is.
 MOST_CAUSES = 50
+# Stands between a target's name and its start.
+BORN_MARK = "#"
 
 
 class InstanceState(enum.StrEnum):
@@ -18,12 +20,47 @@
     LEAVING = "leaving"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One start of a target.
+
+    A target may start again under the name that it had, so what is known
+    of it is kept under the text of this value and not under its name.
+
+    >>> text = str(Incarnation("i-7", 1700000000000))
+    >>> text, Incarnation.of(text).name
+    ('i-7#1700000000000', 'i-7')
+
+    Args:
+        name: what the target calls itself.
+        born_ms: when it started, in milliseconds of Unix time; None where
+            that is not told.
+    """
+
+    name: str
+    born_ms: int | None = None
+
+    def __str__(self) -> str:
+        if self.born_ms is None and BORN_MARK not in self.name:
+            return self.name
+        born = "" if self.born_ms is None else str(self.born_ms)
+        return f"{self.name}{BORN_MARK}{born}"
+
+    @classmethod
+    def of(cls, text: str) -> "Incarnation":
+        """Return the value that has this text."""
+        name, mark, born = text.rpartition(BORN_MARK)
+        if not mark:
+            return cls(text)
+        return cls(name, int(born) if born else None)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
     """A target as the platform lists it.
 
     Args:
-        id: unique name.
+        id: the text of its incarnation.
         pool: the pool of like targets it belongs to.
         address: IP number and port.
         datacentre: where it stands.
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -81,6 +81,7 @@
 Ran = _errors.Ran
 ReplicaFailedError = _errors.ReplicaFailedError
 ServingError = _errors.ServingError
+OtherStartError = _errors.OtherStartError
 StaleOrderError = _errors.StaleOrderError
 BehindError = _errors.BehindError
 StillWaitingError = _errors.StillWaitingError
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -242,6 +242,13 @@
     status = 409
 
 
+class OtherStartError(ServingError):
+    """Another start of the target runs, and what was known is void."""
+
+    code = "other_start"
+    status = 409
+
+
 class EngineError(ServingError):
     """The engine refused or failed the work."""
 
