Count where a process's time, messages and bytes go, by kind of work

Cause: what a leader spends on beats, places, releases, orders, reports, the list and the log was worked out, not measured, and an operator had no split.

The steps of a call are timed, not what it waits for; the figures are counters at the metrics address, a line of each process every 5 s, and tables of `bergamotsail explain` by role, for the mean and the busiest.

Ruled out: the processor's clock, which tells nothing on the platform (docs/OPERATIONS.md).

--- a/features/sight.feature
+++ b/features/sight.feature
@@ -10,3 +10,5 @@
       | refused_stand |
       | late_loop     |
       | shed_calls    |
+      | steps_not_waits |
+      | work_told     |
--- a/features/support/sight.py
+++ b/features/support/sight.py
@@ -4,10 +4,16 @@
 import gc
 import io
 import json
+import pathlib
+import tempfile
 import time
+import unittest.mock
 
 from bergamotsail import daemon
+from bergamotsail.daemon import _vitals
+from bergamotsail import explain
 from bergamotsail import observe
+from bergamotsail.observe import _work
 from bergamotsail import quorum
 from bergamotsail import wire
 from features.support import growth
@@ -104,14 +110,19 @@
     return [line for line in lines if line["what"] == what]
 
 
+def _spin(seconds: float) -> None:
+    """Use the processor for so long."""
+    until = time.perf_counter() + seconds
+    while time.perf_counter() < until:
+        pass
+
+
 async def _block() -> str:
     metrics = observe.Metrics()
     lag = daemon.LoopLag()
     async with lag, daemon.Vitals(lag, metrics) as vitals:
         await asyncio.sleep(0.3)
-        until = time.perf_counter() + BLOCKED_S
-        while time.perf_counter() < until:
-            pass
+        _spin(BLOCKED_S)
         gc.collect()
         # Before the loop could look at how late it is.
         vitals.saw("role", {"is": "leads no more"})
@@ -166,7 +177,105 @@
     return faults
 
 
+class _HandClock:
+    """A clock that work moves on, and waiting does not."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def perf_counter(self) -> float:
+        """Return the seconds so far."""
+        return self.now_s
+
+    def work(self, seconds: float) -> None:
+        """Let work take so long."""
+        self.now_s += seconds
+
+
+async def _work_and_waits(clock: _HandClock) -> list[str]:
+    metrics = observe.Metrics()
+
+    async def work() -> str:
+        clock.work(0.25)
+        waiting = asyncio.create_task(_other_work(clock))
+        await waiting
+        clock.work(0.5)
+        return "done"
+
+    async def failing() -> None:
+        await asyncio.sleep(0)
+        raise wire.NotFoundError("Nothing.")
+
+    faults = []
+    if await observe.timed(metrics, "ask", work) != "done":
+        faults.append("The result was lost.")
+    try:
+        await observe.timed(metrics, "fail", failing)
+        faults.append("The error was lost.")
+    except wire.NotFoundError:
+        pass
+    endless = observe.timed(metrics, "left", asyncio.Event().wait)
+    task = asyncio.create_task(endless)
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    if not task.cancelled():
+        faults.append("The cancellation was lost.")
+    observe.count_message(metrics, "ask", received=100, sent=30)
+    log = observe.WorkLog(metrics)
+    done = log.since_last()["ask"]
+    if done != observe.WorkDone(0.75, 1, 100, 30):
+        faults.append(f"counted {done}")
+    if log.since_last():
+        faults.append("What was told is told again.")
+    return faults
+
+
+async def _other_work(clock: _HandClock) -> None:
+    """Work that the counted one waits for."""
+    clock.work(5.0)
+
+
+def _steps_not_waits() -> list[str]:
+    """The steps of a kind of work are counted, not what it waits for."""
+    clock = _HandClock()
+    with unittest.mock.patch.object(_work, "time", clock):
+        return asyncio.run(_work_and_waits(clock))
+
+
+async def _some_calls() -> None:
+    metrics = observe.Metrics()
+    lag = daemon.LoopLag()
+    async with lag, daemon.Vitals(lag, metrics, role="entry"):
+        observe.count_message(metrics, "place", received=10, sent=20)
+        with observe.spent(metrics, "place"):
+            _spin(0.01)
+        await asyncio.sleep(_vitals.WORK_LINE_S + 0.5)
+
+
+def _work_told() -> list[str]:
+    """What was done shows in a line now and then, and in a table."""
+    written = io.StringIO()
+    with observe.EventLog("e1", written):
+        ledger.run(_some_calls())
+    (line,) = _lines(written, "work")
+    faults = []
+    took_s, *counts = line["by_kind"]["place"]
+    if counts != [1, 10, 20] or took_s < 0.01 or line["role"] != "entry":
+        faults.append(str(line))
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "e1.log"
+        path.write_text(written.getvalue())
+        tables = explain.summary([], explain.read_events([path]))
+    row = next((t for t in tables if t.strip().startswith("place ")), "")
+    if row.split()[2:] != ["0.20", "0.002", "0.004"]:
+        faults.append(f"table: {row}")
+    return faults
+
+
 SCENARIOS = {
+    "steps_not_waits": _steps_not_waits,
+    "work_told": _work_told,
     "lost_lead": lambda: ledger.run(_lost_lead()),
     "refused_stand": lambda: ledger.run(_refused_stand()),
     "late_loop": _late_loop,
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -130,7 +130,9 @@
         clock: wire.Clock = wire.LoopClock(),
         steps: wire.Steps = wire.NoSteps(),
         use_keeper: UseKeeper | None = None,
+        metrics: observe.Metrics | None = None,
     ) -> None:
+        self._metrics = metrics or observe.Metrics()
         self._address = address
         self._node = node
         self._machine = machine
@@ -468,7 +470,12 @@
             leads = self._node.holds_lease()
             if leads and (due or read_in != self._node.term):
                 read_at, read_in = self._clock.now(), self._node.term
-                await self._guarded(self._read_list_once)
+                await observe.timed(
+                    self._metrics,
+                    "list",
+                    self._guarded,
+                    self._read_list_once,
+                )
             await self._clock.sleep(min(LEAD_POLL_S, self._list_interval_s))
 
     async def _read_list_once(self) -> None:
--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -20,6 +20,7 @@
 Replica = _roles.Replica
 REPLICA_TIMING = _roles.REPLICA_TIMING
 RoleSettings = _roles.RoleSettings
+counted_transport = _roles.counted_transport
 metrics_application = _roles.metrics_application
 PEER_BODY_BYTES = _process.PEER_BODY_BYTES
 listen = _process.listen
--- a/libs/daemon/src/bergamotsail/daemon/_peer_face.py
+++ b/libs/daemon/src/bergamotsail/daemon/_peer_face.py
@@ -27,6 +27,8 @@
 LAG_WINDOW_S = 1.0
 # Refused calls share a line for so long.
 SHED_LINE_S = 1.0
+# Calls that nobody serves here are counted together.
+OTHER_CALLS = "other"
 NOT_FOUND = wire.NotFoundError("This address answers daemons only.")
 
 
@@ -97,7 +99,11 @@
 
     def __call__(self, request: httputil.HTTPServerRequest) -> None:
         """Answer a request; the web server calls this."""
-        task = asyncio.create_task(self._answer(request))
+        name = request.path.removeprefix(wire.PEER_PATH)
+        if name not in self._server.by_name:
+            name = OTHER_CALLS
+        work = observe.timed(self._metrics, name, self._answer, request)
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         request.connection.set_close_callback(task.cancel)
@@ -123,11 +129,15 @@
         name = request.path.removeprefix(wire.PEER_PATH)
         call, handler = self._server.find(name)
         self._check_lag(name)
-        message = wire.decode(request.body, call.request)
+        body = request.body
+        message = wire.decode(body, call.request)
         if call.streams:
+            observe.count_message(self._metrics, name, len(body))
             await _stream(request, handler(message))
             return
-        _send(request, http.client.OK, wire.encode(await handler(message)))
+        reply = wire.encode(await handler(message))
+        observe.count_message(self._metrics, name, len(body), len(reply))
+        _send(request, http.client.OK, reply)
 
     def _check_lag(self, name: str) -> None:
         most_s = self._server.shed_after_s.get(name)
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -82,6 +82,19 @@
         return 2 * max(self.borne_losses, 1) + 1
 
 
+def counted_transport(
+    http: wire.CurlClient, token: str, metrics: observe.Metrics
+) -> wire.HttpPeerTransport:
+    """Return the way to other daemons, with its bytes counted by call."""
+
+    def called(name: str, sent: int, received: int) -> None:
+        """Count a call of this process, apart from those it answers."""
+        kind = f"call {name}"
+        observe.count_message(metrics, kind, received=received, sent=sent)
+
+    return wire.HttpPeerTransport(http, token, called)
+
+
 class MetricsHandler(web.RequestHandler):
     """Counters and histograms as text, and what was not written to logs."""
 
@@ -188,10 +201,11 @@
         list_interval_s: float,
         clock: wire.Clock,
         started_at: float | None = None,
+        metrics: observe.Metrics | None = None,
     ) -> None:
         self.server = wire.PeerServer()
         self.lag = _peer_face.LoopLag(clock)
-        self.metrics = observe.Metrics()
+        self.metrics = metrics or observe.Metrics()
         self.vitals = _vitals.Vitals(self.lag, self.metrics, clock)
         self.peer_face = _peer_face.PeerFace(
             self.server, settings.peer_token, self.lag, self.metrics
@@ -246,6 +260,7 @@
             list_interval_s,
             clock=clock,
             use_keeper=self.placer,
+            metrics=self.metrics,
         )
         self.node.serve(self.server)
         self.coordinator.serve(self.server)
@@ -353,8 +368,9 @@
             [targets.Instance], targets.AdapterEngine
         ],
         clock: wire.Clock,
+        metrics: observe.Metrics | None = None,
     ) -> None:
-        self.metrics = observe.Metrics()
+        self.metrics = metrics or observe.Metrics()
         self.stopping = False
         self.accepting = True
         boot = f"{settings.name}#{wire.fresh_token(settings.name)}"
@@ -371,6 +387,9 @@
             self.server, settings.peer_token, self.lag, self.metrics
         )
         self.leader = control.Leader(transport, settings.seeds)
+        self.vitals = _vitals.Vitals(
+            self.lag, self.metrics, clock, role="entry"
+        )
         self.session = control.Session(
             info, self.leader, transport, settings.lease, clock=clock
         )
@@ -417,6 +436,7 @@
 
     async def __aenter__(self) -> "EntryPoint":
         await self._stack.enter_async_context(self.lag)
+        await self._stack.enter_async_context(self.vitals)
         await self._stack.enter_async_context(self._places)
         await self._stack.enter_async_context(self.session)
         return self
--- a/libs/daemon/src/bergamotsail/daemon/_vitals.py
+++ b/libs/daemon/src/bergamotsail/daemon/_vitals.py
@@ -24,6 +24,8 @@
 SAMPLES_PER_LINE = 10
 # A second whose worst lag is above this is worth a line.
 LATE_S = 0.1
+# A line on each kind of work costs an entry about 0.1 ms.
+WORK_LINE_S = 5.0
 STATM = pathlib.Path("/proc/self/statm")
 
 
@@ -54,6 +56,10 @@
 
     Enter it after the loop's lag. A line of its own tells of a second in
     which the loop was late; each second's worst lag goes into the metrics.
+    Now and then a line tells what the process did, by kind of work.
+
+    Args:
+        role: what the process is, for those lines.
     """
 
     def __init__(
@@ -61,13 +67,16 @@
         lag: _peer_face.LoopLag,
         metrics: observe.Metrics,
         clock: wire.Clock = wire.LoopClock(),
+        role: str = "replica",
     ) -> None:
+        self._role = role
         self._lag = lag
         self._metrics = metrics
         self._clock = clock
         self._collections = Collections()
         self._samples: collections.deque[tuple[float, float, float]]
         self._samples = collections.deque(maxlen=SAMPLES)
+        self._work = observe.WorkLog(metrics)
         self._background = wire.Background()
         self._stack = contextlib.ExitStack()
 
@@ -102,11 +111,35 @@
         return now, time.process_time(), self._collections.paused_s
 
     async def _watch(self) -> None:
+        told_at = self._clock.now()
         while True:
             for _ in range(SAMPLES_PER_LINE):
                 self._samples.append(self._sample())
                 await self._clock.sleep(SAMPLE_S)
             self._tell()
+            over_s = self._clock.now() - told_at
+            if over_s >= WORK_LINE_S:
+                told_at += over_s
+                self._tell_work(over_s)
+
+    def _tell_work(self, over_s: float) -> None:
+        """Write what this process did since the last such line."""
+        observe.log_event(
+            "vitals",
+            "work",
+            role=self._role,
+            over_s=round(over_s, 3),
+            resident_mb=_resident_mb(),
+            by_kind={
+                kind: [
+                    round(done.took_s, 4),
+                    done.messages,
+                    done.received,
+                    done.sent,
+                ]
+                for kind, done in self._work.since_last().items()
+            },
+        )
 
     def _tell(self) -> None:
         worst_s = self._lag.worst_s()
--- a/libs/explain/src/bergamotsail/explain/_summary.py
+++ b/libs/explain/src/bergamotsail/explain/_summary.py
@@ -5,6 +5,7 @@
 
 from bergamotsail.explain import _events
 from bergamotsail.explain import _journeys
+from bergamotsail.explain import _work
 
 Event = _events.Event
 Journey = _journeys.Journey
@@ -43,6 +44,8 @@
         *_engines(journeys),
         "",
         *_refusals(events),
+        "",
+        *_work.work_tables(events),
     ]
 
 
--- /dev/null
+++ b/libs/explain/src/bergamotsail/explain/_work.py
@@ -0,0 +1,90 @@
+"""Tables of what processes did: time, messages and bytes by kind."""
+
+import collections
+import collections.abc
+import dataclasses
+
+from bergamotsail.explain import _events
+
+Event = _events.Event
+MILLI = 1000.0
+KILO = 1000.0
+MOST_KINDS = 16
+
+
+@dataclasses.dataclass(slots=True)
+class _Sum:
+    """What processes of a role did of one kind."""
+
+    took_s: float = 0.0
+    messages: int = 0
+    received: int = 0
+    sent: int = 0
+
+    def add(self, figures: collections.abc.Sequence[float]) -> None:
+        """Add the figures of a line."""
+        took_s, messages, received, sent = figures
+        self.took_s += took_s
+        self.messages += int(messages)
+        self.received += int(received)
+        self.sent += int(sent)
+
+
+def work_tables(
+    events: collections.abc.Iterable[Event],
+) -> collections.abc.Iterator[str]:
+    """Yield a table for each role: the mean process, and the busiest."""
+    by_role: dict[str, dict[str, list[Event]]] = {}
+    for event in events:
+        if (event.part, event.what) == ("vitals", "work"):
+            role = str(event.fields.get("role", "-"))
+            own = by_role.setdefault(role, collections.defaultdict(list))
+            own[event.daemon].append(event)
+    for role, lines_by_daemon in sorted(by_role.items()):
+        yield from _table(role, lines_by_daemon)
+        yield ""
+
+
+def _table(
+    role: str, lines_by_daemon: dict[str, list[Event]]
+) -> collections.abc.Iterator[str]:
+    busiest = max(lines_by_daemon, key=lambda d: _busy(lines_by_daemon[d]))
+    everyone = [line for own in lines_by_daemon.values() for line in own]
+    yield from _rows(f"{role}, mean of {len(lines_by_daemon)}", everyone)
+    yield from _rows(f"{role}, busiest {busiest}", lines_by_daemon[busiest])
+
+
+def _busy(lines: list[Event]) -> float:
+    """Return the part of its time that a process worked."""
+    over_s = sum(line.number("over_s") for line in lines)
+    took_s = sum(done.took_s for done in _sums(lines).values())
+    return took_s / over_s if over_s else 0.0
+
+
+def _rows(title: str, lines: list[Event]) -> collections.abc.Iterator[str]:
+    over_s = sum(line.number("over_s") for line in lines)
+    memory_mb = max(line.number("resident_mb") for line in lines)
+    yield (
+        f"{title:44}{'ms/s':>9}{'calls/s':>9}{'KB/s in':>9}"
+        f"{'KB/s out':>9}   {memory_mb:.0f} MB at most"
+    )
+    if not over_s:
+        return
+    ranked = sorted(_sums(lines).items(), key=lambda item: -item[1].took_s)
+    for kind, done in ranked[:MOST_KINDS]:
+        yield (
+            f"  {kind:42}{done.took_s * MILLI / over_s:9.2f}"
+            f"{done.messages / over_s:9.2f}"
+            f"{done.received / KILO / over_s:9.3f}"
+            f"{done.sent / KILO / over_s:9.3f}"
+        )
+
+
+def _sums(lines: list[Event]) -> dict[str, _Sum]:
+    sums: dict[str, _Sum] = collections.defaultdict(_Sum)
+    for line in lines:
+        by_kind = line.fields.get("by_kind")
+        if isinstance(by_kind, dict):
+            for kind, figures in by_kind.items():
+                sums[kind].add(figures)
+    return sums
--- a/libs/observe/src/bergamotsail/observe/__init__.py
+++ b/libs/observe/src/bergamotsail/observe/__init__.py
@@ -3,6 +3,7 @@
 from bergamotsail.observe import _decisions
 from bergamotsail.observe import _events
 from bergamotsail.observe import _metrics
+from bergamotsail.observe import _work
 
 Decision = _decisions.Decision
 log_decision = _decisions.log_decision
@@ -17,3 +18,9 @@
 as_text = _metrics.as_text
 merge = _metrics.merge
 readable = _metrics.readable
+
+WorkDone = _work.WorkDone
+WorkLog = _work.WorkLog
+count_message = _work.count_message
+spent = _work.spent
+timed = _work.timed
--- a/libs/observe/src/bergamotsail/observe/_metrics.py
+++ b/libs/observe/src/bergamotsail/observe/_metrics.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 
 from hdrh import histogram
@@ -42,6 +43,16 @@
         """Add to a counter."""
         self._counter_by_name[full_name(name, labels)] += by
 
+    def counters(
+        self, names: collections.abc.Collection[str]
+    ) -> dict[str, int]:
+        """Return the counters of these names, with their labels."""
+        return {
+            full: count
+            for full, count in self._counter_by_name.items()
+            if full.partition("{")[0] in names
+        }
+
     def reset(self) -> None:
         """Forget all, as after a warm-up."""
         self._histogram_by_name.clear()
--- /dev/null
+++ b/libs/observe/src/bergamotsail/observe/_work.py
@@ -0,0 +1,129 @@
+"""Where a process's time, messages and bytes go, by kind of work.
+
+Only the steps that a coroutine runs are counted, not what it waits for.
+The figures are counters of the metrics, so they merge over daemons.
+
+Example::
+
+    reply = await observe.timed(metrics, "place", handler, message)
+    observe.count_message(metrics, "place", received=410, sent=180)
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import time
+import types
+import typing
+
+from bergamotsail.observe import _metrics
+
+TIME = "work_us"
+MESSAGES = "work_messages"
+RECEIVED = "work_received_bytes"
+SENT = "work_sent_bytes"
+MICRO = 1e6
+
+Result = typing.TypeVar("Result")
+Metrics = _metrics.Metrics
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkDone:
+    """What one kind of work took.
+
+    Args:
+        took_s: time of its own steps, in seconds.
+        received: bytes of the messages' bodies.
+        sent: bytes of the bodies that went out.
+    """
+
+    took_s: float = 0.0
+    messages: int = 0
+    received: int = 0
+    sent: int = 0
+
+
+async def timed(
+    metrics: Metrics,
+    kind: str,
+    work: collections.abc.Callable[
+        ..., collections.abc.Coroutine[typing.Any, typing.Any, Result]
+    ],
+    *args: object,
+) -> Result:
+    """Call *work* with its arguments and count the time of its steps."""
+    return await _stepped(metrics, kind, work(*args))
+
+
+@types.coroutine
+def _stepped(metrics, kind, work):
+    """Pass on what the work waits for, and time what it does between."""
+    step, value = work.send, None
+    try:
+        while True:
+            with spent(metrics, kind):
+                try:
+                    awaited = step(value)
+                except StopIteration as end:
+                    return end.value
+            try:
+                value = yield awaited
+                step = work.send
+            except BaseException as error:
+                step, value = work.throw, error
+    finally:
+        work.close()
+
+
+@contextlib.contextmanager
+def spent(metrics: Metrics, kind: str) -> collections.abc.Iterator[None]:
+    """Count the time of a block that waits for nothing."""
+    began = time.perf_counter()
+    try:
+        yield
+    finally:
+        took_us = int((time.perf_counter() - began) * MICRO)
+        metrics.count(TIME, took_us, kind=kind)
+
+
+def count_message(
+    metrics: Metrics, kind: str, received: int = 0, sent: int = 0
+) -> None:
+    """Count a message with the bytes of its body and of its answer."""
+    metrics.count(MESSAGES, kind=kind)
+    metrics.count(RECEIVED, received, kind=kind)
+    metrics.count(SENT, sent, kind=kind)
+
+
+class WorkLog:
+    """Tells what was done since it was last asked."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._told: dict[str, int] = {}
+
+    def since_last(self) -> dict[str, WorkDone]:
+        """Return what was done, by kind, the costliest first."""
+        counted = self._metrics.counters((TIME, MESSAGES, RECEIVED, SENT))
+        grown = {
+            key: count - self._told.get(key, 0)
+            for key, count in counted.items()
+        }
+        self._told = counted
+        by_kind: dict[str, dict[str, int]] = {}
+        for key, count in grown.items():
+            name, _, labels = key.partition("{kind=")
+            if count:
+                by_kind.setdefault(labels.rstrip("}"), {})[name] = count
+        done = {kind: _done(counts) for kind, counts in by_kind.items()}
+        return dict(sorted(done.items(), key=lambda item: -item[1].took_s))
+
+
+def _done(counts: dict[str, int]) -> WorkDone:
+    return WorkDone(
+        counts.get(TIME, 0) / MICRO,
+        counts.get(MESSAGES, 0),
+        counts.get(RECEIVED, 0),
+        counts.get(SENT, 0),
+    )
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -86,6 +86,7 @@
         term: int,
         gate: OrderGate,
         store: StoreTurns,
+        metrics: observe.Metrics,
         changed: collections.abc.Callable[[], None],
         clock: wire.Clock,
         started: collections.abc.Callable[[int], None] = lambda _: None,
@@ -100,6 +101,7 @@
         self._starts = earlier_starts
         self._gate = gate
         self._store = store
+        self._metrics = metrics
         self._changed = changed
         self._clock = clock
         self._lock = asyncio.Lock()
@@ -129,7 +131,7 @@
         since_s = now - self._asked_at
         if self.holding.awaits_word(now) and since_s > REPORT_LAG_S:
             self._asked_at = now
-            self._run(self._ask_runs())
+            self._run(self._ask_runs)
 
     async def _ask_runs(self) -> None:
         with contextlib.suppress(wire.ServingError):
@@ -143,6 +145,7 @@
             ServingError: it can't be had.
             OtherStartError: this ledger is void.
         """
+        observe.count_message(self._metrics, "report")
         report = await self._engine.report()
         if self._born_ms is None:
             self._born_ms = report.born_ms
@@ -166,7 +169,8 @@
             # back to this one, it is asked to tend to it.
             return
         if self._settling is None or self._settling.done():
-            self._settling = asyncio.create_task(self._settle())
+            work = observe.timed(self._metrics, "report", self._settle)
+            self._settling = asyncio.create_task(work)
 
     async def _settle(self) -> None:
         retry_s = SETTLE_RETRY_S
@@ -207,7 +211,7 @@
     def _watch_pending(self) -> None:
         for name, slot in self.holding.slot_by_name.items():
             if slot.state is State.DOUBTFUL:
-                self._run(self._confirm(name, slot))
+                self._run(self._confirm, name, slot)
 
     async def _load_model(self, report: targets.AdapterReport) -> bool:
         """Order a base model for an engine that holds none."""
@@ -265,10 +269,15 @@
             sequence=holding.sequence,
             in_transit=holding.in_transit(),
         )
-        self._run(self._load(name, slot, victim))
+        self._run(self._load, name, slot, victim)
 
-    def _run(self, work: collections.abc.Coroutine) -> None:
-        task = asyncio.create_task(work)
+    def _run(
+        self,
+        work: collections.abc.Callable[..., collections.abc.Coroutine],
+        *args: object,
+    ) -> None:
+        timed = observe.timed(self._metrics, "order", work, *args)
+        task = asyncio.create_task(timed)
         self._loads.add(task)
         task.add_done_callback(self._loads.discard)
 
@@ -376,6 +385,7 @@
         Two of the same order can't both be carried out: the first that is
         moves the sequence on, and the other then expects another one.
         """
+        observe.count_message(self._metrics, "order")
         for _ in range(MOST_RESENDS):
             if not self._gate_open():
                 return None
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -420,6 +420,7 @@
             self._term,
             self._rights,
             self._store,
+            self._metrics,
             self._pump_soon,
             self._clock,
             functools.partial(self._tell_new_start, info.id),
@@ -548,8 +549,12 @@
         that the lead was lost with its lease.
         """
         self._pump_due = None
-        if not self._leadership.holds():
-            return
+        if self._leadership.holds():
+            with observe.spent(self._metrics, "decide"):
+                self._decide_slice()
+
+    def _decide_slice(self) -> None:
+        """Decide for those who wait, the first in rank first."""
         now = self._clock.now()
         if not self._names_left:
             self._names_left.extend(self._ranked_names(now))
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -134,6 +134,13 @@
             ServingError: nothing of an answer was sent; says whether the
                 request may have run.
         """
+        await observe.timed(
+            self._metrics, "request", self._serve_counted, request, answer
+        )
+
+    async def _serve_counted(
+        self, request: CallerRequest, answer: CallerAnswer
+    ) -> None:
         self.active += 1
         started_at = self._clock.now()
         code = "done"
--- a/libs/wire/src/bergamotsail/wire/_peers.py
+++ b/libs/wire/src/bergamotsail/wire/_peers.py
@@ -119,11 +119,21 @@
     Args:
         http: the client to use.
         token: the shared secret of all daemons.
+        called: told of each call's name, and the bytes of the bodies that
+            went out and came back.
     """
 
-    def __init__(self, http: _http.HttpClient, token: str) -> None:
+    def __init__(
+        self,
+        http: _http.HttpClient,
+        token: str,
+        called: collections.abc.Callable[[str, int, int], None] = (
+            lambda name, sent, received: None
+        ),
+    ) -> None:
         self._http = http
         self._token = token
+        self._called = called
 
     async def call(
         self,
@@ -132,9 +142,9 @@
         message: Request,
         timeout_s: float,
     ) -> Reply:
-        reply = await self._http.fetch(
-            self._request(address, call, message, timeout_s)
-        )
+        request = self._request(address, call, message, timeout_s)
+        reply = await self._http.fetch(request)
+        self._called(call.name, len(request.body), len(reply.body))
         if reply.status != 200:
             raise _errors.error_from_body(
                 _codec.decode(reply.body, _errors.ErrorBody)
