--- a/features/support/growth.py
+++ b/features/support/growth.py
@@ -587,6 +587,7 @@
     replicas: Replicas,
     lease: control.LeaseTiming,
     stack: contextlib.AsyncExitStack,
+    instances: targets.InstanceList = EmptyList(),
 ) -> None:
     """Let all replicas answer daemons."""
     for address in replicas.addresses:
@@ -594,7 +595,7 @@
             address,
             replicas.node_by_address[address],
             replicas.machine_by_address[address],
-            EmptyList(),
+            instances,
             standins.MemoryTransport(replicas.network, address),
             lease,
         )
--- a/libs/control/src/bergamotsail/control/_digest.py
+++ b/libs/control/src/bergamotsail/control/_digest.py
@@ -1,15 +1,26 @@
 """Soft state that the leader spreads: daemons, targets, residents."""
 
+import collections.abc
 import dataclasses
+import heapq
+import itertools
 import typing
 
 from bergamotsail.control import _messages
 
 Item = typing.TypeVar("Item")
+# Changes in one answer, some 60 kB: a link of 1 Mbit/s carries them in the
+# 0.6 s that a daemon waits for it. All of 3,000 targets at once take a link
+# of 5 Mbit/s that long, so that no answer of a new leader came in time.
+MOST_CHANGES = 400
 
 
 class _Table(typing.Generic[Item]):
-    """Items by id, each with the version that last changed it."""
+    """Items by id, each with the version that last changed it.
+
+    The versions stand in the order of their change, so that to find the
+    latest does not take a look at all.
+    """
 
     def __init__(self) -> None:
         self.by_id: dict[str, Item] = {}
@@ -20,6 +31,7 @@
         if self.by_id.get(item_id) == item:
             return False
         self.by_id[item_id] = item
+        self._version_by_id.pop(item_id, None)
         self._version_by_id[item_id] = version
         self._gone_by_id.pop(item_id, None)
         return True
@@ -31,17 +43,36 @@
         self._gone_by_id[item_id] = version
         return True
 
-    def since(self, version: int) -> tuple[Item, ...]:
-        return tuple(
-            self.by_id[item_id]
-            for item_id, at in self._version_by_id.items()
-            if at > version
-        )
+    def since(self, version: int) -> list[tuple[int, str]]:
+        """Return what changed, as version and id, the earliest first."""
+        return _later(self._version_by_id, version)
 
-    def gone_since(self, version: int) -> tuple[str, ...]:
-        return tuple(
-            item_id for item_id, at in self._gone_by_id.items() if at > version
-        )
+    def gone_since(self, version: int) -> list[tuple[int, str]]:
+        """Return what went, as version and id, the earliest first."""
+        return _later(self._gone_by_id, version)
+
+    def items(
+        self, changes: collections.abc.Iterable[tuple[int, str]], until: int
+    ) -> tuple[Item, ...]:
+        """Return what changed up to a version."""
+        return tuple(self.by_id[one] for at, one in changes if at <= until)
+
+
+def _later(
+    version_by_id: dict[str, int], version: int
+) -> list[tuple[int, str]]:
+    latest = itertools.takewhile(
+        lambda item: item[1] > version, reversed(version_by_id.items())
+    )
+    found = [(at, item_id) for item_id, at in latest]
+    found.reverse()
+    return found
+
+
+def _ids(
+    changes: collections.abc.Iterable[tuple[int, str]], until: int
+) -> tuple[str, ...]:
+    return tuple(one for at, one in changes if at <= until)
 
 
 class DigestLog:
@@ -87,16 +118,32 @@
         """Return what a daemon at this term and version lacks."""
         full = term != self._term
         since = 0 if full else version
+        daemons = self._daemons.since(since)
+        targets = self._targets.since(since)
+        gone_daemons = self._daemons.gone_since(since)
+        gone_targets = self._targets.gone_since(since)
+        until = self._until(daemons, targets, gone_daemons, gone_targets)
         return _messages.DigestDelta(
             self._term,
-            self.version,
+            until,
             full,
-            self._daemons.since(since),
-            self._targets.since(since),
-            () if full else self._daemons.gone_since(since),
-            () if full else self._targets.gone_since(since),
+            self._daemons.items(daemons, until),
+            self._targets.items(targets, until),
+            () if full else _ids(gone_daemons, until),
+            () if full else _ids(gone_targets, until),
+            until < self.version,
         )
 
+    def _until(self, *changes: list[tuple[int, str]]) -> int:
+        """Return the version up to which one answer can hold changes.
+
+        Each change has a version of its own.
+        """
+        if sum(map(len, changes)) <= MOST_CHANGES:
+            return self.version
+        ordered = heapq.merge(*changes)
+        return next(itertools.islice(ordered, MOST_CHANGES - 1, None))[0]
+
 
 class Digest:
     """The daemon's side: the latest soft state it heard of."""
@@ -106,30 +153,37 @@
         self.version = 0
         self.daemon_by_boot: dict[str, _messages.DaemonInfo] = {}
         self.target_by_id: dict[str, _messages.TargetInfo] = {}
-        self._targets_of_former = False
+        # Targets that only a former leader has told of.
+        self._former: set[str] = set()
+        self._told_targets = False
 
     def apply(self, delta: _messages.DigestDelta) -> None:
         """Take a delta; deltas of one term come in order.
 
         A new leader knows no targets until it has read the list. Those of
-        the former one count until then.
+        the former one count until then, and until it has told of all.
         """
         if delta.full:
             self.daemon_by_boot.clear()
-            self._targets_of_former = True
-        if delta.targets and self._targets_of_former:
-            self.target_by_id.clear()
-            self._targets_of_former = False
+            self._former = set(self.target_by_id)
+            self._told_targets = False
         self.term = delta.term
         self.version = delta.version
         for daemon in delta.daemons:
             self.daemon_by_boot[daemon.boot] = daemon
         for target in delta.targets:
             self.target_by_id[target.id] = target
+            self._former.discard(target.id)
+            self._told_targets = True
+        if self._told_targets and not delta.more:
+            for target_id in self._former:
+                del self.target_by_id[target_id]
+            self._former.clear()
         for boot in delta.gone_daemons:
             self.daemon_by_boot.pop(boot, None)
         for target_id in delta.gone_targets:
             self.target_by_id.pop(target_id, None)
+            self._former.discard(target_id)
 
     def set_leaving(self, target: str) -> None:
         """Mark a target that said itself that it is leaving."""
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -101,6 +101,7 @@
     Args:
         term: versions of different terms can't be compared.
         full: whether this replaces all that is known.
+        more: whether changes are left for the next.
     """
 
     term: int
@@ -110,6 +111,7 @@
     targets: tuple[TargetInfo, ...] = ()
     gone_daemons: tuple[str, ...] = ()
     gone_targets: tuple[str, ...] = ()
+    more: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -396,6 +396,8 @@
         elif len(self._waiting) < MOST_WAITING:
             self._waiting.append((reply.commit, sent_at))
         self.take_digest(reply.digest)
+        if reply.digest.more:
+            self.kick()
         self._participant.take_shares(reply.share_by_key)
         if reply.hand_over:
             self._participant.hand_over(reply.hand_over)
--- a/libs/targets/src/bergamotsail/targets/__init__.py
+++ b/libs/targets/src/bergamotsail/targets/__init__.py
@@ -19,6 +19,7 @@
 InstanceList = _instances.InstanceList
 ListFaults = _instances.ListFaults
 InstanceState = _instances.InstanceState
+whole_ms = _instances.whole_ms
 
 __getattr__ = wire.lazy_names(
     __name__,
--- a/libs/targets/src/bergamotsail/targets/_instances.py
+++ b/libs/targets/src/bergamotsail/targets/_instances.py
@@ -55,6 +55,15 @@
         return cls(name, int(born) if born else None)
 
 
+def whole_ms(told: object) -> int | None:
+    """Return a time in milliseconds; None for what is no whole number."""
+    if isinstance(told, float) and told.is_integer():
+        told = int(told)
+    if isinstance(told, bool) or not isinstance(told, int) or told < 0:
+        return None
+    return told
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
     """A target as the platform lists it.
@@ -72,6 +81,11 @@
     datacentre: str
     state: InstanceState = InstanceState.LIVE
 
+    @property
+    def name(self) -> str:
+        """What the target calls itself, the same for all its starts."""
+        return Incarnation.of(self.id).name
+
 
 class InstanceList(abc.ABC):
     """Reads the list; it lags and may be out of reach."""
