Test: look for a cancelled run at the engine that runs it

Cause: the steps took the engine of the request before for that of the long one. A daemon that has not heard yet where the adapter is resident sends it elsewhere ("cold, cheapest by hash"), so the right engine was not asked: in the logs of a failed run the warm request runs at runner-0 by entry-3, the long one at runner-2 by entry-0, whose caller leaves.

Ruled out: that the product cancels late. The check is as strict, at the engine whose count of runs grew; its owner is another daemon than the entry.

--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -15,6 +15,8 @@
 from bergamotsail import wire
 from features.support import relay
 
+# An answer is begun again where its entry owns the engine that runs it.
+MOST_STARTS = 5
 LONG = 300
 
 
@@ -259,37 +261,79 @@
 
 
 async def _begin_long_answer(run: Running, avoid_owner: bool) -> dict:
-    """Start a long answer at a daemon that does not own the engine."""
+    """Start a long answer at a daemon that does not own the engine.
+
+    A daemon that has not heard yet where the adapter is resident sends it
+    to another engine than the request before.
+    """
     client = run.client
     warm = await client.complete("adapter-0", "warm", 2)
     assert not warm.code, warm
-    point: dict = {}
+    owner = await _owner_of(run, warm.last_event.partition("~")[0])
+    for _ in range(MOST_STARTS):
+        entry = next(
+            name
+            for name in run.running()
+            if name != owner and (not avoid_owner or name not in ("entry-0",))
+        )
+        before = await _runs_by_engine(run)
+        task = asyncio.ensure_future(
+            client.complete_at(
+                run.system.by_name[entry].address,
+                "adapter-0",
+                "long",
+                LONG,
+                30.0,
+                None,
+            )
+        )
+        run.tasks.append(task)
+        target = await _engine_that_runs(run, before)
+        owner = await _owner_of(run, target)
+        await asyncio.sleep(1.0)
+        if owner != entry:
+            return {
+                "target": target,
+                "owner": owner,
+                "entry": entry,
+                "task": task,
+            }
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+    raise AssertionError(f"Each answer ran at an engine of its entry: {owner}")
+
+
+async def _owner_of(run: Running, target: str) -> str:
+    """Return the daemon that owns an engine."""
     status = await run.status()
-    target = warm.last_event.partition("~")[0]
-    owner = next(
+    return next(
         t["owner"].partition("#")[0]
         for t in status["targets"]
         if t["info"]["id"] == target
     )
-    entry = next(
-        name
-        for name in run.running()
-        if name != owner and (not avoid_owner or name not in ("entry-0",))
-    )
-    task = asyncio.ensure_future(
-        client.complete_at(
-            run.system.by_name[entry].address,
-            "adapter-0",
-            "long",
-            LONG,
-            30.0,
-            None,
-        )
-    )
-    run.tasks.append(task)
-    await asyncio.sleep(1.0)
-    point.update(target=target, owner=owner, entry=entry, task=task)
-    return point
+
+
+async def _runs_by_engine(run: Running) -> dict[str, int]:
+    """Return how many runs each engine has begun."""
+    found = {}
+    for name in run.system.engines:
+        records = await run.records(name)
+        found[name] = sum(records["runs_by_stream"].values())
+    return found
+
+
+async def _engine_that_runs(run: Running, before: dict[str, int]) -> str:
+    """Wait until an engine begins one more run than before; name it."""
+    found: list[str] = []
+
+    async def begun() -> bool:
+        after = await _runs_by_engine(run)
+        found[:] = [name for name in after if after[name] > before[name]]
+        return bool(found)
+
+    await run.system.eventually(begun, "the run to begin")
+    (target,) = found
+    return target
 
 
 @behave.given("a long answer on its way from an engine of another daemon")
