--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -449,6 +449,26 @@
         return world.oracle.check_at_end()
 
 
+async def runs_outlast_a_lease(seed: int = 1) -> list[str]:
+    """A limit holds while runs of a cut-off daemon outlast its lease.
+
+    Its share is free once the lease has surely ended; what it admitted
+    before goes on at its engines, which are not cut off.
+    """
+    settings = Settings(seed=seed, member_concurrency=6)
+    async with World(settings) as world:
+        sending = asyncio.create_task(
+            _send(world, 120, 0.1, tokens=200, deadline_s=15.0)
+        )
+        await asyncio.sleep(2.0)
+        owners = [p for p in world.places if p.daemon.owners.by_target]
+        world.network.isolate(owners[0].address)
+        await asyncio.sleep(6.0)
+        world.network.heal()
+        await sending
+        return world.oracle.check_at_end()
+
+
 async def limits_over_all(seed: int = 1) -> list[str]:
     """A limit of three holds over all daemons, and is used."""
     settings = Settings(seed=seed, member_concurrency=3)
@@ -547,6 +567,7 @@
     limits_over_all,
     limits_over_leaders,
     rate_over_all,
+    runs_outlast_a_lease,
 )
 SCENARIO_BY_NAME = {scenario.__name__: scenario for scenario in SCENARIOS}
 
