Log what repeats of a request share when a target loses it

What callers saw: engines of a pool ended one after the other. The entries' logs named attempts, which are new each time a caller comes again, so they could not tell one request that ends each engine from several, nor a request from what ran beside it.

Each lost exchange now logs an identity that repeats share (a digest over caller, place, adapter and body), the size of the body, the time since it was sent and how many requests of this entry ran beside it. No decision changes.

So repeats share it and other requests do not.

--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 
@@ -77,6 +78,7 @@
     target: str = ""
     broken: bool = False
     begun: collections.abc.Callable[[], None] | None = None
+    sent_at: float = 0.0
     piece_at: float | None = None
     longest_pause_s: float = 0.0
 
@@ -124,6 +126,9 @@
         self._clock = clock
         self.active = 0
         self._longest_by_route: dict[str, float] = {}
+        self._running_by_target: collections.Counter[str] = (
+            collections.Counter()
+        )
 
     async def serve(
         self, request: CallerRequest, answer: CallerAnswer
@@ -378,6 +383,7 @@
         """Send to one target and pass its answer on."""
         request = attempt.request
         attempt.sends += 1
+        attempt.sent_at = self._clock.now()
         attempt.target = destination.target
         attempt.avoid.add(destination.target)
         observe.log_event(
@@ -400,6 +406,7 @@
         )
         headers = self._dialect.outgoing(request, destination)
         exchange = self._http.open(outgoing, request.target, headers)
+        self._running_by_target[destination.target] += 1
         try:
             async with exchange:
                 head = await exchange.head()
@@ -413,6 +420,13 @@
             if exchange.sent:
                 attempt.runs += 1
             raise
+        finally:
+            self._sent_is_over(destination.target)
+
+    def _sent_is_over(self, target: str) -> None:
+        self._running_by_target[target] -= 1
+        if self._running_by_target[target] <= 0:
+            del self._running_by_target[target]
 
     def _lost(self, attempt: _Attempt, error: wire.ServingError) -> None:
         """Go on at another target where that is allowed, else break off."""
@@ -420,7 +434,11 @@
             "route",
             "lost",
             request=attempt.request.id,
+            identity=attempt.request.identity,
+            body_bytes=len(attempt.request.body),
             target=attempt.target,
+            since_send_s=round(self._clock.now() - attempt.sent_at, 4),
+            beside=self._running_by_target[attempt.target] - 1,
             error=error.message,
         )
         resumable = attempt.route.kind is catalogue.RouteKind.STREAM
--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 
+from bergamotsail import quarantine
 from bergamotsail import wire
 
 Headers = tuple[tuple[str, str], ...]
@@ -34,6 +35,7 @@
         patience_s: how long the caller waits, None when it did not say.
         arrived_at: on this daemon's clock.
         resume_after: the last event that the caller has of a stream.
+        caller: who asks, as its credentials name it; empty without any.
     """
 
     id: str
@@ -47,6 +49,16 @@
     arrived_at: float
     model: ModelPart | None = None
     resume_after: str | None = None
+    caller: str = ""
+
+    @property
+    def identity(self) -> str:
+        """What this attempt shares with other attempts of its request."""
+        model = self.model
+        name = f"{model.model}/{model.adapter}" if model is not None else ""
+        return quarantine.identity(
+            self.caller, self.host, self.method, self.target, name, self.body
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
