Hold back a request that ends each target that runs it

Cause: what an attempt met is kept for as long as the attempt. Nothing knew a request again over attempts and entries, so each repeat was a first try. Class: a bound that is counted for each attempt where the harm is done by all attempts together.

Ruled out: our own repeats (each cut sending but one was the first of its attempt), and our orders (the same were accepted 1,500 times without an end).

Now entries name a request by a digest that its repeats share, tell the leader at once when its connection ended before its answer, and the leader counts the targets that ended, over all entries, by start and by moment: a rack that goes is one event. After three the request stands in the log as held back, and each entry refuses it before it leaves, as not run. One copy of a suspected request runs at a time; a whole answer clears it; it may run again after 15 minutes, or once an operator deletes the entry.

On the way the scenarios found, in this change: a whole answer that was never told (a misplaced line), and ends of one moment counted as three (popular_in_a_rack).

--- /dev/null
+++ b/features/quarantine.feature
@@ -0,0 +1,30 @@
+Feature: Requests that end the targets that run them
+  Replicas, sessions and forwarders as they are, in virtual time.
+
+  Scenario Outline: <scenario>: such a request stops, others go on
+    When requests end targets in <scenario>
+    Then no promise is broken
+
+    Examples:
+      | scenario                 |
+      | any_order                |
+      | one_event_counts_once    |
+      | strange_words            |
+      | members_apart            |
+      | comes_again              |
+      | at_all_at_once           |
+      | leader_lost_before_third |
+      | leader_lost_after_third  |
+      | all_without_power        |
+      | under_its_name           |
+      | two_members              |
+      | within_one_attempt       |
+      | beside_it                |
+      | popular_in_a_rack        |
+      | runs_again_later         |
+      | operator_releases        |
+      | random_loads             |
+
+  Scenario: Every guard against such requests that is switched off is noticed
+    When each guard against requests that end targets is switched off
+    Then each is noticed there
--- /dev/null
+++ b/features/steps/quarantine.py
@@ -0,0 +1,22 @@
+"""Steps of requests that end targets."""
+
+import multiprocessing
+
+import behave
+
+from features.support import quarantine
+
+JOBS = 3
+
+
+@behave.when("requests end targets in {name}")
+def quarantine_scenario(context, name: str) -> None:
+    context.faults = quarantine.run_scenario(name)
+
+
+@behave.when("each guard against requests that end targets is switched off")
+def quarantine_mutants(context) -> None:
+    context.mutants = quarantine.MUTANTS
+    numbers = range(len(quarantine.MUTANTS))
+    with multiprocessing.get_context("fork").Pool(JOBS) as pool:
+        context.found = pool.map(quarantine.run_mutant, numbers, chunksize=1)
--- a/libs/catalogue/src/bergamotsail/catalogue/__init__.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -20,6 +20,7 @@
 Member = _entries.Member
 Pool = _entries.Pool
 PoolKind = _entries.PoolKind
+Quarantine = _entries.Quarantine
 Service = _entries.Service
 hash_token = _entries.hash_token
 parse_value = _entries.parse_value
--- a/libs/catalogue/src/bergamotsail/catalogue/_entries.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_entries.py
@@ -21,6 +21,7 @@
     POOL = "pool"
     ROUTES = "routes"
     ADAPTER_VERSION = "adapter_version"
+    QUARANTINE = "quarantine"
 
 
 class EntryClass(enum.StrEnum):
@@ -132,6 +133,24 @@
     store: str = "default"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantine:
+    """A request that ended targets; the entry's id is its identity.
+
+    Args:
+        member: whose request it is, as far as its credentials tell.
+        pool: whose targets it ended.
+        ends: how many ended under it.
+        held: it is refused; else it may run, and is held again at the next
+            end.
+    """
+
+    member: str
+    pool: str
+    ends: int
+    held: bool = True
+
+
 Value = (
     Member
     | Adapter
@@ -139,6 +158,7 @@
     | Pool
     | _routes.RouteTable
     | _routes.AdapterVersion
+    | Quarantine
 )
 
 TYPE_BY_KIND: dict[Kind, type] = {
@@ -148,6 +168,7 @@
     Kind.POOL: Pool,
     Kind.ROUTES: _routes.RouteTable,
     Kind.ADAPTER_VERSION: _routes.AdapterVersion,
+    Kind.QUARANTINE: Quarantine,
 }
 
 # Set by commands of their own, since their highest version wins.
@@ -235,6 +256,8 @@
         )
     if isinstance(value, (Member, Adapter, Service)):
         found.extend(_limit_problems(value.limits))
+    if isinstance(value, Quarantine) and value.ends < 1:
+        found.append("Give as ends how many targets ended, 1 or more.")
     return found
 
 
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -187,7 +187,7 @@
             if holder not in (None, put.id):
                 return "Another member has this token. Choose another."
             return None
-        if isinstance(value, _entries.Pool):
+        if isinstance(value, (_entries.Pool, _entries.Quarantine)):
             return None
         members = self.view.member_by_id
         missing = [
--- a/libs/catalogue/src/bergamotsail/catalogue/_view.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_view.py
@@ -158,6 +158,11 @@
         """Pools."""
         return self.by_kind[_entries.Kind.POOL]
 
+    @property
+    def quarantine_by_id(self) -> dict[str, _entries.Entry]:
+        """Requests that ended targets, by their identity."""
+        return self.by_kind[_entries.Kind.QUARANTINE]
+
     def clear(self) -> None:
         """Forget all."""
         self.__init__()
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -18,6 +18,7 @@
 from bergamotsail.control import _floor
 from bergamotsail.control import _ledger
 from bergamotsail.control import _messages
+from bergamotsail.control import _quarantine
 from bergamotsail.control import _turns
 from bergamotsail import observe
 from bergamotsail import quorum
@@ -98,8 +99,10 @@
         self,
         term: int,
         now: float,
+        quarantine: _quarantine.Quarantine,
         sharers: collections.abc.Iterable[str] = (),
     ) -> None:
+        self.quarantine = quarantine
         self.term = term
         self.started_at = now
         self.digest = _digest.DigestLog(term)
@@ -148,7 +151,7 @@
         self._floor = floor
         self._clock = clock
         self._steps = steps
-        self._term = _Term(-1, 0.0)
+        self._term = _Term(-1, 0.0, self._new_quarantine(-1))
         self._digest = _digest.Digest()
         self._background = wire.Background()
 
@@ -173,6 +176,7 @@
         server.serve(_messages.FIND_CLAIM, self.on_find_claim)
         server.serve(_messages.TURN, self.on_turn)
         server.serve(_messages.TURN_END, self.on_turn_end)
+        server.serve(_messages.ALONE, self.on_alone)
         server.serve(_messages.STATUS, self.on_status)
 
     # Calls from daemons.
@@ -181,6 +185,7 @@
         self, request: _messages.Heartbeat
     ) -> _messages.HeartbeatReply:
         """Renew a session."""
+        arrived_at = self._clock.now()
         if not await self._leads_soon(HOLD_S if _may_wait(request) else 0.0):
             return await self._relay(_messages.HEARTBEAT, request)
         term = self._current()
@@ -196,6 +201,7 @@
         session.seen_at = self._clock.now()
         session.daemon = daemon
         await self._note_sharer(request)
+        await term.quarantine.take(daemon.boot, request.ends, arrived_at)
         if not self._node.holds_lease() or self._current() is not term:
             raise self._node.not_leader()
         term.digest.put_daemon(daemon)
@@ -223,6 +229,7 @@
             term.digest.delta(request.digest_term, request.digest_version),
             self._hand_over(term, daemon.boot),
             tuple(member.address for member in self._node.config.members),
+            term.quarantine.suspects(),
         )
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.AFTER)
         return reply
@@ -297,6 +304,19 @@
         self._store(request.store).end(request.turn, self._weights())
         return _messages.Done()
 
+    async def on_alone(
+        self, request: _messages.AloneRequest
+    ) -> _messages.AloneReply:
+        """Let one copy at a time run of a request that is suspected."""
+        if not self._node.holds_lease():
+            timeout_s = request.wait_s + RELAY_TIMEOUT_S
+            return await self._relay(_messages.ALONE, request, timeout_s)
+        held_back = self._current().quarantine
+        granted = await held_back.run_alone(
+            request.boot, request.identity, request.wait_s
+        )
+        return _messages.AloneReply(granted)
+
     async def on_status(
         self, request: _messages.Status
     ) -> _messages.StatusReply:
@@ -352,10 +372,17 @@
         """Return the soft state of this term, new with each term."""
         if self._term.term != self._node.term:
             now, sharers = self._clock.now(), self._machine.sharers
-            self._term = _Term(self._node.term, now, sharers)
+            number = self._node.term
+            held_back = self._new_quarantine(number)
+            self._term = _Term(number, now, held_back, sharers)
             self._take_over(self._term)
         return self._term
 
+    def _new_quarantine(self, term: int) -> _quarantine.Quarantine:
+        return _quarantine.Quarantine(
+            term, lambda: self._machine.view, self._propose, self._clock
+        )
+
     def _take_over(self, term: _Term) -> None:
         """Start a term from what this replica's own daemon knew.
 
@@ -543,6 +570,7 @@
         term = self._current()
         self._end_sessions(term)
         await self._forget_sharers(term)
+        await term.quarantine.tend()
         if self._use_keeper is None:
             await self._assign_once(term)
         await self._raise_floor()
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bergamotsail import catalogue
+from bergamotsail import quarantine
 from bergamotsail import wire
 
 
@@ -143,6 +144,7 @@
         relayed: passed on by a replica that does not lead.
         uses: requests that run at targets now, from this daemon.
         fetches: it can fetch what is too large for an answer.
+        ends: requests that were lost with a target, or served after that.
     """
 
     daemon: DaemonInfo
@@ -156,6 +158,7 @@
     relayed: bool = False
     uses: tuple[Use, ...] = ()
     fetches: bool = True
+    ends: tuple[quarantine.Observation, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,6 +171,8 @@
         behind: the daemon must fetch the changes, or the whole state.
         hand_over: targets that the daemon should give back.
         replicas: addresses of all replicas.
+        suspects: identities of requests that were lost with a target; a
+            whole answer to one clears it.
     """
 
     leader: str
@@ -179,6 +184,7 @@
     digest: DigestDelta
     hand_over: tuple[str, ...] = ()
     replicas: tuple[str, ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -266,6 +272,27 @@
     relayed: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AloneRequest:
+    """Ask to be the only one that runs a suspected request.
+
+    Args:
+        wait_s: how long the leader may hold the answer back.
+    """
+
+    boot: str
+    identity: str
+    wait_s: float
+    relayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AloneReply:
+    """Whether it may run now."""
+
+    granted: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Done:
     """A reply without content."""
@@ -298,4 +325,5 @@
 FIND_CLAIM = wire.Call("find_claim", FindClaim, CommandReply)
 TURN = wire.Call("turn", TurnRequest, TurnReply)
 TURN_END = wire.Call("turn_end", TurnEnd, Done)
+ALONE = wire.Call("alone", AloneRequest, AloneReply)
 STATUS = wire.Call("status", Status, StatusReply)
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -11,6 +11,7 @@
 from bergamotsail import catalogue
 from bergamotsail.control import _digest
 from bergamotsail.control import _messages
+from bergamotsail import quarantine
 from bergamotsail import quorum
 from bergamotsail import wire
 
@@ -227,6 +228,7 @@
         self.daemon = daemon
         self.digest = _digest.Digest()
         self.leader = leader
+        self.ends = quarantine.Observations(clock)
         self._transport = transport
         self._timing = timing
         self._node = node
@@ -375,6 +377,7 @@
     async def _beat(self) -> None:
         assert self._participant is not None
         self._sequence += 1
+        last_end, ends = self.ends.pending(self.digest.term)
         request = _messages.Heartbeat(
             self.daemon,
             self._sequence,
@@ -385,12 +388,15 @@
             self.digest.term,
             self.digest.version,
             uses=self._participant.uses(),
+            ends=ends,
         )
         sent_at = self._clock.now()
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.BEFORE)
         reply = await self._send(request)
         self.leader.found(reply.leader)
         self.leader.learn(reply.replicas)
+        self.ends.told(reply.term, last_end)
+        self.ends.take_suspects(reply.suspects)
         if await self._catch_up(reply):
             self._renew(sent_at)
         elif len(self._waiting) < MOST_WAITING:
--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -51,6 +51,11 @@
     resume_after: str | None = None
     caller: str = ""
 
+    @property
+    def member(self) -> str:
+        """Whose request it is, without what its credentials say."""
+        return quarantine.identity(self.caller) if self.caller else ""
+
     @property
     def identity(self) -> str:
         """What this attempt shares with other attempts of its request."""
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -165,6 +165,19 @@
     code = "behind"
 
 
+class QuarantinedError(ServingError):
+    """The request ended the targets that ran it, so it is not sent there."""
+
+    code = "quarantined"
+    status = 503
+
+
+class OtherCopyError(QuarantinedError):
+    """Targets ended under the request, and another copy of it runs now."""
+
+    code = "other_copy"
+
+
 class StillWaitingError(OverloadError):
     """The leader still looks for room; ask again at once to go on waiting."""
 
