Hold back fatal requests asked through the product's own interface too

The same cause in a second place: tries and resumes of one request, and its caller's repeats, met one engine after the other; a call of a plain service did so under each new idempotency key. Each owner of an engine, and each daemon that calls services, now notes the ends that it sees and refuses what is held back; the leader counts them with those of routes. A recorded answer still comes under its key. A target that is silent past the deadline did not end, so that failure has a type of its own now.

What an entry does about such requests moved out of the forwarder, to be used by both.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -24,6 +24,8 @@
       | runs_again_later         |
       | operator_releases        |
       | random_loads             |
+      | fatal_prompt             |
+      | fatal_call               |
 
   Scenario: Every guard against such requests that is switched off is noticed
     When each guard against requests that end targets is switched off
--- a/features/support/quarantine.py
+++ b/features/support/quarantine.py
@@ -25,10 +25,11 @@
 from bergamotsail import quarantine
 from bergamotsail.quarantine import _ends
 from bergamotsail import routing
-from bergamotsail.routing import _forward
+from bergamotsail.routing import _fatal
 from bergamotsail import standins
 from bergamotsail import targets
 from bergamotsail import wire
+from features.support import fatal
 from features.support import growth
 from features.support import ledger
 
@@ -607,7 +608,7 @@
 
     An operator releases it at once.
     """
-    hold = unittest.mock.patch.object(_quarantine, "HOLD_S", 20.0)
+    hold = unittest.mock.patch.object(_quarantine, "HOLD_S", 6.0)
     with hold:
         return await _runs_again_later()
 
@@ -652,7 +653,7 @@
 
 async def random_loads() -> list[str]:
     """Random ends, cuts, kills and copies; the targets count."""
-    return [fault for seed in range(3) for fault in await _random(seed)]
+    return [fault for seed in range(2) for fault in await _random(seed)]
 
 
 async def _random(seed: int) -> list[str]:
@@ -728,18 +729,12 @@
         runs_again_later,
         operator_releases,
         random_loads,
+        fatal.fatal_prompt,
+        fatal.fatal_call,
     )
 }
 
 
-def _note_no_service(
-    forwarder: routing.Forwarder, attempt: object, end: quarantine.RunEnd
-) -> None:
-    """Note all ends but whole answers."""
-    if end is not quarantine.RunEnd.SERVED:
-        _note(forwarder, attempt, end)
-
-
 def _told_once(seen: quarantine.Observations, term: int) -> tuple:
     """Tell a new leader nothing that another was told."""
     seen._told_term = term
@@ -760,13 +755,18 @@
     (
         "never refuse",
         "comes_again",
-        (_forward.Forwarder, "_refuse_held", lambda *_: None),
+        (_fatal.FatalGuard, "check", lambda *_: None),
     ),
     (
         "keep nothing in the log",
         "all_without_power",
         (catalogue.View, "quarantine_by_id", property(lambda view: {})),
     ),
+    (
+        "let owners send what is held back",
+        "fatal_prompt",
+        fatal.NOTHING_HELD,
+    ),
     (
         "tell each thing once in all",
         "leader_lost_before_third",
@@ -780,7 +780,7 @@
     (
         "never clear",
         "popular_in_a_rack",
-        (_forward.Forwarder, "_note", _note_no_service),
+        (_fatal.FatalGuard, "served", lambda *_: None),
     ),
     (
         "run copies side by side",
@@ -803,7 +803,6 @@
         (_quarantine.Quarantine, "tend", _never),
     ),
 )
-_note = _forward.Forwarder._note
 _pending = quarantine.Observations.pending
 
 
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -473,7 +473,7 @@
                 break
             except wire.ServingError as error:
                 answer.error = error
-                lost = error.code == "peer_lost"
+                lost = isinstance(error, wire.PeerLostError)
                 resume = answer.resume
                 if attempt or not lost or not reconnect:
                     break
--- a/libs/placement/src/bergamotsail/placement/_engine_owner.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_owner.py
@@ -14,6 +14,7 @@
 from bergamotsail.placement import _loads
 from bergamotsail.placement import _residents
 from bergamotsail.placement import _state
+from bergamotsail import quarantine
 from bergamotsail import targets
 from bergamotsail import wire
 
@@ -21,6 +22,10 @@
 UNREACHABLE_AFTER_S = 2.0
 
 
+class _GivenUpError(wire.PeerLostError):
+    """The owner waits no longer, so the engine may well be alive."""
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class _Stream:
     """A run that was sent to the engine."""
@@ -313,6 +318,7 @@
         request = job.request
         self._record_wait(job)
         self._check_still_stands(job)
+        self._check_quarantine(stream)
         run = targets.Run(
             request.stream_id,
             stream.incarnation or "",
@@ -333,11 +339,15 @@
                 await self._reach_chunk(stream, chunk)
                 if self._accept(stream, chunk):
                     stream.ended = chunk.end
+                    if chunk.end:
+                        self._note_end(stream, quarantine.RunEnd.SERVED)
                     yield chunk
         except (wire.NotSentError, wire.StaleOrderError):
             stream.sent = False
             raise
         except wire.ServingError as error:
+            if isinstance(error, wire.PeerLostError):
+                self._note_lost(stream, error)
             stream.ended = error.ran is not wire.Ran.UNKNOWN
             if error.ran is wire.Ran.NOT_RUN:
                 # It may no longer be resident; the next report will tell.
@@ -350,10 +360,45 @@
                 "The engine's answer ended without its end mark."
             )
 
+    def _check_quarantine(self, stream: _Stream) -> None:
+        """Refuse a request that is known to end the engines that run it.
+
+        Raises:
+            QuarantinedError: it is not sent.
+        """
+        held_by_id = self._session.view.quarantine_by_id
+        if not held_by_id:
+            return
+        entry = held_by_id.get(_identity(stream.job.request))
+        if entry is not None and entry.value.held:
+            raise wire.QuarantinedError(
+                f"This request ended {entry.value.ends} engines that ran it. "
+                "Change it, or have an operator delete the catalogue entry "
+                f"quarantine {entry.id}."
+            )
+
+    def _note_lost(self, stream: _Stream, error: wire.PeerLostError) -> None:
+        """Note that the engine may have ended under a request."""
+        if not isinstance(error, _GivenUpError) and not self.info.leaving:
+            self._note_end(stream, quarantine.RunEnd.LOST)
+
+    def _note_end(self, stream: _Stream, end: quarantine.RunEnd) -> None:
+        """Tell the leader soon how a run ended, if that matters."""
+        ends = self._session.ends
+        if end is quarantine.RunEnd.SERVED and not ends.any_suspect:
+            return
+        request = stream.job.request
+        start = f"{self.info.id}/{stream.incarnation}"
+        run = quarantine.Run(
+            _identity(request), request.payer, self.info.pool, start
+        )
+        ends.note(run, end)
+        self._session.kick()
+
     def _lost(self, job: _jobs.Job) -> wire.ServingError | None:
         """Say why not to wait for the engine any longer, if so."""
         if not self._reachable() or self._clock.now() > job.deadline:
-            return wire.PeerLostError(
+            return _GivenUpError(
                 f"Engine {self.info.id} went silent during the answer."
             )
         return None
@@ -499,3 +544,15 @@
     def _reachable(self) -> bool:
         silent_s = self._clock.now() - self._report_at
         return silent_s < UNREACHABLE_AFTER_S
+
+
+def _identity(request: _jobs.RunRequest) -> str:
+    """Return what a request shares with its repeats at any engine."""
+    prompt = request.prompt
+    return quarantine.identity(
+        request.payer,
+        request.adapter,
+        str(prompt.text),
+        str(prompt.max_tokens),
+        str(prompt.chat),
+    )
--- a/libs/routing/src/bergamotsail/routing/_entry.py
+++ b/libs/routing/src/bergamotsail/routing/_entry.py
@@ -536,6 +536,7 @@
         wire.WithdrawnError,
         wire.DeadlineError,
         wire.TooLargeError,
+        wire.QuarantinedError,
         wire.CutOffError,
     )
     if isinstance(error, final):
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -8,14 +8,13 @@
 import asyncio
 import collections
 import collections.abc
-import contextlib
 import dataclasses
 
 from bergamotsail import catalogue
 from bergamotsail import control
 from bergamotsail import observe
 from bergamotsail import placement
-from bergamotsail import quarantine
+from bergamotsail.routing import _fatal
 from bergamotsail.routing import _forward_types
 from bergamotsail.routing import _places
 from bergamotsail.routing import _service_choice
@@ -39,12 +38,6 @@
 ID_FIELD = b"id:"
 SERVER_ERROR = 500
 LATE_S = 0.03
-HELD_RETRY_S = 60.0
-# A copy of a suspected request waits so long for another one to end.
-MOST_ALONE_WAIT_S = 1.0
-ALONE_SHARE = 0.25
-ALONE_SLACK_S = 0.3
-ALONE_RETRY_S = 0.5
 MOST_ROUTES_KNOWN = 10_000
 BROKEN_OFF = "broken_off"
 
@@ -85,7 +78,6 @@
     avoid: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     runs: int = 0
-    ends: int = 0
     last_event: str | None = None
     event_tail: bytes = b""
     target: str = ""
@@ -94,15 +86,17 @@
     sent_at: float = 0.0
     piece_at: float | None = None
     longest_pause_s: float = 0.0
-    known_as: str = ""
-    noted: bool = False
-
-    @property
-    def identity(self) -> str:
-        """What it shares with its repeats; worked out once, when asked."""
-        if not self.known_as:
-            self.known_as = self.request.identity
-        return self.known_as
+    subject: _fatal.Subject = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        request = self.request
+        self.subject = _fatal.Subject(
+            request.id,
+            request.member,
+            self.pool.name,
+            lambda: request.identity,
+            lambda: wire.Ran.UNKNOWN if self.runs else wire.Ran.NOT_RUN,
+        )
 
     def note_piece(self, now: float) -> None:
         """Note that a piece of the answer came."""
@@ -138,6 +132,7 @@
         clock: wire.Clock = wire.LoopClock(),
     ) -> None:
         self._session = session
+        self._guard = _fatal.FatalGuard(session, metrics)
         self._places = places
         self._services = services
         self._budgets = budgets
@@ -277,11 +272,12 @@
     async def _serve(self, attempt: _Attempt) -> None:
         last: wire.ServingError | None = None
         while attempt.sends < MOST_SENDS:
-            self._refuse_held(attempt)
+            self._guard.check(attempt.subject)
             if attempt.sends > 0 and not self._may_repeat(attempt):
                 break
             try:
-                async with self._alone(attempt):
+                left_s = attempt.ends_at - self._clock.now()
+                async with self._guard.alone(attempt.subject, left_s):
                     await self._try(attempt)
                 return
             except _TryNextError as error:
@@ -294,62 +290,13 @@
         else:
             await self._try_service(attempt)
 
-    @contextlib.asynccontextmanager
-    async def _alone(
-        self, attempt: _Attempt
-    ) -> collections.abc.AsyncIterator[None]:
-        """Run a suspected request while no other copy of it runs.
-
-        Raises:
-            OtherCopyError: another copy still runs.
-        """
-        ends = self._session.ends
-        if not ends.any_suspect or not ends.suspected(attempt.identity):
-            yield
-            return
-        left_s = attempt.ends_at - self._clock.now()
-        if not await self._granted_alone(attempt, left_s * ALONE_SHARE):
-            raise wire.OtherCopyError(
-                "Targets ended under this request, and another copy of it "
-                "runs now. Come back when that has ended.",
-                retry_after_s=ALONE_RETRY_S,
-                ran=wire.Ran.UNKNOWN if attempt.runs else wire.Ran.NOT_RUN,
-            )
-        attempt.noted = False
-        try:
-            yield
-        finally:
-            if not attempt.noted:
-                self._note(attempt, quarantine.RunEnd.GIVEN_UP)
-
-    async def _granted_alone(self, attempt: _Attempt, wait_s: float) -> bool:
-        """Ask the leader; who hears none goes on with what it knows."""
-        wait_s = min(wait_s, MOST_ALONE_WAIT_S)
-        request = control.AloneRequest(
-            self._session.boot, attempt.identity, wait_s
-        )
-        try:
-            reply = await self._session.leader.call(
-                control.ALONE, request, wait_s + ALONE_SLACK_S
-            )
-        except wire.ServingError as error:
-            observe.log_event(
-                "route",
-                "not_asked",
-                request=attempt.request.id,
-                identity=attempt.identity,
-                error=error.message,
-            )
-            return True
-        return reply.granted
-
     def _may_repeat(self, attempt: _Attempt) -> bool:
         """Whether a further send is allowed by kind, route and budget."""
         if attempt.runs >= attempt.route.attempts:
             return False
         if attempt.runs > 0 and not attempt.route.repeatable:
             return False
-        if attempt.ends >= quarantine.MOST_ENDS:
+        if not attempt.subject.may_go_on:
             return False
         return self._budgets.take(attempt.pool.name)
 
@@ -360,27 +307,6 @@
         )
         _end(attempt, "No target takes the request now", lost, last)
 
-    def _refuse_held(self, attempt: _Attempt) -> None:
-        """Refuse a request that is known to end the targets that run it.
-
-        Raises:
-            QuarantinedError: says whether this attempt may have run.
-        """
-        held_by_id = self._session.view.quarantine_by_id
-        if not held_by_id:
-            return
-        entry = held_by_id.get(attempt.identity)
-        if entry is None or not entry.value.held:
-            return
-        self._metrics.count("requests_held", pool=attempt.pool.name)
-        raise wire.QuarantinedError(
-            f"This request ended {entry.value.ends} targets that ran it, so "
-            "it is held back for now. Change it, or have an operator delete "
-            f"the catalogue entry quarantine {entry.id}.",
-            retry_after_s=HELD_RETRY_S,
-            ran=wire.Ran.UNKNOWN if attempt.runs else wire.Ran.NOT_RUN,
-        )
-
     # Plain services.
 
     async def _try_service(self, attempt: _Attempt) -> None:
@@ -481,7 +407,7 @@
     async def _send(self, attempt: _Attempt, destination: Destination) -> None:
         """Send to one target and pass its answer on."""
         # Others may have told of it while this one waited for its place.
-        self._refuse_held(attempt)
+        self._guard.check(attempt.subject)
         request = attempt.request
         attempt.sends += 1
         attempt.sent_at = self._clock.now()
@@ -512,7 +438,7 @@
             async with exchange:
                 head = await exchange.head()
                 await self._pass_on(attempt, exchange, head)
-            self._note(attempt, quarantine.RunEnd.SERVED)
+            self._guard.served(attempt.subject, destination.target)
         except wire.NotSentError as error:
             raise _next(error, wire.Ran.NOT_RUN) from error
         except _BadAnswerError as error:
@@ -520,7 +446,7 @@
             self._lost(attempt, error)
         except wire.PeerLostError as error:
             attempt.runs += 1
-            self._note_end(attempt)
+            self._guard.lost(attempt.subject, destination.target)
             self._lost(attempt, error)
         except asyncio.CancelledError:
             if exchange.sent:
@@ -529,36 +455,6 @@
         finally:
             self._sent_is_over(destination.target)
 
-    def _note_end(self, attempt: _Attempt) -> None:
-        """Note that a target may have ended under a request.
-
-        One that leaves ends by itself.
-        """
-        attempt.ends += 1
-        info = self._session.digest.target_by_id.get(attempt.target)
-        if info is None or not info.leaving:
-            self._note(attempt, quarantine.RunEnd.LOST)
-
-    def _note(self, attempt: _Attempt, end: quarantine.RunEnd) -> None:
-        """Tell the leader how a run ended, if that matters."""
-        ends = self._session.ends
-        if end is not quarantine.RunEnd.LOST and not ends.any_suspect:
-            return
-        matters = end is quarantine.RunEnd.LOST or ends.suspected(
-            attempt.identity
-        )
-        if not matters:
-            return
-        run = quarantine.Run(
-            attempt.identity,
-            attempt.request.member,
-            attempt.pool.name,
-            attempt.target,
-        )
-        ends.note(run, end)
-        attempt.noted = True
-        self._session.kick()
-
     def _sent_is_over(self, target: str) -> None:
         self._running_by_target[target] -= 1
         if self._running_by_target[target] <= 0:
@@ -570,7 +466,7 @@
             "route",
             "lost",
             request=attempt.request.id,
-            identity=attempt.identity,
+            identity=attempt.subject.identity,
             body_bytes=len(attempt.request.body),
             target=attempt.target,
             since_send_s=round(self._clock.now() - attempt.sent_at, 4),
--- a/libs/routing/src/bergamotsail/routing/_services.py
+++ b/libs/routing/src/bergamotsail/routing/_services.py
@@ -18,8 +18,10 @@
 from bergamotsail import catalogue
 from bergamotsail import control
 from bergamotsail import observe
+from bergamotsail import quarantine
 from bergamotsail.routing import _admission
 from bergamotsail.routing import _entry
+from bergamotsail.routing import _fatal
 from bergamotsail.routing import _keys
 from bergamotsail.routing import _retries
 from bergamotsail import targets
@@ -104,6 +106,7 @@
         self._metrics = metrics
         self._clock = clock
         self._steps = steps
+        self._guard = _fatal.FatalGuard(session, metrics)
         self._budgets = _retries.RetryBudgets(lambda: session.view)
         self._running_by_target: collections.Counter[str] = (
             collections.Counter()
@@ -123,6 +126,7 @@
         once = call.non_idempotent or _marked(entry.value, call)
         key_time_ms = self._check_key(call) if once else 0
         deadline = self._clock.now() + call.deadline_s
+        subject = _subject(caller, call, entry.value)
         entered = self._admission.enter(
             caller.member, catalogue.Kind.SERVICE, entry.id, call.deadline_s
         )
@@ -133,11 +137,18 @@
                 return await asyncio.shield(
                     self._keep(
                         self._call_once(
-                            caller, call, entry.value, key_time_ms, deadline
+                            caller,
+                            call,
+                            entry.value,
+                            key_time_ms,
+                            deadline,
+                            subject,
                         )
                     )
                 )
-            return await self._call_freely(caller, call, entry.value, deadline)
+            return await self._call_freely(
+                caller, call, entry.value, deadline, subject
+            )
 
     async def settled(self) -> None:
         """Wait until all calls ended and their outcomes are recorded."""
@@ -180,6 +191,7 @@
         call: ServiceCall,
         service: catalogue.Service,
         deadline: float,
+        subject: _fatal.Subject,
     ) -> ServiceResult:
         self._budgets.first_try(caller.member)
         tried: set[str] = set()
@@ -190,7 +202,9 @@
             try:
                 target = self._choose(call, service, tried)
                 tried.add(target.id)
-                reply = await self._send(target, call, deadline, False)
+                reply = await self._send(
+                    target, call, deadline, False, subject
+                )
                 return ServiceResult(
                     reply.status, _end_to_end(reply.headers), reply.body
                 )
@@ -202,7 +216,9 @@
                     error.ran = wire.Ran.UNKNOWN
                 pause_s = RETRY_PAUSE_S * number
                 late = self._clock.now() + pause_s >= deadline
-                if number >= MAX_ATTEMPTS or late:
+                if number >= MAX_ATTEMPTS or late or not subject.may_go_on:
+                    raise
+                if isinstance(error, wire.QuarantinedError):
                     raise
                 if not self._budgets.spend(caller.member):
                     raise
@@ -251,6 +267,38 @@
         call: ServiceCall,
         deadline: float,
         once: bool,
+        subject: _fatal.Subject,
+    ) -> targets.ServiceReply:
+        """Send to one target, unless the request is known to end targets."""
+        self._guard.check(subject)
+        left_s = deadline - self._clock.now()
+        async with self._guard.alone(subject, left_s):
+            self._guard.check(subject)
+            try:
+                reply = await self._send_to(target, call, deadline, once)
+            except wire.PeerSilentError:
+                raise
+            except wire.PeerLostError:
+                self._guard.lost(subject, target.id, self._start(target))
+                raise
+            self._guard.served(subject, target.id)
+            return reply
+
+    def _start(self, target: control.TargetInfo) -> str:
+        """Name the start of a target that was lost just now.
+
+        Where the list tells no start, each loss may be of another one.
+        """
+        if targets.Incarnation.of(target.id).born_ms is not None:
+            return target.id
+        return f"{target.id}/{self._clock.now():.1f}"
+
+    async def _send_to(
+        self,
+        target: control.TargetInfo,
+        call: ServiceCall,
+        deadline: float,
+        once: bool,
     ) -> targets.ServiceReply:
         request = targets.ServiceRequest(
             call.method,
@@ -276,6 +324,7 @@
         service: catalogue.Service,
         key_time_ms: int,
         deadline: float,
+        subject: _fatal.Subject,
     ) -> ServiceResult:
         claim = catalogue.Claim(
             caller.member,
@@ -286,7 +335,9 @@
         )
         reply = await self._claim(claim, deadline)
         if reply.state is State.WON:
-            return await self._run_claimed(claim, call, service, deadline)
+            return await self._run_claimed(
+                claim, call, service, deadline, subject
+            )
         return await self._replay(claim, reply, deadline)
 
     async def _claim(
@@ -325,12 +376,13 @@
         call: ServiceCall,
         service: catalogue.Service,
         deadline: float,
+        subject: _fatal.Subject,
     ) -> ServiceResult:
         state = State.UNKNOWN
         outcome = None
         try:
             await self._steps.reach(wire.Step.CLAIM, wire.Phase.AFTER)
-            reply = await self._send_once(call, service, deadline)
+            reply = await self._send_once(call, service, deadline, subject)
             outcome = _outcome(reply)
             state = State.DONE
         except wire.PeerLostError as error:
@@ -358,6 +410,7 @@
         call: ServiceCall,
         service: catalogue.Service,
         deadline: float,
+        subject: _fatal.Subject,
     ) -> targets.ServiceReply:
         """Send to one target after another, but only while none got it."""
         tried: set[str] = set()
@@ -368,7 +421,7 @@
             tried.add(target.id)
             await self._steps.reach(wire.Step.SEND, wire.Phase.BEFORE)
             try:
-                reply = await self._send(target, call, deadline, True)
+                reply = await self._send(target, call, deadline, True, subject)
             except wire.NotSentError:
                 if is_last or self._clock.now() >= deadline:
                     raise
@@ -422,6 +475,21 @@
         return _replayed(reply)
 
 
+def _subject(
+    caller: _entry.Caller, call: ServiceCall, service: catalogue.Service
+) -> _fatal.Subject:
+    """Return a call as its repeats are known, under any key."""
+    return _fatal.Subject(
+        call.request,
+        caller.member,
+        service.pool,
+        lambda: quarantine.identity(
+            caller.member, call.service, call.method, call.path, call.body
+        ),
+        lambda: wire.Ran.NOT_RUN,
+    )
+
+
 def _replayed(reply: catalogue.ClaimReply) -> ServiceResult:
     outcome = reply.outcome
     if reply.state is State.DONE and outcome is not None:
--- a/libs/standins/src/bergamotsail/standins/_memory.py
+++ b/libs/standins/src/bergamotsail/standins/_memory.py
@@ -135,7 +135,7 @@
                     request.body,
                 )
         except TimeoutError:
-            raise wire.PeerLostError("The service did not answer.") from None
+            raise wire.PeerSilentError("The service did not answer.") from None
         await self._link.back()
         return reply
 
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -78,6 +78,7 @@
 NotSentError = _errors.NotSentError
 OverloadError = _errors.OverloadError
 PeerLostError = _errors.PeerLostError
+PeerSilentError = _errors.PeerSilentError
 QuarantinedError = _errors.QuarantinedError
 OtherCopyError = _errors.OtherCopyError
 Ran = _errors.Ran
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -248,6 +248,12 @@
     ran = Ran.UNKNOWN
 
 
+class PeerSilentError(PeerLostError):
+    """The other side did not answer in time; it may well be alive."""
+
+    code = "peer_silent"
+
+
 class StaleOrderError(ServingError):
     """The target refused an old fencing number."""
 
