Let a verdict outlast what was told before it, and a release outlast both

A new leader is told again what daemons saw in the last ten minutes. So a request that an operator had released was held once more after the next change of leader (released_for_good, mutant), and a whole answer from before the ends, told by a daemon that had not heard of the verdict yet, freed a request that was held since (served_before, mutant).

Daemons now forget what they saw of a request once they hear that it is held, and a leader that knows a verdict takes no word on what came before.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -23,6 +23,8 @@
       | popular_in_a_rack        |
       | runs_again_later         |
       | operator_releases        |
+      | released_for_good        |
+      | served_before            |
       | random_loads             |
       | fatal_prompt             |
       | fatal_call               |
--- a/features/support/quarantine.py
+++ b/features/support/quarantine.py
@@ -665,6 +665,53 @@
         return [] if got == "served" else [f"it got {got}"]
 
 
+async def released_for_good() -> list[str]:
+    """What an operator let run is not held for what was seen before.
+
+    A new leader is told again of what daemons saw in the last minutes.
+    """
+    async with World() as world:
+        world.fatal = {b"bad"}
+        await world.ask_again(b"bad", 5)
+        (identity,) = world.held()
+        leader = await world.leader()
+        put = catalogue.Put(
+            catalogue.Kind.QUARANTINE, identity, None, "op1", "operator"
+        )
+        await leader.propose(wire.encode(catalogue.Command(put=put)))
+        await asyncio.sleep(1.0)
+        await world.stop(leader.member.address)
+        await asyncio.sleep(3.0)
+        world.fatal = set()
+        got = await world.ask_again(b"bad", 2)
+        return [] if got == ["served"] * 2 else [f"it got {got}"]
+
+
+async def served_before() -> list[str]:
+    """A whole answer of before does not free what ended targets since.
+
+    A daemon tells a later leader of it before it has heard of the verdict.
+    """
+    value = wire.encode(catalogue.Quarantine("m1", POOL, MOST_ENDS)).decode()
+    view = catalogue.View()
+    view.apply(catalogue.Effect(7, catalogue.Kind.QUARANTINE, "id", value))
+    commands = []
+
+    async def propose(command: catalogue.Command) -> None:
+        commands.append(command)
+
+    leader = _quarantine.Quarantine(3, lambda: view, propose, wire.LoopClock())
+    loop = asyncio.get_running_loop()
+    await leader.tend()
+    await leader.take("b1", [_observed("t1", 30.0, True)], loop.time())
+    faults = ["what was served before freed it"] if commands else []
+    await asyncio.sleep(2.0)
+    await leader.take("b1", [_observed("t2", 1.0, True)], loop.time())
+    if [command.put.value for command in commands] != [None]:
+        faults.append(f"what was served since did: {commands}")
+    return faults
+
+
 async def random_loads() -> list[str]:
     """Random ends, cuts, kills and copies; the targets count."""
     return [fault for seed in range(2) for fault in await _random(seed)]
@@ -742,6 +789,8 @@
         popular_in_a_rack,
         runs_again_later,
         operator_releases,
+        released_for_good,
+        served_before,
         random_loads,
         fatal.fatal_prompt,
         fatal.fatal_call,
@@ -822,6 +871,16 @@
         "within_one_attempt",
         (quarantine, "MOST_ENDS", 100),
     ),
+    (
+        "tell again what was judged",
+        "released_for_good",
+        (quarantine.Observations, "forget", lambda *_: None),
+    ),
+    (
+        "free what was served before it was held",
+        "served_before",
+        (_quarantine.Quarantine, "_known_since", lambda *_: -math.inf),
+    ),
     (
         "hold for good",
         "runs_again_later",
--- a/libs/catalogue/src/bergamotsail/catalogue/_view.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_view.py
@@ -163,6 +163,12 @@
         """Requests that ended targets, by their identity."""
         return self.by_kind[_entries.Kind.QUARANTINE]
 
+    @property
+    def held_requests(self) -> frozenset[str]:
+        """Identities of requests that are refused."""
+        entries = self.quarantine_by_id.values()
+        return frozenset(e.id for e in entries if e.value.held)
+
     def clear(self) -> None:
         """Forget all."""
         self.__init__()
--- a/libs/control/src/bergamotsail/control/_quarantine.py
+++ b/libs/control/src/bergamotsail/control/_quarantine.py
@@ -122,7 +122,8 @@
         """Take a daemon's word, and put in the log what follows from it."""
         for observation in observations:
             suspect = self._counter.take(observation, told_at)
-            self._decide(observation, suspect)
+            ended_at = told_at - observation.ended_ago_s
+            self._decide(observation, suspect, ended_at)
         await self._settle()
         for observation in observations:
             self._end_alone(boot, observation.identity)
@@ -131,6 +132,7 @@
         self,
         observation: quarantine.Observation,
         suspect: quarantine.Suspect,
+        ended_at: float,
     ) -> None:
         if observation.end is quarantine.RunEnd.GIVEN_UP:
             return
@@ -149,7 +151,11 @@
         )
         if served:
             self._due.pop(identity, None)
-            if entry is not None and suspect.ends == 0:
+        # What an entry of the log was made of is told again to a new leader.
+        if entry is not None and ended_at <= self._known_since(entry):
+            return
+        if served:
+            if entry is not None:
                 self._due[identity] = None
             return
         if self._is_held(identity):
@@ -161,6 +167,11 @@
                 suspect.member, suspect.pool, earlier + suspect.ends
             )
 
+    def _known_since(self, entry: catalogue.Entry) -> float:
+        """Return since when this leader knows an entry as it stands."""
+        key = (entry.id, entry.revision)
+        return self._seen_at.get(key, self._clock.now())
+
     async def tend(self) -> None:
         """Let requests run again in time; do what could not be done."""
         now = self._clock.now()
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -377,6 +377,7 @@
     async def _beat(self) -> None:
         assert self._participant is not None
         self._sequence += 1
+        self.ends.forget(self.view.held_requests)
         last_end, ends = self.ends.pending(self.digest.term)
         request = _messages.Heartbeat(
             self.daemon,
--- a/libs/quarantine/src/bergamotsail/quarantine/_observations.py
+++ b/libs/quarantine/src/bergamotsail/quarantine/_observations.py
@@ -102,6 +102,20 @@
         """Take what the leader suspects, from all daemons' words."""
         self._told_suspects = frozenset(identities)
 
+    def forget(self, identities: frozenset[str]) -> None:
+        """Forget requests that were judged.
+
+        Told again to a later leader, they would be held back again though
+        an operator let them run.
+        """
+        if identities and any(
+            seen.run.identity in identities for seen in self._seen
+        ):
+            left = [s for s in self._seen if s.run.identity not in identities]
+            self._seen.clear()
+            self._seen.extend(left)
+            self._lost_here -= identities
+
     def pending(self, term: int) -> tuple[int, tuple[Observation, ...]]:
         """Return what the leader of a term lacks, and the last number."""
         self._forget_old()
