Admit nobody who waited for a share past the end of the lease

What callers saw: a request that waited for a place at a daemon that was cut off began up to 3.4 s after that daemon's lease had ended, on a share that others were given meanwhile. With a limit of 1 it waited 10 s for an answer.

Cause: the lease is checked when a request arrives, and not again when a run that ends wakes the next that waits.

Why it works: each look at the queue, every 0.02 s at least, checks the lease first. Who waits is then refused as who arrives is, with where to go.

--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -469,6 +469,36 @@
         return world.oracle.check_at_end()
 
 
+async def waiting_past_a_lease(seed: int = 1) -> list[str]:
+    """Who waits for a share at a daemon that is cut off is sent elsewhere.
+
+    Callers' requests began up to 3.4 s after their daemon's lease had
+    ended, on a share that others were given meanwhile: a run that ended
+    woke the next that waited, and nobody looked at the lease again.
+    """
+    settings = Settings(seed=seed, member_concurrency=1)
+    async with World(settings) as world:
+        place = world.place(3)
+        running = asyncio.create_task(world.complete(0, place, tokens=250))
+        await asyncio.sleep(1.0)
+        waiting = [
+            asyncio.create_task(world.complete(0, place)) for _ in range(3)
+        ]
+        await asyncio.sleep(0.5)
+        world.network.isolate(place.address)
+        await asyncio.sleep(3.5)
+        faults = []
+        if running.done():
+            faults.append("waiting: nothing ran past the lease")
+        for task in waiting:
+            error = task.result().error if task.done() else None
+            if not isinstance(error, wire.CutOffError) or not error.use:
+                faults.append(f"waiting: got {error!r}")
+        world.network.heal()
+        await asyncio.gather(running, *waiting)
+        return faults + world.oracle.check_at_end()
+
+
 async def limits_over_all(seed: int = 1) -> list[str]:
     """A limit of three holds over all daemons, and is used."""
     settings = Settings(seed=seed, member_concurrency=3)
@@ -568,6 +598,7 @@
     limits_over_leaders,
     rate_over_all,
     runs_outlast_a_lease,
+    waiting_past_a_lease,
 )
 SCENARIO_BY_NAME = {scenario.__name__: scenario for scenario in SCENARIOS}
 
@@ -766,6 +797,13 @@
         yield
 
 
+@contextlib.contextmanager
+def waiting_unchecked() -> collections.abc.Iterator[None]:
+    """Let requests wait on past the end of a lease."""
+    with patch(routing.Admission, "_refuse_waiting", lambda *_: None):
+        yield
+
+
 @contextlib.contextmanager
 def shares_at_once() -> collections.abc.Iterator[None]:
     """Raise shares before it is known who holds some."""
@@ -808,6 +846,7 @@
     Mutant(8, "operators_race", operations_forgotten),
     Mutant(8, "limits_over_all", shares_unbounded),
     Mutant(8, "limits_over_leaders", shares_at_once),
+    Mutant(8, "waiting_past_a_lease", waiting_unchecked),
 )
 
 
--- a/libs/daemon/src/bergamotsail/daemon/_assembly.py
+++ b/libs/daemon/src/bergamotsail/daemon/_assembly.py
@@ -159,6 +159,7 @@
         )
         self.admission = routing.Admission(
             lambda: self.session.view,
+            self.session.check_fresh,
             self.session.kick,
             routing.AdmissionSettings(
                 **dataclasses.asdict(settings.admission)
--- a/libs/routing/src/bergamotsail/routing/_admission.py
+++ b/libs/routing/src/bergamotsail/routing/_admission.py
@@ -17,6 +17,7 @@
 
 MILLI = 1000
 BURST_S = 1.0
+TICK_S = 0.02
 WANTED_KEPT_S = 5.0
 
 
@@ -155,17 +156,20 @@
 
     Args:
         view: gives the catalogue as it stands.
+        check_lease: raises the typed refusal once the daemon's lease ended.
         kick: asks for a heartbeat soon.
     """
 
     def __init__(
         self,
         view: collections.abc.Callable[[], catalogue.View],
+        check_lease: collections.abc.Callable[[], None],
         kick: collections.abc.Callable[[], None],
         settings: AdmissionSettings,
         clock: wire.Clock = wire.LoopClock(),
     ) -> None:
         self._view = view
+        self._check_lease = check_lease
         self._kick = kick
         self._settings = settings
         self._clock = clock
@@ -186,6 +190,7 @@
         """Hold a unit of each limit that applies, while inside.
 
         Raises:
+            CutOffError: the daemon's lease ended before there was a share.
             LimitError: the limit is reached and the wait is over.
             OverloadError: too many requests wait or are active.
         """
@@ -292,14 +297,15 @@
 
     def _undo_if_taken(self, waiting: _Waiting) -> None:
         ready = waiting.ready
-        if ready.done() and not ready.cancelled():
+        taken = ready.done() and not ready.cancelled()
+        if taken and ready.exception() is None:
             for key in waiting.keys:
                 self._share_by_key[key].give_back()
 
     async def _tick(self, ready: asyncio.Future) -> None:
-        """Look again as rate tokens arrive."""
+        """Look again as rate tokens arrive, and whether the lease holds."""
         while not ready.done():
-            await self._clock.sleep(0.02)
+            await self._clock.sleep(TICK_S)
             self._start_waiting()
 
     def _at_limit(self, member: str) -> wire.LimitError:
@@ -338,6 +344,16 @@
                 share.want(share.used + waiting, now)
 
     def _start_waiting(self) -> None:
+        """Start what the shares allow, or send all elsewhere.
+
+        A lease can end while requests wait, and the shares with it: others
+        may hold them from then on.
+        """
+        try:
+            self._check_lease()
+        except wire.CutOffError as error:
+            self._refuse_waiting(error)
+            return
         for queue in self._waiting_by_member.values():
             for waiting in list(queue):
                 if waiting.ready.done():
@@ -345,3 +361,10 @@
                 elif self._try_take(waiting.keys):
                     queue.remove(waiting)
                     waiting.ready.set_result(None)
+
+    def _refuse_waiting(self, error: wire.CutOffError) -> None:
+        for queue in self._waiting_by_member.values():
+            for waiting in queue:
+                if not waiting.ready.done():
+                    waiting.ready.set_exception(error)
+            queue.clear()
