Hold back what a cut-off daemon has in use until its runs have ended

What callers saw: while a daemon was cut off for longer than a lease, its members had more requests at work than their limit (7 and 8 of 6), as others were given its share while its runs went on.

Cause: a share was freed by the end of the right to admit, where it counts the use.

Why it works: the share lapses at the end of the lease. It stays out of what others get until the runs' deadlines have passed, the daemon is heard again, or a later start at its address shows its end. A daemon tells with each heartbeat after how long all it admitted has ended, and admits nothing that lasts longer. The log holds the amounts before they may be used, so that a next leader knows them.

The mutant shares_at_once is not noticed any more by itself: raised at once, shares are still bounded by what the log says of silent daemons. It now switches both guards off, and each has a scenario of its own.

Ruled out by weighing: ending the runs (accepted work is lost).

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -31,6 +31,7 @@
       | limits_over_leaders        |
       | rate_over_all              |
       | runs_outlast_a_lease       |
+      | runs_outlast_a_leader      |
       | waiting_past_a_lease       |
 
   Scenario: Every guard that is switched off is noticed
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -332,12 +332,14 @@
     """Daemons with lost and late answers never hold more than a limit."""
 
     LIMIT = 5
+    KEY = "concurrency/member/m"
 
     def __init__(self) -> None:
         super().__init__()
         self.ledger = control.Ledger()
         self.held: collections.Counter = collections.Counter()
         self.used: collections.Counter = collections.Counter()
+        self.silent: set[str] = set()
 
     @stateful.rule(
         daemon=st.integers(0, 4),
@@ -349,9 +351,10 @@
         boot = f"boot-{daemon}"
         if lost == "request":
             return
+        self.silent.discard(boot)
         held = max(self.held[boot], self.used[boot])
-        self.ledger.declare(boot, {"k": held}, {"k": wanted})
-        share = self.ledger.grant("k", boot, self.LIMIT, True)
+        self.ledger.declare(boot, {self.KEY: held}, {self.KEY: wanted})
+        share = self.ledger.grant(self.KEY, boot, self.LIMIT, True)
         if lost == "no":
             self.held[boot] = share
 
@@ -370,11 +373,21 @@
 
     @stateful.rule(daemon=st.integers(0, 4))
     def lease_ended(self, daemon) -> None:
-        """Lose the session of a daemon."""
+        """Lose the session of a daemon, whose runs go on."""
         boot = f"boot-{daemon}"
+        if boot in self.silent:
+            return
+        self.silent.add(boot)
         self.held[boot] = 0
-        self.used[boot] = 0
-        self.ledger.drop(boot)
+        self.ledger.lapse(boot, self.ledger.held(boot))
+
+    @stateful.rule(daemon=st.integers(0, 4))
+    def runs_ended(self, daemon) -> None:
+        """End all that a silent daemon runs."""
+        boot = f"boot-{daemon}"
+        if boot in self.silent:
+            self.used[boot] = 0
+            self.ledger.drop(boot)
 
     @stateful.invariant()
     def within_limit(self) -> None:
--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -469,6 +469,27 @@
         return world.oracle.check_at_end()
 
 
+async def runs_outlast_a_leader(seed: int = 1) -> list[str]:
+    """A limit holds while a daemon's runs outlast its lease and its leader.
+
+    The next leader never heard of the silent daemon. It gave its share to
+    others as soon as the lease had surely ended.
+    """
+    settings = Settings(seed=seed, member_concurrency=6)
+    async with World(settings) as world:
+        sending = asyncio.create_task(
+            _send(world, 100, 0.1, tokens=300, deadline_s=15.0)
+        )
+        await asyncio.sleep(2.0)
+        silent = next(p for p in world.places if p.disk is None)
+        world.network.isolate(silent.address)
+        await world.leader().daemon.node.transfer()
+        await asyncio.sleep(8.0)
+        world.network.heal()
+        await sending
+        return world.oracle.check_at_end()
+
+
 async def waiting_past_a_lease(seed: int = 1) -> list[str]:
     """Who waits for a share at a daemon that is cut off is sent elsewhere.
 
@@ -598,6 +619,7 @@
     limits_over_leaders,
     rate_over_all,
     runs_outlast_a_lease,
+    runs_outlast_a_leader,
     waiting_past_a_lease,
 )
 SCENARIO_BY_NAME = {scenario.__name__: scenario for scenario in SCENARIOS}
@@ -797,6 +819,17 @@
         yield
 
 
+@contextlib.contextmanager
+def shares_free_at_once() -> collections.abc.Iterator[None]:
+    """Give a silent daemon's share away while its runs may go on."""
+
+    def lapse(self, boot, held_by_key) -> None:
+        self.drop(boot)
+
+    with patch(control.Ledger, "lapse", lapse):
+        yield
+
+
 @contextlib.contextmanager
 def waiting_unchecked() -> collections.abc.Iterator[None]:
     """Let requests wait on past the end of a lease."""
@@ -806,9 +839,14 @@
 
 @contextlib.contextmanager
 def shares_at_once() -> collections.abc.Iterator[None]:
-    """Raise shares before it is known who holds some."""
-    with patch(control.Coordinator, "_may_raise", lambda *_: True):
-        yield
+    """Raise shares before it is known who holds some.
+
+    Two guards hold here: shares are not raised before, and what the log
+    says of silent daemons is kept back. Either is enough for a moment.
+    """
+    with shares_free_at_once():
+        with patch(control.Coordinator, "_may_raise", lambda *_: True):
+            yield
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -846,6 +884,8 @@
     Mutant(8, "operators_race", operations_forgotten),
     Mutant(8, "limits_over_all", shares_unbounded),
     Mutant(8, "limits_over_leaders", shares_at_once),
+    Mutant(8, "runs_outlast_a_leader", shares_free_at_once),
+    Mutant(8, "runs_outlast_a_lease", shares_free_at_once),
     Mutant(8, "waiting_past_a_lease", waiting_unchecked),
 )
 
--- a/libs/catalogue/src/bergamotsail/catalogue/__init__.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -44,6 +44,7 @@
 NoteCopies = _commands.NoteCopies
 TakeOrders = _commands.TakeOrders
 NoteSharers = _commands.NoteSharers
+Sharer = _commands.Sharer
 VersionReply = _commands.VersionReply
 
 AdapterVersion = _routes.AdapterVersion
--- a/libs/catalogue/src/bergamotsail/catalogue/_commands.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_commands.py
@@ -205,19 +205,40 @@
     alone: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sharer:
+    """A daemon that may hold shares of limits.
+
+    Args:
+        boot: the start of the daemon.
+        address: where it listens; a later start there shows that this one
+            has ended.
+        runs_last_s: what it admitted has ended so many seconds after its
+            last heartbeat.
+        most_by_key: the most that it may have in use of each limit on what
+            runs at once.
+    """
+
+    boot: str
+    address: str
+    runs_last_s: float
+    most_by_key: dict[str, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoteSharers:
-    """Note which boots of daemons may hold shares of limits.
+    """Note which daemons may hold shares of limits, and how much.
 
-    A boot is noted before its first share, so that whoever leads next knows
-    of all that may hold one.
+    It is noted before a daemon may use the share, so that whoever leads
+    next knows of all that may be in use.
 
     Args:
-        joined: boots that may from now on.
+        joined: what holds from now on, for each boot in place of what was
+            noted before.
         gone: boots that surely hold none any more.
     """
 
-    joined: tuple[str, ...] = ()
+    joined: tuple[Sharer, ...] = ()
     gone: tuple[str, ...] = ()
 
 
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -53,7 +53,7 @@
     document: str | None = None
     copies: _commands.Copies | None = None
     order_holders: tuple[str, ...] = ()
-    sharers: tuple[str, ...] = ()
+    sharers: tuple[_commands.Sharer, ...] = ()
 
 
 class CatalogueMachine(quorum.Machine):
@@ -66,8 +66,8 @@
         self.copies_by_target: dict[str, tuple[str, ...]] = {}
         # Who gave orders to engines, the last one last.
         self.order_holders: tuple[str, ...] = ()
-        # Boots of daemons that may hold shares of limits.
-        self.sharers: set[str] = set()
+        # Daemons that may hold shares of limits.
+        self.sharer_by_boot: dict[str, _commands.Sharer] = {}
         self.changes: collections.deque[_commands.Change] = collections.deque(
             maxlen=KEPT_CHANGES
         )
@@ -110,8 +110,7 @@
         elif parsed.take_orders is not None:
             self._take_orders(parsed.take_orders)
         elif parsed.note_sharers is not None:
-            self.sharers -= set(parsed.note_sharers.gone)
-            self.sharers |= set(parsed.note_sharers.joined)
+            self._note_sharers(parsed.note_sharers)
         self.view.index = index
         return result
 
@@ -327,6 +326,12 @@
             others = []
         self.order_holders = (*others, take.holder)[-KEPT_HOLDERS:]
 
+    def _note_sharers(self, note: _commands.NoteSharers) -> None:
+        for boot in note.gone:
+            self.sharer_by_boot.pop(boot, None)
+        for sharer in note.joined:
+            self.sharer_by_boot[sharer.boot] = sharer
+
     def _set_versioned(
         self, index: int, kind: _entries.Kind, entry_id: str, value: object
     ) -> None:
@@ -370,7 +375,7 @@
                 floor_ms=self.floor_ms,
                 document=self.routes_document,
                 order_holders=self.order_holders,
-                sharers=tuple(sorted(self.sharers)),
+                sharers=tuple(self.sharer_by_boot.values()),
             ),
             dict(self.copies_by_target),
         )
@@ -399,7 +404,8 @@
                 self.floor_ms = line.floor_ms
                 self.routes_document = line.document
                 self.order_holders = line.order_holders
-                self.sharers = set(line.sharers)
+                for sharer in line.sharers:
+                    self.sharer_by_boot[sharer.boot] = sharer
         self.view.index = index
         self._effects_after = index
 
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -19,6 +19,7 @@
 from bergamotsail.control import _ledger
 from bergamotsail.control import _messages
 from bergamotsail.control import _quarantine
+from bergamotsail.control import _share_notes
 from bergamotsail.control import _turns
 from bergamotsail import observe
 from bergamotsail import quorum
@@ -39,9 +40,6 @@
 RELAY_TIMEOUT_S = 2.0
 ASSIGN_INTERVAL_S = 0.25
 LEAD_POLL_S = 0.05
-# A heartbeat waits so long for the log to note its daemon; a later one can
-# get the share as well.
-NOTE_TIMEOUT_S = 0.2
 MILLI = 1000
 # A heartbeat that meets no leader waits so long for one. Daemons wait 0.6 s
 # for an answer, and an election takes 0.5 to 0.9 s.
@@ -86,13 +84,14 @@
         self.daemon = daemon
         self.sequence = -1
         self.seen_at = 0.0
+        self.runs_last_s = 0.0
 
 
 class _Term:
     """The soft state of one term of leadership.
 
     Args:
-        sharers: boots that may hold shares given by earlier leaders.
+        sharers: daemons that may hold shares given by earlier leaders.
     """
 
     def __init__(
@@ -100,15 +99,17 @@
         term: int,
         now: float,
         quarantine: _quarantine.Quarantine,
-        sharers: collections.abc.Iterable[str] = (),
+        notes: _share_notes.ShareNotes,
     ) -> None:
         self.quarantine = quarantine
         self.term = term
         self.started_at = now
         self.digest = _digest.DigestLog(term)
         self.ledger = _ledger.Ledger()
-        self.undeclared = set(sharers)
-        self.forgotten: set[str] = set()
+        self.notes = notes
+        self.undeclared: set[str] = set()
+        # When the runs of a silent daemon have surely ended.
+        self.lapsed_until_by_boot: dict[str, float] = {}
         self.fleet = _fleet.Fleet()
         self.session_by_boot: dict[str, _Session] = {}
         self.store_by_name: dict[str, _turns.StoreQueue] = {}
@@ -151,7 +152,7 @@
         self._floor = floor
         self._clock = clock
         self._steps = steps
-        self._term = _Term(-1, 0.0, self._new_quarantine(-1))
+        self._term = self._new_term(-1, 0.0)
         self._digest = _digest.Digest()
         self._background = wire.Background()
 
@@ -200,7 +201,12 @@
         session.sequence = request.sequence
         session.seen_at = self._clock.now()
         session.daemon = daemon
-        await self._note_sharer(request)
+        session.runs_last_s = request.runs_last_s
+        self._declare(term, request)
+        share_by_key = self._shares(term, request)
+        if share_by_key:
+            held_by_key = term.ledger.held(daemon.boot)
+            await term.notes.cover(daemon, request.runs_last_s, held_by_key)
         await term.quarantine.take(daemon.boot, request.ends, arrived_at)
         if not self._node.holds_lease() or self._current() is not term:
             raise self._node.not_leader()
@@ -208,13 +214,6 @@
         self._take_statuses(term, request)
         if self._use_keeper is not None:
             self._use_keeper.take_uses(daemon.boot, request.uses)
-        if request.digest_term == term.term:
-            # Sent after a reply of this term, so after all of earlier ones:
-            # no share that it was given is missing from its word.
-            term.undeclared.discard(daemon.boot)
-        term.ledger.declare(
-            daemon.boot, request.held_by_key, request.wanted_by_key
-        )
         # What was acknowledged was applied here first, so this index covers
         # it; commit may be ahead of what the effects show.
         commit = self._machine.view.index
@@ -225,7 +224,7 @@
             commit,
             effects,
             behind,
-            self._shares(term, request),
+            self._noted_shares(term, daemon.boot, share_by_key),
             term.digest.delta(request.digest_term, request.digest_version),
             self._hand_over(term, daemon.boot),
             tuple(member.address for member in self._node.config.members),
@@ -371,17 +370,18 @@
     def _current(self) -> _Term:
         """Return the soft state of this term, new with each term."""
         if self._term.term != self._node.term:
-            now, sharers = self._clock.now(), self._machine.sharers
-            number = self._node.term
-            held_back = self._new_quarantine(number)
-            self._term = _Term(number, now, held_back, sharers)
+            self._term = self._new_term(self._node.term, self._clock.now())
             self._take_over(self._term)
         return self._term
 
-    def _new_quarantine(self, term: int) -> _quarantine.Quarantine:
-        return _quarantine.Quarantine(
-            term, lambda: self._machine.view, self._propose, self._clock
+    def _new_term(self, number: int, now: float) -> _Term:
+        held_back = _quarantine.Quarantine(
+            number, lambda: self._machine.view, self._propose, self._clock
         )
+        notes = _share_notes.ShareNotes(
+            lambda: self._machine.sharer_by_boot, self._propose
+        )
+        return _Term(number, now, held_back, notes)
 
     def _take_over(self, term: _Term) -> None:
         """Start a term from what this replica's own daemon knew.
@@ -400,6 +400,10 @@
             if info.status is not None:
                 term.status_by_target[info.id] = info.status
             term.fleet.remember(_instance_of(info), info.leaving)
+        for sharer in self._machine.sharer_by_boot.values():
+            term.undeclared.add(sharer.boot)
+            term.ledger.lapse(sharer.boot, sharer.most_by_key)
+            self._set_lapsed(term, sharer.boot, sharer.runs_last_s)
         self._publish_fleet(term)
 
     def _settled(self, term: _Term) -> bool:
@@ -407,29 +411,72 @@
         since_s = self._clock.now() - term.started_at
         return since_s > self._timing.surely_ended_s
 
-    def _may_raise(self, term: _Term, boot: str) -> bool:
-        """Whether a daemon's shares may grow.
+    def _may_raise(self, term: _Term) -> bool:
+        """Whether shares may grow.
 
         Either earlier leaders' leases have ended, or all daemons that may
         hold shares of theirs have said what they hold: leads that moved
         each 2.5 s refused callers where only the former counted.
         """
-        known = self._settled(term) or not term.undeclared
-        noted = self._machine.sharers - term.forgotten
-        return known and boot in noted
+        return self._settled(term) or not term.undeclared
 
-    async def _note_sharer(self, request: _messages.Heartbeat) -> None:
-        """Note a daemon in the log before its first share."""
+    def _declare(self, term: _Term, request: _messages.Heartbeat) -> None:
+        """Take a daemon's word for its shares, if it may be relied on."""
         boot = request.daemon.boot
-        wants = request.held_by_key or request.wanted_by_key
-        if not wants or boot in self._machine.sharers:
-            return
-        note = catalogue.NoteSharers(joined=(boot,))
-        try:
-            async with asyncio.timeout(NOTE_TIMEOUT_S):
-                await self._propose(catalogue.Command(note_sharers=note))
-        except (wire.ServingError, TimeoutError) as error:
-            logging.info("control: %s is not noted yet. %r", boot, error)
+        self._end_former_starts(term, request.daemon)
+        if request.digest_term == term.term:
+            # Sent after a reply of this term, so after all of earlier ones:
+            # no share that it was given is missing from its word.
+            term.undeclared.discard(boot)
+        held_by_key = dict(request.held_by_key)
+        if boot in term.undeclared:
+            noted = self._machine.sharer_by_boot[boot].most_by_key
+            for key, most in noted.items():
+                held_by_key[key] = max(most, held_by_key.get(key, 0))
+        term.lapsed_until_by_boot.pop(boot, None)
+        term.ledger.declare(boot, held_by_key, request.wanted_by_key)
+
+    def _end_former_starts(
+        self, term: _Term, daemon: _messages.DaemonInfo
+    ) -> None:
+        """Free what an earlier start at the same address had in use.
+
+        Two processes can't listen at one address, so it has ended.
+        """
+        for boot in list(term.lapsed_until_by_boot):
+            sharer = self._machine.sharer_by_boot.get(boot)
+            if boot == daemon.boot or sharer is None:
+                continue
+            if sharer.address == daemon.address:
+                self._free_shares(term, boot, "started again")
+
+    def _set_lapsed(self, term: _Term, boot: str, runs_last_s: float) -> None:
+        """Hold the shares of a silent daemon until its runs have ended."""
+        runs_s = runs_last_s * (1 + self._timing.drift)
+        lasts_s = max(runs_s, self._timing.surely_ended_s)
+        heard_at = term.started_at
+        if boot in term.session_by_boot:
+            heard_at = term.session_by_boot[boot].seen_at
+        term.lapsed_until_by_boot[boot] = heard_at + lasts_s
+
+    def _free_shares(self, term: _Term, boot: str, why: str) -> None:
+        del term.lapsed_until_by_boot[boot]
+        term.undeclared.discard(boot)
+        term.ledger.drop(boot)
+        observe.log_event("shares", "freed", boot=boot, why=why)
+
+    def _noted_shares(
+        self, term: _Term, boot: str, share_by_key: dict[str, int]
+    ) -> dict[str, int]:
+        """Lower shares to what the log allows."""
+        return {
+            key: (
+                min(share, term.notes.most(boot, key))
+                if key.startswith(_ledger.CONCURRENCY)
+                else share
+            )
+            for key, share in share_by_key.items()
+        }
 
     def _take_statuses(
         self, term: _Term, request: _messages.Heartbeat
@@ -480,14 +527,18 @@
         self, term: _Term, request: _messages.Heartbeat
     ) -> dict[str, int]:
         keys = request.held_by_key.keys() | request.wanted_by_key.keys()
-        may_raise = self._may_raise(term, request.daemon.boot)
+        boot = request.daemon.boot
+        may_raise = self._may_raise(term)
         shares = {}
         for key in keys:
             limit = limit_of(self._machine.view, key)
-            if limit is not None:
-                shares[key] = term.ledger.grant(
-                    key, request.daemon.boot, limit, may_raise
-                )
+            if limit is None:
+                continue
+            share = term.ledger.grant(key, boot, limit, may_raise)
+            if boot in term.undeclared:
+                # What the log allows is rounded up, so it is no share.
+                share = min(share, request.held_by_key.get(key, 0))
+            shares[key] = share
         return shares
 
     def _hand_over(self, term: _Term, boot: str) -> tuple[str, ...]:
@@ -569,7 +620,7 @@
     async def _lead_once(self) -> None:
         term = self._current()
         self._end_sessions(term)
-        await self._forget_sharers(term)
+        await self._tend_sharers(term)
         await term.quarantine.tend()
         if self._use_keeper is None:
             await self._assign_once(term)
@@ -585,21 +636,22 @@
             raised = catalogue.RaiseFloor(floor_ms)
             await self._propose(catalogue.Command(raise_floor=raised))
 
-    async def _forget_sharers(self, term: _Term) -> None:
-        """Forget daemons that surely hold no share any more."""
+    async def _tend_sharers(self, term: _Term) -> None:
+        """Free what silent daemons surely don't use, and note it."""
+        now = self._clock.now()
+        for boot, until in list(term.lapsed_until_by_boot.items()):
+            if now > until:
+                self._free_shares(term, boot, "its runs have ended")
         if not self._settled(term):
             return
-        gone = self._machine.sharers - term.session_by_boot.keys()
-        if not gone:
-            return
-        note = catalogue.NoteSharers(gone=tuple(sorted(gone)))
-        # One that comes back meanwhile is given nothing before it is noted
-        # again.
-        term.forgotten = gone
-        try:
-            await self._propose(catalogue.Command(note_sharers=note))
-        finally:
-            term.forgotten = set()
+        kept = term.session_by_boot.keys() | term.lapsed_until_by_boot.keys()
+        gone = self._machine.sharer_by_boot.keys() - kept
+        if gone:
+            await term.notes.forget(gone)
+        for boot, session in list(term.session_by_boot.items()):
+            if boot not in term.undeclared:
+                held_by_key = term.ledger.held(boot)
+                await term.notes.lower(session.daemon, held_by_key)
 
     def _end_sessions(self, term: _Term) -> None:
         now = self._clock.now()
@@ -607,13 +659,33 @@
             if now - session.seen_at > self._timing.listed_s:
                 term.digest.drop_daemon(boot)
             if now - session.seen_at > self._timing.surely_ended_s:
+                self._lapse(term, session)
                 del term.session_by_boot[boot]
-                term.ledger.drop(boot)
                 term.digest.drop_daemon(boot)
                 if self._use_keeper is not None:
                     self._use_keeper.drop_uses(boot)
                 logging.info("control: Session of %s ended.", boot)
 
+    def _lapse(self, term: _Term, session: _Session) -> None:
+        """Hold back what a daemon without a lease may have in use."""
+        boot = session.daemon.boot
+        if boot in term.lapsed_until_by_boot:
+            return
+        held_by_key = term.ledger.held(boot)
+        term.ledger.lapse(boot, held_by_key)
+        self._set_lapsed(term, boot, session.runs_last_s)
+        observe.log_event(
+            "shares",
+            "lapsed",
+            boot=boot,
+            held_by_key=held_by_key,
+            silent_s=self._clock.now() - session.seen_at,
+            until_s=term.lapsed_until_by_boot[boot] - self._clock.now(),
+        )
+        for other in term.session_by_boot.values():
+            if other is not session and other.seen_at > session.seen_at:
+                self._end_former_starts(term, other.daemon)
+
     async def _assign_once(self, term: _Term) -> None:
         """Give every unowned engine an owner; then even out by one."""
         view = self._machine.view
--- a/libs/control/src/bergamotsail/control/_ledger.py
+++ b/libs/control/src/bergamotsail/control/_ledger.py
@@ -4,12 +4,18 @@
 each heartbeat what it holds, and holds no more than that until it has read
 the reply. A reply may raise its share by what is free, or name a lower
 share that the daemon is to come down to.
+
+What a daemon holds of a limit on what runs at once outlasts its lease: it
+goes on with what it admitted. So its share lapses at the end of the lease,
+in that the rest is divided among the others, and is free only once its runs
+have surely ended.
 """
 
 import collections
 import collections.abc
 
 FLOOR_SHARE = 1
+CONCURRENCY = "concurrency/"
 
 
 class Ledger:
@@ -22,6 +28,9 @@
         self._wanted_by_key: dict[str, dict[str, int]] = (
             collections.defaultdict(dict)
         )
+        self._lapsed_by_key: dict[str, dict[str, int]] = (
+            collections.defaultdict(dict)
+        )
 
     def declare(
         self,
@@ -39,11 +48,36 @@
                 self._wanted_by_key[key][boot] = wanted
 
     def drop(self, boot: str) -> None:
-        """Take back all of a daemon whose lease has surely ended."""
-        for table in (self.held_by_key, self._wanted_by_key):
+        """Take back all of a daemon that surely runs nothing any more."""
+        for table in (
+            self.held_by_key,
+            self._wanted_by_key,
+            self._lapsed_by_key,
+        ):
             for by_boot in table.values():
                 by_boot.pop(boot, None)
 
+    def held(self, boot: str) -> dict[str, int]:
+        """Return what a daemon may hold of limits on what runs at once."""
+        return {
+            key: by_boot[boot]
+            for key, by_boot in self.held_by_key.items()
+            if boot in by_boot and key.startswith(CONCURRENCY)
+        }
+
+    def lapse(
+        self, boot: str, held_by_key: collections.abc.Mapping[str, int]
+    ) -> None:
+        """Keep what a silent daemon may have in use from all others."""
+        self.drop(boot)
+        for key, held in held_by_key.items():
+            if held > 0 and key.startswith(CONCURRENCY):
+                self._lapsed_by_key[key][boot] = held
+
+    def lapsed(self, key: str) -> int:
+        """Return how much of a limit silent daemons may have in use."""
+        return sum(self._lapsed_by_key[key].values())
+
     def grant(self, key: str, boot: str, limit: int, may_raise: bool) -> int:
         """Return the share that the daemon may hold from now on.
 
@@ -53,6 +87,8 @@
         """
         held = self.held_by_key[key]
         mine = held.get(boot, 0)
+        if may_raise:
+            limit = max(0, limit - self.lapsed(key))
         fair = fair_shares(self._wanted_by_key[key], limit).get(boot, 0)
         if fair <= mine or not may_raise:
             return min(fair, mine)
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -145,6 +145,8 @@
         uses: requests that run at targets now, from this daemon.
         fetches: it can fetch what is too large for an answer.
         ends: requests that were lost with a target, or served after that.
+        runs_last_s: what it has admitted, and what it admits before the
+            answer to this, has ended after so many seconds.
     """
 
     daemon: DaemonInfo
@@ -159,6 +161,7 @@
     uses: tuple[Use, ...] = ()
     fetches: bool = True
     ends: tuple[quarantine.Observation, ...] = ()
+    runs_last_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -59,6 +59,17 @@
     def statuses(self) -> tuple[_messages.TargetStatus, ...]:
         """Return what is known of owned targets."""
 
+    def promise_runs(self) -> float:
+        """Return after how long all that is admitted has ended, in seconds.
+
+        It holds from now on, also for what is admitted later, until
+        :meth:`promised_runs` allows more.
+        """
+        return 0.0
+
+    def promised_runs(self) -> None:
+        """Admit what ends within the last promise, as it was taken."""
+
     def uses(self) -> tuple[_messages.Use, ...]:
         """Return the requests that run at targets now."""
         return ()
@@ -390,6 +401,7 @@
             self.digest.version,
             uses=self._participant.uses(),
             ends=ends,
+            runs_last_s=self._participant.promise_runs(),
         )
         sent_at = self._clock.now()
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.BEFORE)
@@ -405,6 +417,7 @@
         self.take_digest(reply.digest)
         if reply.digest.more:
             self.kick()
+        self._participant.promised_runs()
         self._participant.take_shares(reply.share_by_key)
         if reply.hand_over:
             self._participant.hand_over(reply.hand_over)
--- /dev/null
+++ b/libs/control/src/bergamotsail/control/_share_notes.py
@@ -0,0 +1,140 @@
+"""What the log knows of shares that daemons may hold.
+
+A leader may be lost together with a daemon, so the next one can't ask how
+much of each limit a silent daemon has in use. The log tells: a daemon's
+share is noted there before the daemon may use it, rounded up so that most
+changes of a share need no entry.
+"""
+
+import asyncio
+import collections
+import collections.abc
+
+from absl import logging
+
+from bergamotsail import catalogue
+from bergamotsail.control import _messages
+from bergamotsail import wire
+
+# A heartbeat waits so long for the log to note its shares; a later one can
+# get them as well.
+NOTE_TIMEOUT_S = 0.2
+# A note is lowered once the daemon holds a fourth of it or less.
+LOWER_AT = 4
+
+Propose = collections.abc.Callable[
+    [catalogue.Command], collections.abc.Awaitable[object]
+]
+
+
+class ShareNotes:
+    """Notes shares in the log; one for each term.
+
+    Args:
+        noted: gives what the log says, by boot.
+        propose: commits a command.
+    """
+
+    def __init__(
+        self,
+        noted: collections.abc.Callable[[], dict[str, catalogue.Sharer]],
+        propose: Propose,
+    ) -> None:
+        self._noted = noted
+        self._propose = propose
+        # Entries on their way: any of them may be the one that counts.
+        self._pending_by_boot: dict[str, list[catalogue.Sharer]] = (
+            collections.defaultdict(list)
+        )
+        self._gone: set[str] = set()
+
+    def most(self, boot: str, key: str) -> int:
+        """Return how much a daemon may hold whatever becomes of the log."""
+        known = self._noted().get(boot)
+        if known is None or boot in self._gone:
+            return 0
+        entries = [known, *self._pending_by_boot.get(boot, ())]
+        return min(entry.most_by_key.get(key, 0) for entry in entries)
+
+    async def cover(
+        self,
+        daemon: _messages.DaemonInfo,
+        runs_last_s: float,
+        held_by_key: collections.abc.Mapping[str, int],
+    ) -> None:
+        """Note what a daemon is to hold, if the log allows less."""
+        boot = daemon.boot
+        known = self._noted().get(boot)
+        lasts = known is not None and known.runs_last_s >= runs_last_s
+        enough = all(
+            self.most(boot, key) >= held for key, held in held_by_key.items()
+        )
+        if lasts and enough:
+            return
+        sharer = _sharer(daemon, runs_last_s, held_by_key)
+        try:
+            async with asyncio.timeout(NOTE_TIMEOUT_S):
+                await self._note(sharer)
+        except (wire.ServingError, TimeoutError) as error:
+            logging.info("control: %s is not noted yet. %r", boot, error)
+
+    async def lower(
+        self,
+        daemon: _messages.DaemonInfo,
+        held_by_key: collections.abc.Mapping[str, int],
+    ) -> None:
+        """Note less for a daemon that holds far less than it might."""
+        known = self._noted().get(daemon.boot)
+        if known is None or self._pending_by_boot.get(daemon.boot):
+            return
+        if any(
+            held_by_key.get(key, 0) * LOWER_AT <= most
+            for key, most in known.most_by_key.items()
+        ):
+            await self._note(_sharer(daemon, known.runs_last_s, held_by_key))
+
+    async def forget(self, boots: set[str]) -> None:
+        """Note that these daemons surely hold nothing any more.
+
+        One that comes back meanwhile is given nothing before it is noted
+        again.
+        """
+        note = catalogue.NoteSharers(gone=tuple(sorted(boots)))
+        self._gone = boots
+        try:
+            await self._propose(catalogue.Command(note_sharers=note))
+        finally:
+            self._gone = set()
+
+    async def _note(self, sharer: catalogue.Sharer) -> None:
+        pending = self._pending_by_boot[sharer.boot]
+        pending.append(sharer)
+        note = catalogue.NoteSharers(joined=(sharer,))
+        noting = asyncio.ensure_future(
+            self._propose(catalogue.Command(note_sharers=note))
+        )
+        noting.add_done_callback(lambda done: self._ended(sharer, done))
+        await asyncio.shield(noting)
+
+    def _ended(self, sharer: catalogue.Sharer, noting: asyncio.Future) -> None:
+        if not noting.cancelled() and noting.exception() is None:
+            self._pending_by_boot[sharer.boot].remove(sharer)
+            return
+        # An entry whose fate is not known may still be committed, so it
+        # counts for as long as this leader leads.
+        logging.info("control: It is open what %s may hold.", sharer.boot)
+
+
+def _sharer(
+    daemon: _messages.DaemonInfo,
+    runs_last_s: float,
+    held_by_key: collections.abc.Mapping[str, int],
+) -> catalogue.Sharer:
+    most_by_key = {
+        key: 1 << (held - 1).bit_length()
+        for key, held in held_by_key.items()
+        if held > 0
+    }
+    return catalogue.Sharer(
+        daemon.boot, daemon.address, runs_last_s, most_by_key
+    )
--- a/libs/daemon/src/bergamotsail/daemon/_assembly.py
+++ b/libs/daemon/src/bergamotsail/daemon/_assembly.py
@@ -60,6 +60,12 @@
     def wanted_by_key(self) -> dict[str, int]:
         return self._admission.wanted_by_key()
 
+    def promise_runs(self) -> float:
+        return self._admission.promise_runs()
+
+    def promised_runs(self) -> None:
+        self._admission.promised_runs()
+
     def take_shares(self, share_by_key: dict[str, int]) -> None:
         self._admission.take_shares(share_by_key)
 
@@ -162,7 +168,8 @@
             self.session.check_fresh,
             self.session.kick,
             routing.AdmissionSettings(
-                **dataclasses.asdict(settings.admission)
+                **dataclasses.asdict(settings.admission),
+                promised_s=settings.http.default_deadline_s + lease.lease_s,
             ),
             outside.clock,
         )
--- a/libs/routing/src/bergamotsail/routing/_admission.py
+++ b/libs/routing/src/bergamotsail/routing/_admission.py
@@ -29,16 +29,21 @@
         max_waiting: requests of one member that may wait for a share.
         max_active: requests of all members in this daemon.
         max_wait_s: the longest that a request waits for a share.
+        promised_s: the leader knows that what is admitted ends within so
+            many seconds. A request with a later deadline waits until the
+            leader knows of that as well.
     """
 
     max_waiting: int = 200
     max_active: int = 2000
     max_wait_s: float = 10.0
+    promised_s: float = 33.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiting:
     keys: tuple[str, ...]
+    deadline: float
     ready: asyncio.Future
 
 
@@ -178,6 +183,11 @@
             collections.defaultdict(list)
         )
         self.active = 0
+        self._deadlines: list[float] = []
+        # What is admitted has ended by then, as the leader knows it, and as
+        # it was told last.
+        self._promised_until = float("-inf")
+        self._telling_until = float("-inf")
 
     @contextlib.asynccontextmanager
     async def enter(
@@ -200,12 +210,15 @@
                 retry_after_s=1.0,
             )
         keys = self._keys(member, kind, entry_id)
+        deadline = self._clock.now() + left_s
         self.active += 1
         try:
-            await self._take(member, keys, left_s)
+            await self._take(member, keys, deadline)
+            self._deadlines.append(deadline)
             try:
                 yield
             finally:
+                self._deadlines.remove(deadline)
                 for key in keys:
                     self._share_by_key[key].give_back()
                 self._start_waiting()
@@ -235,6 +248,27 @@
                 del self._share_by_key[key]
         return wanted
 
+    def promise_runs(self) -> float:
+        """Return after how long all that is admitted has ended, in seconds.
+
+        What was promised before and ends later is void: the leader may
+        know this promise even if no answer comes.
+        """
+        now = self._clock.now()
+        waiting = [
+            waiting.deadline
+            for queue in self._waiting_by_member.values()
+            for waiting in queue
+        ]
+        usual = now + self._settings.promised_s
+        self._telling_until = max([usual, *self._deadlines, *waiting])
+        self._promised_until = min(self._promised_until, self._telling_until)
+        return self._telling_until - now
+
+    def promised_runs(self) -> None:
+        """Admit what ends within the last promise, as it was taken."""
+        self._promised_until = self._telling_until
+
     def take_shares(self, share_by_key: dict[str, int]) -> None:
         """Use these shares from now on, and start what they allow."""
         now = self._clock.now()
@@ -265,21 +299,22 @@
         return tuple(found)
 
     async def _take(
-        self, member: str, keys: tuple[str, ...], left_s: float
+        self, member: str, keys: tuple[str, ...], deadline: float
     ) -> None:
         for key in keys:
             self._share(key)
         queue = self._waiting_by_member[member]
-        if not queue and self._try_take(keys):
+        if not queue and self._try_take(keys, deadline):
             self._note_wanted(keys)
             return
         if len(queue) >= self._settings.max_waiting:
             raise self._at_limit(member)
         ready = asyncio.get_running_loop().create_future()
-        waiting = _Waiting(keys, ready)
+        waiting = _Waiting(keys, deadline, ready)
         queue.append(waiting)
         self._note_wanted(keys)
         self._kick()
+        left_s = deadline - self._clock.now()
         wait_s = min(left_s, self._settings.max_wait_s)
         ticking = asyncio.create_task(self._tick(ready))
         try:
@@ -320,8 +355,10 @@
             self._share_by_key[key] = _Rate() if is_rate else _Concurrency()
         return self._share_by_key[key]
 
-    def _try_take(self, keys: tuple[str, ...]) -> bool:
+    def _try_take(self, keys: tuple[str, ...], deadline: float) -> bool:
         now = self._clock.now()
+        if keys and deadline > self._promised_until:
+            return False
         shares = [self._share(key) for key in keys]
         if not all(share.can_take(now) for share in shares):
             return False
@@ -358,7 +395,7 @@
             for waiting in list(queue):
                 if waiting.ready.done():
                     queue.remove(waiting)
-                elif self._try_take(waiting.keys):
+                elif self._try_take(waiting.keys, waiting.deadline):
                     queue.remove(waiting)
                     waiting.ready.set_result(None)
 
