Count a lease from the try of its heartbeat that was answered

Cause: while nobody leads each replica holds a heartbeat for up to 0.45 s, a daemon tries three in turn, and the lease counted from before the first. With leases of 1.5 s it was over before the next heartbeat was answered.

Ruled out: a second election, a late loop.

Same fault elsewhere: the tries through neighbours, mended here too.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -33,6 +33,7 @@
       | runs_outlast_a_lease       |
       | runs_outlast_a_leader      |
       | waiting_past_a_lease       |
+      | first_lease_lasts          |
 
   Scenario: Every guard that is switched off is noticed
     When each guard is switched off in its scenario
--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -520,6 +520,42 @@
         return faults + world.oracle.check_at_end()
 
 
+async def first_lease_lasts(seed: int = 1) -> list[str]:
+    """A daemon that was just given a lease is not cut off a moment later.
+
+    A first command right after a start was refused now and then. The first
+    heartbeat had waited at each replica in turn for a leader, 1.2 to 1.4 s,
+    and the lease counted from before that: it ended within 0.2 s, before
+    the next heartbeat was answered.
+    """
+    lease = {"lease_s": 1.5, "heartbeat_s": 0.2, "order_flight_s": 0.2}
+    settings = Settings(seed=seed, daemon={"lease": lease})
+    world = World(settings)
+    watching = asyncio.create_task(_lapses(world, 5.0))
+    async with world:
+        lapsed = await watching
+        faults = [f"lease: {name} was cut off" for name in sorted(lapsed)]
+        return faults + world.oracle.check_at_end()
+
+
+async def _lapses(world: World, watched_s: float) -> set[str]:
+    """Return which daemons lost a lease once they had one."""
+    loop = asyncio.get_running_loop()
+    held: set[str] = set()
+    lapsed: set[str] = set()
+    until = loop.time() + watched_s
+    while loop.time() < until:
+        for place in world.places:
+            if place.daemon is None:
+                continue
+            if place.daemon.session.fresh():
+                held.add(place.name)
+            elif place.name in held:
+                lapsed.add(place.name)
+        await asyncio.sleep(0.01)
+    return lapsed
+
+
 async def limits_over_all(seed: int = 1) -> list[str]:
     """A limit of three holds over all daemons, and is used."""
     settings = Settings(seed=seed, member_concurrency=3)
@@ -621,6 +657,7 @@
     runs_outlast_a_lease,
     runs_outlast_a_leader,
     waiting_past_a_lease,
+    first_lease_lasts,
 )
 SCENARIO_BY_NAME = {scenario.__name__: scenario for scenario in SCENARIOS}
 
@@ -819,6 +856,21 @@
         yield
 
 
+@contextlib.contextmanager
+def first_try_counts() -> collections.abc.Iterator[None]:
+    """Count a lease from the first try of its heartbeat."""
+    original = control.Session._sending
+    noted: dict[str, int] = {}
+
+    def sending(self) -> None:
+        if noted.get(self.boot) != self._sequence:
+            noted[self.boot] = self._sequence
+            original(self)
+
+    with patch(control.Session, "_sending", sending):
+        yield
+
+
 @contextlib.contextmanager
 def shares_free_at_once() -> collections.abc.Iterator[None]:
     """Give a silent daemon's share away while its runs may go on."""
@@ -883,6 +935,7 @@
     Mutant(8, "operators_race", no_compare),
     Mutant(8, "operators_race", operations_forgotten),
     Mutant(8, "limits_over_all", shares_unbounded),
+    Mutant(8, "first_lease_lasts", first_try_counts),
     Mutant(8, "limits_over_leaders", shares_at_once),
     Mutant(8, "runs_outlast_a_leader", shares_free_at_once),
     Mutant(8, "runs_outlast_a_lease", shares_free_at_once),
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import math
 
 from absl import logging
 
@@ -105,6 +106,10 @@
         return None
 
 
+def _nothing() -> None:
+    return None
+
+
 class Leader:
     """Finds the leader and calls it, through any replica.
 
@@ -167,10 +172,17 @@
         self._seeds = [*addresses, *known][:MOST_REPLICAS]
 
     async def call(
-        self, call: wire.Call, request: object, timeout_s: float
+        self,
+        call: wire.Call,
+        request: object,
+        timeout_s: float,
+        before_try: collections.abc.Callable[[], None] = _nothing,
     ) -> object:
         """Call the leader; each replica is tried once.
 
+        Args:
+            before_try: called right before the request is sent to one.
+
         Raises:
             PeerLostError: an answer was lost, so the call may have run.
             ServingError: the last error, when no replica helped.
@@ -184,6 +196,7 @@
             if address in tried:
                 continue
             tried.add(address)
+            before_try()
             try:
                 reply = await self._transport.call(
                     address, call, request, timeout_s
@@ -249,6 +262,7 @@
         self._steps = steps
         self._participant: Participant | None = None
         self._lease_until = float("-inf")
+        self._sent_at = float("-inf")
         self._fetching: asyncio.Task | None = None
         self._fetches_from = ""
         # Index that the view needs, and when the heartbeat was sent.
@@ -403,14 +417,16 @@
             ends=ends,
             runs_last_s=self._participant.promise_runs(),
         )
-        sent_at = self._clock.now()
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.BEFORE)
         reply = await self._send(request)
+        sent_at = self._sent_at
+        answered_at = self._clock.now()
         self.leader.found(reply.leader)
         self.leader.learn(reply.replicas)
         self.ends.told(reply.term, last_end)
         self.ends.take_suspects(reply.suspects)
         if await self._catch_up(reply):
+            self._log_renewal(sent_at, answered_at)
             self._renew(sent_at)
         elif len(self._waiting) < MOST_WAITING:
             self._waiting.append((reply.commit, sent_at))
@@ -423,6 +439,21 @@
             self._participant.hand_over(reply.hand_over)
         self._participant.view_changed()
 
+    def _log_renewal(self, sent_at: float, answered_at: float) -> None:
+        """Log a lease that began or that ended before its renewal."""
+        if self.fresh():
+            return
+        now = self._clock.now()
+        without_s = now - self._lease_until
+        logging.info(
+            "session: Lease given. left_s=%.3f answer_s=%.3f "
+            "catch_up_s=%.3f without=%s",
+            sent_at + self._timing.usable_s - now,
+            answered_at - sent_at,
+            now - answered_at,
+            "ever" if math.isinf(without_s) else f"{without_s:.3f} s",
+        )
+
     def _renew(self, sent_at: float) -> None:
         until = sent_at + self._timing.usable_s
         self._lease_until = max(self._lease_until, until)
@@ -454,7 +485,10 @@
                 return reply
         try:
             reply = await self.leader.call(
-                _messages.HEARTBEAT, request, self._timing.call_s
+                _messages.HEARTBEAT,
+                request,
+                self._timing.call_s,
+                self._sending,
             )
             self.leader.go_through(None)
             return reply
@@ -466,6 +500,15 @@
                 raise
             return reply
 
+    def _sending(self) -> None:
+        """Note that a heartbeat leaves now, for this try.
+
+        A lease counts from the try that was answered. Replicas hold a
+        heartbeat for a while when nobody leads; counted from the first of
+        three tries, a first lease was over when it came.
+        """
+        self._sent_at = self._clock.now()
+
     async def _send_as_before(
         self, request: _messages.Heartbeat, neighbour: str
     ) -> _messages.HeartbeatReply | None:
@@ -478,6 +521,7 @@
             direct = (self.leader.direct_address, self._timing.call_s / 2)
             calls.insert(0, direct)
         for address, timeout_s in calls:
+            self._sending()
             with contextlib.suppress(wire.ServingError):
                 reply = await self._transport.call(
                     address, _messages.HEARTBEAT, request, timeout_s
@@ -501,6 +545,7 @@
         start = self._neighbours_tried * MOST_NEIGHBOURS
         for number in range(min(MOST_NEIGHBOURS, len(neighbours))):
             address = neighbours[(start + number) % len(neighbours)]
+            self._sending()
             with contextlib.suppress(wire.ServingError):
                 reply = await self._transport.call(
                     address,
