Believe what targets say of themselves in their answers

What callers saw: a target was sent requests for seconds after its own answers had said that it was leaving, and a full one was sent more before the time that it had named. Cause: only the list and engines' reports were read for leaving, and a refusal's time was dropped where the answer is read.

control.Heard holds who leaves and who is paused, by start, without a clock or a network. Session.takes_work is the one question that all choices of a target now ask (look-ups, survey, calls, plain services, remembered places, the own interface); the forwarder asks again right before it sends, and gives a place back that came too late. Leaving is told with the heartbeat until the digest shows it, so a next leader is told again. Bad values are logged and ignored; a pause is believed for 600 s at most.

Weighed: telling other daemons of a pause. A target turns away whom it wants to; if all keep away from it, it idles.

--- /dev/null
+++ b/features/heard.feature
@@ -0,0 +1,26 @@
+Feature: What targets say of themselves in their answers
+  The list lags; a target's own word is in force at once.
+
+  Scenario Outline: <scenario>: what a target says is kept to
+    When targets speak of themselves in <scenario>
+    Then no promise is broken
+
+    Examples:
+      | scenario                            |
+      | leaving_ahead_of_the_list           |
+      | leaving_while_cut_off               |
+      | leaving_over_a_leader               |
+      | next_start_takes_work               |
+      | paused                              |
+      | paused_by_forty                     |
+      | all_paused                          |
+      | all_paused_for_long                 |
+      | paused_in_an_election               |
+      | leaving_while_a_place_is_waited_for |
+      | short_pause_is_waited_out           |
+      | long_pause_is_avoided               |
+      | some_random_words                   |
+
+  Scenario: Every guard of what targets say that is switched off is noticed
+    When each guard of what targets say is switched off
+    Then each is noticed there
--- /dev/null
+++ b/features/steps/heard.py
@@ -0,0 +1,17 @@
+"""Steps of what targets say of themselves."""
+
+import behave
+
+from features.support import heard
+
+
+@behave.when("targets speak of themselves in {name}")
+def heard_scenario(context, name: str) -> None:
+    context.faults = heard.run_scenario(name)
+
+
+@behave.when("each guard of what targets say is switched off")
+def heard_mutants(context) -> None:
+    context.mutants = heard.GUARDS
+    numbers = range(len(heard.GUARDS))
+    context.found = [heard.run_mutant(number) for number in numbers]
--- a/features/support/fatal_world.py
+++ b/features/support/fatal_world.py
@@ -101,7 +101,7 @@
         return True
 
 
-class _Exchange:
+class Exchange:
     """A request to a target, as the client of HTTP gives it."""
 
     def __init__(self, target: Target, expected: str, body: bytes) -> None:
@@ -110,7 +110,7 @@
         self._body = body
         self.sent = False
 
-    async def __aenter__(self) -> "_Exchange":
+    async def __aenter__(self) -> "Exchange":
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -130,21 +130,26 @@
         yield b"done"
 
 
-class _Http:
-    """Sends to the targets of a world."""
+class Http:
+    """Sends to the targets of a world, for one entry."""
 
-    def __init__(self, world: "World") -> None:
+    def __init__(self, world: "World", entry: int) -> None:
         self._world = world
+        self._entry = entry
 
     def open(
         self, request: wire.HttpRequest, target: str, headers: routing.Headers
-    ) -> _Exchange:
+    ) -> Exchange:
         address = request.url.removeprefix("http://").strip("/")
         found = next(t for t in self._world.targets if t.address == address)
-        return _Exchange(found, dict(headers)["expect"], request.body)
+        return self.exchange(found, dict(headers)["expect"], request.body)
+
+    def exchange(self, target: Target, expected: str, body: bytes) -> Exchange:
+        """Return the exchange with a target."""
+        return Exchange(target, expected, body)
 
 
-class _Dialect(routing.Dialect):
+class Dialect(routing.Dialect):
     """Says which start is expected, and reads nothing but the status."""
 
     def outgoing(self, request, destination) -> routing.Headers:
@@ -198,13 +203,14 @@
         leader = control.Leader(transport, world.addresses[:3])
         self.session = control.Session(info, leader, transport, LEASE)
         self.session.attach(self)
+        self.places = unittest.mock.Mock()
         self.forwarder = routing.Forwarder(
             self.session,
-            unittest.mock.Mock(),
+            self.places,
             routing.ServiceChoice(datacentre, random.Random(number)),
             routing.RepeatBudgets(10.0, 1e6, lambda: 3),
-            _Http(world),
-            _Dialect(),
+            world.make_http(number),
+            world.dialect,
             observe.Metrics(),
             datacentre,
         )
@@ -244,6 +250,7 @@
         self.targets = [Target(number, self) for number in range(count)]
         self.instances = _List(self)
         self.entries: list[_Entry] = []
+        self.dialect: routing.Dialect = Dialect()
         self._many = entries
         self._attempts = attempts
         self._number = 0
@@ -270,6 +277,10 @@
         await asyncio.sleep(SETTLE_S)
         return self
 
+    def make_http(self, entry: int) -> Http:
+        """Return the client of an entry."""
+        return Http(self, entry)
+
     async def _enter(self, entry: _Entry) -> None:
         self.entries.append(entry)
         await self._stack.enter_async_context(entry)
--- /dev/null
+++ b/features/support/heard.py
@@ -0,0 +1,522 @@
+"""Targets that say in their answers that they leave, or want no work.
+
+An engine was sent requests for seconds after its own answers had said that
+it was leaving, as the list that daemons read lagged and nobody read the
+answers; a full one was sent more, though it had named a time to come back.
+Replicas, sessions and forwarders are real, targets count what reached them.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import math
+import random
+import typing
+import unittest.mock
+
+from bergamotsail import catalogue
+from bergamotsail import control
+from bergamotsail import placement
+from bergamotsail import routing
+from bergamotsail import targets
+from bergamotsail import wire
+from features.support import fatal_world
+from features.support import ledger
+
+LEAVING = "leaving"
+PAUSE = "pause"
+# A pause is in force at once; what was on its way may still arrive.
+ON_ITS_WAY_S = 0.5
+MOST_IN_A_PAUSE = 2
+LIST_LAG_S = 3.0
+TOLD_S = 1.0
+
+
+class Arrival(typing.NamedTuple):
+    """A request that reached a target, and what it was told there."""
+
+    at: float
+    entry: int
+    target: str
+    leaving: bool
+    pause_s: float
+
+
+class Exchange(fatal_world.Exchange):
+    """A request to a target that may say something of itself."""
+
+    def __init__(
+        self,
+        world: "World",
+        entry: int,
+        target: fatal_world.Target,
+        expected: str,
+        body: bytes,
+    ) -> None:
+        super().__init__(target, expected, body)
+        self._world = world
+        self._entry = entry
+
+    async def head(self) -> wire.ReplyHead:
+        target, world = self._target, self._world
+        if not target.up or target.id != self._expected:
+            return await super().head()
+        leaving = target.id in world.leaving
+        pause_s = world.pause_by_target.get(target.id, 0.0)
+        now = asyncio.get_running_loop().time()
+        arrival = Arrival(now, self._entry, target.id, leaving, pause_s)
+        world.reached.append(arrival)
+        headers = []
+        if leaving:
+            headers.append((LEAVING, "1"))
+        if pause_s:
+            headers.append((PAUSE, str(pause_s)))
+            self.sent = True
+            return wire.ReplyHead(503, tuple(headers))
+        head = await super().head()
+        return wire.ReplyHead(head.status, tuple(headers))
+
+
+class Http(fatal_world.Http):
+    """Sends to targets that may say something of themselves."""
+
+    def exchange(
+        self, target: fatal_world.Target, expected: str, body: bytes
+    ) -> Exchange:
+        return Exchange(self._world, self._entry, target, expected, body)
+
+
+class Dialect(fatal_world.Dialect):
+    """Reads what targets say of themselves."""
+
+    def read(self, request, head) -> routing.Reading:
+        absent = head.status == 421
+        return routing.Reading(
+            True,
+            absent or head.status == 503,
+            absent,
+            True,
+            targets.read_flag(head.all(LEAVING)),
+            targets.read_seconds(head.all(PAUSE)),
+        )
+
+
+class LaggingList(targets.InstanceList):
+    """Shows targets as they were some seconds ago; who leaves is ready."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+        self._seen: collections.deque = collections.deque()
+
+    async def read(self) -> tuple[targets.Instance, ...]:
+        now = asyncio.get_running_loop().time()
+        listed = tuple(t.listed() for t in self._world.targets if t.up)
+        self._seen.append((now, listed))
+        while len(self._seen) > 1 and self._seen[1][0] <= now - LIST_LAG_S:
+            self._seen.popleft()
+        return self._seen[0][1]
+
+
+class World(fatal_world.World):
+    """Entries before targets that say something of themselves."""
+
+    def __init__(
+        self, entries: int = 6, count: int = 3, seed: int = 1
+    ) -> None:
+        super().__init__(entries, count, seed, attempts=3)
+        self.leaving: set[str] = set()
+        self.pause_by_target: dict[str, float] = {}
+        self.reached: list[Arrival] = []
+        self.dialect = Dialect()
+        self.instances = LaggingList(self)
+
+    def make_http(self, entry: int) -> Http:
+        return Http(self, entry)
+
+    async def load(
+        self, for_s: float, gap_s: float, at: int | None = None
+    ) -> list[str]:
+        """Ask at even distances; return how each ended."""
+        asking = []
+        loop = asyncio.get_running_loop()
+        until = loop.time() + for_s
+        while loop.time() < until:
+            asking.append(asyncio.create_task(self.ask(b"x", at)))
+            await asyncio.sleep(gap_s)
+        return await asyncio.gather(*asking)
+
+    def after_leaving(self, allowed_s: float = 0.0) -> list[str]:
+        """Say which entries sent to a target that had told them it leaves.
+
+        Args:
+            allowed_s: others may send so long after the first was told.
+        """
+        told: dict[tuple[int, str], float] = {}
+        first: dict[str, float] = {}
+        faults = set()
+        for arrival in self.reached:
+            if not arrival.leaving:
+                continue
+            key = (arrival.entry, arrival.target)
+            heard = told.setdefault(key, arrival.at)
+            first_at = first.setdefault(arrival.target, arrival.at)
+            # What was on its way at that moment may arrive.
+            if arrival.at > heard + fatal_world.RUN_S:
+                faults.add(f"entry {arrival.entry} went on sending")
+            if allowed_s and arrival.at > first_at + allowed_s:
+                faults.add(f"entry {arrival.entry} was not told")
+        return sorted(faults)
+
+    def in_pauses(self) -> list[str]:
+        """Say which entries sent to a target that wanted none from them."""
+        by_pair: dict[tuple[int, str], list[Arrival]] = (
+            collections.defaultdict(list)
+        )
+        for arrival in self.reached:
+            by_pair[(arrival.entry, arrival.target)].append(arrival)
+        faults = []
+        for (entry, target), arrivals in by_pair.items():
+            for told in arrivals:
+                late = [
+                    a
+                    for a in arrivals
+                    if told.at + ON_ITS_WAY_S < a.at < told.at + told.pause_s
+                ]
+                if len(late) > MOST_IN_A_PAUSE:
+                    faults.append(
+                        f"entry {entry} sent {len(late)} to {target}"
+                    )
+        return faults[:3]
+
+
+async def leaving_ahead_of_the_list() -> list[str]:
+    """All stop soon after one was told, though the list shows it ready."""
+    async with World() as world:
+        world.leaving.add(world.targets[0].id)
+        ended = await world.load(LIST_LAG_S + 2.0, 0.02)
+        faults = world.after_leaving(TOLD_S)
+        return faults + _unserved(ended, 0)
+
+
+async def leaving_while_cut_off() -> list[str]:
+    """Who hears it keeps to it, though it reaches no leader."""
+    async with World() as world:
+        world.network.isolate(world.entries[0].session.daemon.address)
+        await asyncio.sleep(3.0)
+        world.leaving.add(world.targets[0].id)
+        ended = await world.load(3.0, 0.05, at=0)
+        return world.after_leaving() + _unserved(ended, 0)
+
+
+async def leaving_over_a_leader() -> list[str]:
+    """The next leader is told again."""
+    async with World() as world:
+        world.leaving.add(world.targets[0].id)
+        await world.load(2.0, 0.05)
+        leader = await world.leader()
+        await world.stop(
+            next(a for a, n in world.node_by_address.items() if n is leader)
+        )
+        ended = await world.load(6.0, 0.05)
+        infos = world.entries[1].session.digest.target_by_id
+        info = infos[world.targets[0].id]
+        faults = [] if info.leaving else ["the next leader does not know it"]
+        return faults + world.after_leaving() + _unserved(ended, 0)
+
+
+async def next_start_takes_work() -> list[str]:
+    """What one start said counts for none that follows."""
+    async with World(count=2) as world:
+        target = world.targets[0]
+        target.keeps_name = True
+        await asyncio.sleep(LIST_LAG_S + 1.0)
+        world.leaving.add(target.id)
+        await world.load(2.0, 0.05)
+        target.end()
+        await asyncio.sleep(LIST_LAG_S + 4.0)
+        ended = await world.load(2.0, 0.05)
+        again = [a for a in world.reached if a.target == target.id]
+        faults = [] if again else ["the next start got nothing"]
+        return faults + world.after_leaving() + _unserved(ended, 0)
+
+
+async def paused() -> list[str]:
+    """A target that wants no work for a while gets none, then some."""
+    async with World(entries=2, count=2) as world:
+        target = world.targets[0].id
+        world.pause_by_target[target] = 8.0
+        loop = asyncio.get_running_loop()
+        ended = await world.load(9.0, 0.01)
+        del world.pause_by_target[target]
+        well_at = loop.time()
+        ended += await world.load(10.0, 0.01)
+        back = [
+            a
+            for a in world.reached
+            if a.target == target and a.at > well_at + 8.1
+        ]
+        faults = [] if back else ["it got nothing after its pause"]
+        return faults + world.in_pauses() + _unserved(ended, 0)
+
+
+async def paused_by_forty() -> list[str]:
+    """One target that pauses each of forty daemons gets little from each."""
+    async with World(entries=40, count=4) as world:
+        world.pause_by_target[world.targets[0].id] = 2.0
+        ended = await world.load(5.0, 0.01)
+        return world.in_pauses() + _unserved(ended, 0)
+
+
+async def all_paused() -> list[str]:
+    """Who can wait for the end of a pause is served after it."""
+    async with World() as world:
+        for target in world.targets:
+            world.pause_by_target[target.id] = 1.0
+        await world.load(0.5, 0.02)
+        world.pause_by_target.clear()
+        ended = await world.load(2.0, 0.05)
+        return world.in_pauses() + _unserved(ended, 0)
+
+
+async def all_paused_for_long() -> list[str]:
+    """Who surely can't be served is refused at once, with the time left."""
+    async with World(entries=1) as world:
+        for target in world.targets:
+            world.pause_by_target[target.id] = 60.0
+        await world.load(0.5, 0.1)
+        entry = world.entries[0]
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        request = routing.CallerRequest(
+            "late",
+            "POST",
+            fatal_world.HOST,
+            "/",
+            "/",
+            (),
+            b"",
+            15.0,
+            started_at,
+        )
+        error: wire.ServingError | None = None
+        try:
+            await entry.forwarder.serve(request, unittest.mock.Mock(started=0))
+        except wire.ServingError as refused:
+            error = refused
+        faults = []
+        if loop.time() - started_at > 0.1:
+            faults.append("it waited for nothing")
+        left_s = error.retry_after_s if error is not None else None
+        if left_s is None or not 50.0 < left_s <= 60.0:
+            faults.append(f"it was told to come back after {left_s}")
+        return faults + world.in_pauses()
+
+
+async def paused_in_an_election() -> list[str]:
+    """A pause needs no leader."""
+    async with World() as world:
+        for address in world.addresses[:2]:
+            await world.stop(address)
+        world.pause_by_target[world.targets[0].id] = 2.0
+        ended = await world.load(5.0, 0.02)
+        return world.in_pauses() + _unserved(ended, 0)
+
+
+class _Granting:
+    """Places at two engines; who grants them knows of no pause."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.given: list[str] = []
+        self.back: list[placement.UseOutcome] = []
+        self.wait_s = 0.0
+
+    async def take(
+        self, asked: placement.PlaceRequest
+    ) -> placement.PlaceReply:
+        for target in self._world.targets:
+            if target.id in asked.avoid:
+                continue
+            await asyncio.sleep(self.wait_s)
+            self.given.append(target.id)
+            return placement.PlaceReply(
+                target.id, target.address, None, 0.0, "test"
+            )
+        raise wire.OverloadError("There is no other.", retry_after_s=1.0)
+
+    def give_back(
+        self, request: str, target: str, outcome: placement.UseOutcome
+    ) -> None:
+        self.back.append(outcome)
+
+    def begun(self, request: str, target: str, first_s: float) -> None:
+        return None
+
+
+async def _granted(
+    say: collections.abc.Callable[[control.Heard, str, float], None],
+    wait_s: float = 0.0,
+) -> tuple[list[str], _Granting, float]:
+    """Ask for an engine that says something while a place is waited for."""
+    async with World(entries=1) as world:
+        entry, loop = world.entries[0], asyncio.get_running_loop()
+        granting = _Granting(world)
+        granting.wait_s = wait_s
+        entry.forwarder._places = granting
+        pool = catalogue.RoutePool(
+            fatal_world.POOL,
+            "/h",
+            64,
+            catalogue.EngineSpec(64, 1000, 1.0, 6, 1.0),
+        )
+        table = entry.session.view.routes.table
+        changed = catalogue.RouteTable(2, table.routes, (pool,))
+        await fatal_world.growth._replace_table(world, changed)
+        await asyncio.sleep(1.0)
+        model = routing.ModelPart("m", "a", 1, 1)
+        request = routing.CallerRequest(
+            "q", "POST", fatal_world.HOST, "/", "/", (), b"", 9.0,
+            loop.time(), model,
+        )  # fmt: skip
+        started_at = loop.time()
+        asking = asyncio.create_task(
+            entry.forwarder.serve(request, fatal_world._Answer())
+        )
+        await asyncio.sleep(wait_s / 2)
+        say(entry.session.heard, world.targets[0].id, loop.time())
+        await asking
+        reached = [arrival.target for arrival in world.reached]
+        return reached, granting, loop.time() - started_at
+
+
+async def leaving_while_a_place_is_waited_for() -> list[str]:
+    """A place that was granted before is given back, and another used."""
+    reached, granting, _ = await _granted(
+        lambda heard, target, now: heard.leaves(target), 0.4
+    )
+    faults = []
+    if len(granting.given) != 2 or reached != [granting.given[1]]:
+        faults.append(f"given {granting.given}, used {reached}")
+    if granting.back[0] is not placement.UseOutcome.LEFT:
+        faults.append(f"given back as {granting.back}")
+    return faults
+
+
+async def short_pause_is_waited_out() -> list[str]:
+    """For a short pause no adapter is loaded elsewhere."""
+    reached, granting, took_s = await _granted(
+        lambda heard, target, now: heard.pauses(target, 0.4, now), 0.1
+    )
+    faults = []
+    if set(granting.given) != {granting.given[0]}:
+        faults.append(f"it went elsewhere: {granting.given}")
+    if not 0.4 < took_s < 1.2 or len(reached) != 1:
+        faults.append(f"it took {took_s:.2f} s, {len(reached)} sends")
+    return faults
+
+
+async def long_pause_is_avoided() -> list[str]:
+    """For a long pause another engine is asked for."""
+    reached, granting, took_s = await _granted(
+        lambda heard, target, now: heard.pauses(target, 5.0, now), 0.1
+    )
+    if reached != [granting.given[-1]] or took_s > 1.0:
+        return [f"given {granting.given}, used {reached}, {took_s:.2f} s"]
+    return []
+
+
+async def random_words(seed: int) -> list[str]:
+    """Targets say what they like, at any moment, to any daemon."""
+    rng = random.Random(seed)
+    async with World(seed=seed) as world:
+        asking = asyncio.create_task(world.load(12.0, 0.03))
+        for _ in range(12):
+            await asyncio.sleep(rng.uniform(0.2, 1.2))
+            target = rng.choice(world.targets)
+            what = rng.randrange(4)
+            if what == 0 and len(world.leaving) < 2:
+                world.leaving.add(target.id)
+            elif what == 1:
+                world.pause_by_target[target.id] = rng.uniform(0.1, 3.0)
+            elif what == 2:
+                world.pause_by_target.clear()
+            elif target.up:
+                target.end()
+        world.pause_by_target.clear()
+        await asking
+        return world.after_leaving() + world.in_pauses()
+
+
+async def some_random_words() -> list[str]:
+    """Some of them."""
+    faults: list[str] = []
+    for seed in range(6):
+        faults += [f"{seed}: {f}" for f in await random_words(seed)]
+    return faults
+
+
+def _unserved(ended: list[str], most: int) -> list[str]:
+    failed = collections.Counter(code for code in ended if code != "served")
+    return [f"not served: {dict(failed)}"] if failed.total() > most else []
+
+
+SCENARIOS: dict[str, collections.abc.Callable[[], typing.Any]] = {
+    scenario.__name__: scenario
+    for scenario in (
+        leaving_ahead_of_the_list,
+        leaving_while_cut_off,
+        leaving_over_a_leader,
+        next_start_takes_work,
+        paused,
+        paused_by_forty,
+        all_paused,
+        all_paused_for_long,
+        paused_in_an_election,
+        leaving_while_a_place_is_waited_for,
+        short_pause_is_waited_out,
+        long_pause_is_avoided,
+        some_random_words,
+    )
+}
+
+
+def run_scenario(name: str) -> list[str]:
+    """Run a scenario; a crash counts as a finding."""
+    try:
+        return ledger.run(SCENARIOS[name]())
+    except Exception as error:
+        return [f"crash: {error!r}"]
+
+
+# Guards, each switched off where its scenario must notice.
+
+Heard = control.Heard
+GUARDS: tuple[tuple[str, str, object, str, object], ...] = (
+    ("leaving", "leaving_while_cut_off", Heard, "leaves", lambda *_: False),
+    ("told", "leaving_ahead_of_the_list", Heard, "untold", lambda *_: ()),
+    ("told again", "leaving_over_a_leader", Heard, "untold", lambda *_: ()),
+    ("pause", "paused", Heard, "pause_left_s", lambda *_: 0.0),
+    (
+        "at the moment of sending",
+        "leaving_while_a_place_is_waited_for",
+        routing.Forwarder,
+        "_check_open",
+        lambda *_: None,
+    ),
+    (
+        "waiting",
+        "all_paused",
+        routing.Forwarder,
+        "_pauses_s",
+        lambda *_: [math.inf],
+    ),
+)
+
+
+def run_mutant(number: int) -> list[str]:
+    """Run a scenario with one guard off."""
+    _, scenario, owner, name, off = GUARDS[number]
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(unittest.mock.patch.object(owner, name, off))
+        return run_scenario(scenario)
--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -10,6 +10,7 @@
 from bergamotsail.control import _digest
 from bergamotsail.control import _fleet
 from bergamotsail.control import _floor
+from bergamotsail.control import _heard
 from bergamotsail.control import _ledger
 from bergamotsail.control import _messages
 from bergamotsail.control import _relay
@@ -22,6 +23,7 @@
 DigestLog = _digest.DigestLog
 FloorRaiser = _floor.FloorRaiser
 Fleet = _fleet.Fleet
+Heard = _heard.Heard
 Ledger = _ledger.Ledger
 StoreQueue = _turns.StoreQueue
 rendezvous = _fleet.rendezvous
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -212,6 +212,7 @@
             raise self._node.not_leader()
         term.digest.put_daemon(daemon)
         self._take_statuses(term, request)
+        self._take_leaving(term, request)
         if self._use_keeper is not None:
             self._use_keeper.take_uses(daemon.boot, request.uses)
         # What was acknowledged was applied here first, so this index covers
@@ -491,6 +492,20 @@
             if info is not None:
                 self._put_target(term, info, info.leaving)
 
+    def _take_leaving(self, term: _Term, request: _messages.Heartbeat) -> None:
+        """Take what targets told a daemon, ahead of the list."""
+        news = [
+            target
+            for target in request.leaving
+            if term.fleet.said_leaving(target)
+        ]
+        for target in news:
+            observe.log_event(
+                "list", "said_leaving", target=target, by=request.daemon.boot
+            )
+        if news:
+            self._publish_fleet(term)
+
     def _put_target(
         self,
         term: _Term,
--- a/libs/control/src/bergamotsail/control/_fleet.py
+++ b/libs/control/src/bergamotsail/control/_fleet.py
@@ -17,12 +17,14 @@
     Args:
         born_ms: when it started. Its instance may not have that in its id,
             when it was told of later.
+        said_leaving: it said so itself; the list may be late to.
     """
 
     instance: targets.Instance
     leaving: bool
     born_ms: int | None
     missing_since: float | None = None
+    said_leaving: bool = False
 
 
 class Fleet:
@@ -62,8 +64,23 @@
         if known.instance.id == target:
             known.instance = _started(known.instance, name, born_ms)
             known.born_ms = born_ms
+            known.said_leaving = False
         return known.instance.id
 
+    def said_leaving(self, target: str) -> bool:
+        """Take a target's own word that it is leaving; whether it is news.
+
+        Args:
+            target: the start that said so; another one changes nothing.
+        """
+        name = targets.Incarnation.of(target).name
+        known = self._known_by_name.get(name)
+        if known is None or known.instance.id != target:
+            return False
+        news = not known.said_leaving
+        known.said_leaving = True
+        return news
+
     def update(
         self, instances: collections.abc.Sequence[targets.Instance], now: float
     ) -> None:
@@ -100,12 +117,16 @@
         if told is None or before is None or told == before:
             instance = dataclasses.replace(instance, id=known.instance.id)
         born_ms = before if told is None else told
-        self._known_by_name[start.name] = _Known(instance, leaving, born_ms)
+        same = instance.id == known.instance.id
+        said = known.said_leaving and same
+        self._known_by_name[start.name] = _Known(
+            instance, leaving, born_ms, said_leaving=said
+        )
 
     def all(self) -> list[tuple[targets.Instance, bool]]:
         """Return each target and whether it is leaving."""
         return [
-            (known.instance, known.leaving)
+            (known.instance, known.leaving or known.said_leaving)
             for known in self._known_by_name.values()
         ]
 
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -145,6 +145,8 @@
         uses: requests that run at targets now, from this daemon.
         fetches: it can fetch what is too large for an answer.
         ends: requests that were lost with a target, or served after that.
+        leaving: targets that told it that they are leaving, as far as it
+            knows of nobody who knows.
         runs_last_s: what it has admitted, and what it admits before the
             answer to this, has ended after so many seconds.
     """
@@ -161,6 +163,7 @@
     uses: tuple[Use, ...] = ()
     fetches: bool = True
     ends: tuple[quarantine.Observation, ...] = ()
+    leaving: tuple[str, ...] = ()
     runs_last_s: float = 0.0
 
 
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -11,6 +11,7 @@
 
 from bergamotsail import catalogue
 from bergamotsail.control import _digest
+from bergamotsail.control import _heard
 from bergamotsail.control import _messages
 from bergamotsail import quarantine
 from bergamotsail import quorum
@@ -253,6 +254,7 @@
         self.digest = _digest.Digest()
         self.leader = leader
         self.ends = quarantine.Observations(clock)
+        self.heard = _heard.Heard()
         self._transport = transport
         self._timing = timing
         self._node = node
@@ -348,6 +350,16 @@
             use=others[0] if others else None,
         )
 
+    def takes_work(self, target: _messages.TargetInfo) -> bool:
+        """Whether a target may be sent something new right now."""
+        return self.heard.takes_work(target, self._clock.now())
+
+    def open_targets(
+        self,
+    ) -> collections.abc.Iterator[_messages.TargetInfo]:
+        """Yield the targets that may be sent something new right now."""
+        return filter(self.takes_work, self.digest.target_by_id.values())
+
     def owns(self, target: str, epoch: int) -> bool:
         """Whether this daemon owns the target, right now."""
         ownership = self.view.ownership_by_target.get(target)
@@ -415,6 +427,7 @@
             self.digest.version,
             uses=self._participant.uses(),
             ends=ends,
+            leaving=self.heard.untold(self.digest.target_by_id),
             runs_last_s=self._participant.promise_runs(),
         )
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.BEFORE)
--- a/libs/routing/src/bergamotsail/routing/_entry.py
+++ b/libs/routing/src/bergamotsail/routing/_entry.py
@@ -381,8 +381,8 @@
         owned = view.ownership_by_target
         live = [
             target
-            for target in self._session.digest.target_by_id.values()
-            if target.pool == entry.value.pool and not target.leaving
+            for target in self._session.open_targets()
+            if target.pool == entry.value.pool
         ]
         usable = [
             target
--- a/libs/routing/src/bergamotsail/routing/_fatal.py
+++ b/libs/routing/src/bergamotsail/routing/_fatal.py
@@ -151,7 +151,7 @@
         """
         subject.ends += 1
         info = self._session.digest.target_by_id.get(target)
-        if info is None or not info.leaving:
+        if info is None or not self._session.heard.is_gone(info):
             self._note(subject, start or target, quarantine.RunEnd.LOST)
 
     def served(self, subject: Subject, target: str) -> None:
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -9,6 +9,9 @@
 import collections
 import collections.abc
 import dataclasses
+import random
+
+from absl import logging
 
 from bergamotsail import catalogue
 from bergamotsail import control
@@ -38,6 +41,12 @@
 ID_FIELD = b"id:"
 SERVER_ERROR = 500
 LATE_S = 0.03
+# A pause of an engine that is no longer than this is waited out: about what
+# it takes to load an adapter elsewhere, which would evict another one.
+SHORT_PAUSE_S = 0.5
+# Who waited for a pause to end goes on within this part of it, not all at
+# once.
+PAUSE_SPREAD = 0.25
 MOST_ROUTES_KNOWN = 10_000
 BROKEN_OFF = "broken_off"
 
@@ -57,6 +66,12 @@
     code = "try_next"
 
 
+class _ClosedError(_TryNextError):
+    """The target takes no work at this moment; nothing was sent."""
+
+    code = "closed"
+
+
 class _BadAnswerError(wire.PeerLostError):
     """What came is no whole answer to this request."""
 
@@ -77,6 +92,7 @@
     age_s: float
     avoid: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
+    places: int = 0
     runs: int = 0
     last_event: str | None = None
     event_tail: bytes = b""
@@ -130,7 +146,9 @@
         metrics: observe.Metrics,
         datacentre: str,
         clock: wire.Clock = wire.LoopClock(),
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random()
         self._session = session
         self._guard = _fatal.FatalGuard(session, metrics)
         self._places = places
@@ -302,21 +320,18 @@
 
     def _fail(self, attempt: _Attempt, last: wire.ServingError | None) -> None:
         """End an attempt that is not sent again."""
-        lost = wire.UnknownOutcomeError(
-            "The target's answer was lost; the request may have run."
-        )
-        _end(attempt, "No target takes the request now", lost, last)
+        _end(attempt, "No target takes the request now", _lost_answer(), last)
 
     # Plain services.
 
     async def _try_service(self, attempt: _Attempt) -> None:
         info = self._services.choose(
             attempt.pool.name,
-            self._session.digest.target_by_id.values(),
+            self._session.open_targets(),
             attempt.avoid,
         )
         if info is None:
-            self._fail(attempt, None)
+            await self._wait_for_pool(attempt)
             return
         destination = self._destination(attempt, info.id, info.address, None)
         failed = True
@@ -330,13 +345,63 @@
         finally:
             self._services.ended(info.id, failed)
 
+    def _pauses_s(self, attempt: _Attempt) -> list[float]:
+        """Return how long each target that stays wants no work."""
+        now = self._clock.now()
+        heard = self._session.heard
+        return [
+            heard.pause_left_s(info.id, now)
+            for info in self._session.digest.target_by_id.values()
+            if info.pool == attempt.pool.name and not heard.is_gone(info)
+        ]
+
+    def _all_paused(self, attempt: _Attempt) -> bool:
+        """Whether no target that stays wants work at the moment."""
+        return min(self._pauses_s(attempt), default=0.0) > 0.0
+
+    async def _wait_for_pool(self, attempt: _Attempt) -> None:
+        """Wait for the shortest pause, if the caller's patience outlasts it.
+
+        Raises:
+            OverloadError: it does not, or no target is only paused.
+            _ClosedError: the pause is over; the attempt may be tried again.
+        """
+        pause_s = min(self._pauses_s(attempt), default=0.0)
+        if pause_s == 0.0:
+            self._fail(attempt, None)
+            return
+        left_s = attempt.ends_at - self._clock.now()
+        if pause_s * (1 + PAUSE_SPREAD) > left_s * PLACE_SHARE:
+            _end(
+                attempt,
+                "All targets want no work for a while",
+                _lost_answer(),
+                retry_after_s=pause_s,
+            )
+            return
+        await self._wait_out(attempt, pause_s)
+
+    async def _wait_out(self, attempt: _Attempt, pause_s: float) -> None:
+        """Sleep over a pause, then let the attempt be tried again.
+
+        Raises:
+            _ClosedError: always, once the pause is over.
+        """
+        spread_s = pause_s * PAUSE_SPREAD * self._rng.random()
+        await self._clock.sleep(pause_s + spread_s)
+        raise _ClosedError("The target wanted no work.", ran=wire.Ran.NOT_RUN)
+
     # Engines.
 
     async def _try_engine(self, attempt: _Attempt) -> None:
+        if self._all_paused(attempt):
+            await self._wait_for_pool(attempt)
         request = attempt.request
         model = request.model
         assert model is not None
-        name = f"{request.id}.{attempt.sends}"
+        name = f"{request.id}.{attempt.places}"
+        attempt.places += 1
+        closed = self._session.heard.closed(self._clock.now(), SHORT_PAUSE_S)
         place = await self._places.take(
             placement.PlaceRequest(
                 self._session.boot,
@@ -350,7 +415,7 @@
                 attempt.route.priority,
                 self._patience_s(attempt),
                 self._datacentre,
-                tuple(attempt.avoid),
+                (*attempt.avoid, *closed),
                 self._clock.now() - request.arrived_at,
                 attempt.route.objective_s,
                 attempt.route.objective_s * HOPE_OBJECTIVES,
@@ -358,6 +423,12 @@
             )
         )
         outcome = Outcome.LEFT
+        try:
+            self._check_open(attempt, place.target)
+        except _ClosedError:
+            self._places.give_back(name, place.target, outcome)
+            await self._wait_for_engine(attempt, place.target)
+            raise
         destination = self._destination(
             attempt, place.target, place.address, place.version
         )
@@ -380,6 +451,38 @@
             attempt.begun = None
             self._places.give_back(name, place.target, outcome)
 
+    def _check_open(self, attempt: _Attempt, target: str) -> None:
+        """Refuse to send to a target that takes no work.
+
+        It may have said so while this request waited for its place, also
+        where the list or the leader does not know of it yet.
+        """
+        now = self._clock.now()
+        heard = self._session.heard
+        if not heard.is_leaving(target) and not heard.pause_left_s(
+            target, now
+        ):
+            return
+        observe.log_event(
+            "route",
+            "closed",
+            request=attempt.request.id,
+            target=target,
+            leaving=heard.is_leaving(target),
+            pause_left_s=round(heard.pause_left_s(target, now), 3),
+        )
+        raise _ClosedError("The target takes no work.", ran=wire.Ran.NOT_RUN)
+
+    async def _wait_for_engine(self, attempt: _Attempt, target: str) -> None:
+        """Wait for a short pause of an engine; avoid it for a long one."""
+        heard = self._session.heard
+        pause_s = heard.pause_left_s(target, self._clock.now())
+        short = pause_s <= min(SHORT_PAUSE_S, self._patience_s(attempt))
+        if heard.is_leaving(target) or not short:
+            attempt.avoid.add(target)
+            return
+        await self._wait_out(attempt, pause_s)
+
     def _patience_s(self, attempt: _Attempt) -> float:
         left_s = attempt.ends_at - self._clock.now()
         objectives_s = attempt.route.objective_s * PLACE_OBJECTIVES
@@ -408,6 +511,7 @@
         """Send to one target and pass its answer on."""
         # Others may have told of it while this one waited for its place.
         self._guard.check(attempt.subject)
+        self._check_open(attempt, destination.target)
         request = attempt.request
         attempt.sends += 1
         attempt.sent_at = self._clock.now()
@@ -488,6 +592,7 @@
         head: wire.ReplyHead,
     ) -> None:
         reading = self._dialect.read(attempt.request, head)
+        self._heed(attempt, reading)
         observe.log_event(
             "route",
             "answer",
@@ -532,13 +637,46 @@
         attempt.runs += 1
         await attempt.answer.finish()
 
+    def _heed(
+        self, attempt: _Attempt, reading: _forward_types.Reading
+    ) -> None:
+        """Take what a target says of itself in its answer."""
+        for said in (reading.leaving, reading.pause):
+            if said.unread is not None:
+                logging.info(
+                    "route: What %s says of itself can't be read: %.80r",
+                    attempt.target,
+                    said.unread,
+                )
+        if not reading.own:
+            return
+        heard, now = self._session.heard, self._clock.now()
+        if reading.leaving.is_set and heard.leaves(attempt.target):
+            self._metrics.count("targets_heard_leaving")
+            self._log_heard(attempt, "leaving", None)
+            # Others shall stop before they hear it themselves.
+            self._session.kick()
+        if reading.pause.value is not None:
+            until = heard.pauses(attempt.target, reading.pause.value, now)
+            self._metrics.count("targets_heard_pausing")
+            self._log_heard(attempt, "pause", until - now)
+
+    def _log_heard(
+        self, attempt: _Attempt, what: str, left_s: float | None
+    ) -> None:
+        observe.log_event(
+            "heard",
+            what,
+            request=attempt.request.id,
+            target=attempt.target,
+            left_s=None if left_s is None else round(left_s, 3),
+        )
+
     def _others_left(self, attempt: _Attempt) -> bool:
         if attempt.runs + 1 >= attempt.route.attempts:
             return False
         others = _service_choice.candidates(
-            attempt.pool.name,
-            self._session.digest.target_by_id.values(),
-            attempt.avoid,
+            attempt.pool.name, self._session.open_targets(), attempt.avoid
         )
         return attempt.sends < MOST_SENDS and any(others)
 
@@ -548,6 +686,7 @@
     reason: str,
     if_it_ran: wire.ServingError,
     cause: wire.ServingError | None = None,
+    retry_after_s: float = RETRY_AFTER_S,
 ) -> None:
     """Break an answer off that has begun, else raise the final error."""
     if attempt.answer.started:
@@ -555,11 +694,17 @@
         return
     if attempt.runs == 0:
         raise wire.OverloadError(
-            f"{reason}; it has not run.", retry_after_s=RETRY_AFTER_S
+            f"{reason}; it has not run.", retry_after_s=retry_after_s
         ) from cause
     raise if_it_ran from cause
 
 
+def _lost_answer() -> wire.ServingError:
+    return wire.UnknownOutcomeError(
+        "The target's answer was lost; the request may have run."
+    )
+
+
 def _pause_s(attempt: _Attempt | None) -> float | None:
     """Return the longest pause within an answer, for the log."""
     if attempt is None or not attempt.longest_pause_s:
@@ -584,6 +729,8 @@
         return Outcome.ABSENT
     if error.code == "refused":
         return Outcome.REFUSED
+    if error.code == _ClosedError.code:
+        return Outcome.LEFT
     return Outcome.FAILED
 
 
--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from bergamotsail import quarantine
+from bergamotsail import targets
 from bergamotsail import wire
 
 Headers = tuple[tuple[str, str], ...]
@@ -95,12 +96,16 @@
         not_run: the target promises that it did not run it.
         absent: it is another incarnation, or lacks adapter or version.
         genuine: it bears the target's mark of an answer.
+        leaving: whether the target says that it is leaving.
+        pause: for how long the target wants no more work.
     """
 
     own: bool
     not_run: bool
     absent: bool
     genuine: bool
+    leaving: targets.Flag = targets.Flag()
+    pause: targets.Seconds = targets.Seconds()
 
 
 class Dialect(abc.ABC):
--- a/libs/routing/src/bergamotsail/routing/_places.py
+++ b/libs/routing/src/bergamotsail/routing/_places.py
@@ -283,7 +283,7 @@
         """Return a place at an engine that says it holds the adapter."""
         if self._survey is None:
             return None
-        known = self._session.digest.target_by_id
+        known = {info.id: info for info in self._session.open_targets()}
         due = self._survey.due(request.pool, known.values())
         if due and (self._looking is None or self._looking.done()):
             self._looking = asyncio.create_task(self._look(due))
@@ -375,7 +375,9 @@
             return None
         age_s = self._clock.now() - found.at
         info = self._session.digest.target_by_id.get(found.reply.target)
-        if age_s > REMEMBERED_S or info is None or info.leaving:
+        if age_s > REMEMBERED_S or info is None:
+            return None
+        if not self._session.takes_work(info):
             return None
         named = self._session.view.named_version(
             request.model, request.adapter
--- a/libs/routing/src/bergamotsail/routing/_service_choice.py
+++ b/libs/routing/src/bergamotsail/routing/_service_choice.py
@@ -20,9 +20,13 @@
     known: collections.abc.Iterable[control.TargetInfo],
     avoid: collections.abc.Container[str],
 ) -> collections.abc.Iterator[control.TargetInfo]:
-    """Yield the targets of a pool that may be given work."""
+    """Yield those of a pool that are not to be avoided.
+
+    Args:
+        known: targets that take work.
+    """
     for info in known:
-        if info.pool == pool and not info.leaving and info.id not in avoid:
+        if info.pool == pool and info.id not in avoid:
             yield info
 
 
--- a/libs/routing/src/bergamotsail/routing/_services.py
+++ b/libs/routing/src/bergamotsail/routing/_services.py
@@ -235,8 +235,8 @@
     ) -> control.TargetInfo:
         usable = [
             target
-            for target in self._session.digest.target_by_id.values()
-            if target.pool == service.pool and not target.leaving
+            for target in self._session.open_targets()
+            if target.pool == service.pool
         ]
         if not usable:
             raise wire.OverloadError(
--- a/libs/routing/src/bergamotsail/routing/_survey.py
+++ b/libs/routing/src/bergamotsail/routing/_survey.py
@@ -58,13 +58,15 @@
         pool: str,
         known: collections.abc.Iterable[control.TargetInfo],
     ) -> list[control.TargetInfo]:
-        """Return the targets of a pool that were not asked yet."""
+        """Return the targets of a pool that were not asked yet.
+
+        Args:
+            known: targets that take work.
+        """
         return [
             info
             for info in known
-            if info.pool == pool
-            and not info.leaving
-            and info.id not in self._asked
+            if info.pool == pool and info.id not in self._asked
         ]
 
     async def look(self, due: list[control.TargetInfo]) -> None:
@@ -102,6 +104,7 @@
         """Return the least loaded of those that hold what is asked for.
 
         Args:
+            known: targets that take work, by id.
             named: the least version of the adapter that may be used.
             daemons: how many choose like this one; what it placed at a
                 target stands for what each of them did.
@@ -109,7 +112,7 @@
         best: tuple[float, control.TargetInfo, int | None] | None = None
         for target, report in self._report_by_target.items():
             info = known.get(target)
-            if info is None or info.leaving or target in request.avoid:
+            if info is None or target in request.avoid:
                 continue
             holds, version = _held(request, report, named)
             if not holds:
--- a/libs/routing/src/bergamotsail/routing/_where.py
+++ b/libs/routing/src/bergamotsail/routing/_where.py
@@ -53,8 +53,8 @@
         view = self._session.view
         holding = [
             target
-            for target in self._session.digest.target_by_id.values()
-            if _choice.is_resident(target, adapter) and not target.leaving
+            for target in self._session.open_targets()
+            if _choice.is_resident(target, adapter)
         ]
         for target in sorted(holding, key=_choice.load_of):
             ownership = view.ownership_by_target.get(target.id)
--- a/libs/targets/src/bergamotsail/targets/__init__.py
+++ b/libs/targets/src/bergamotsail/targets/__init__.py
@@ -6,6 +6,7 @@
 
 from bergamotsail.targets import _adapter_engine
 from bergamotsail.targets import _instances
+from bergamotsail.targets import _said
 from bergamotsail import wire
 
 AdapterEngine = _adapter_engine.AdapterEngine
@@ -21,6 +22,11 @@
 InstanceState = _instances.InstanceState
 whole_ms = _instances.whole_ms
 
+Flag = _said.Flag
+Seconds = _said.Seconds
+read_flag = _said.read_flag
+read_seconds = _said.read_seconds
+
 __getattr__ = wire.lazy_names(
     __name__,
     {
--- a/libs/wire/src/bergamotsail/wire/_curl.py
+++ b/libs/wire/src/bergamotsail/wire/_curl.py
@@ -37,10 +37,13 @@
 
     def get(self, name: str) -> str | None:
         """Return the value of a header, whatever its case."""
-        for key, value in self.headers:
-            if key.lower() == name.lower():
-                return value
-        return None
+        return next(iter(self.all(name)), None)
+
+    def all(self, name: str) -> tuple[str, ...]:
+        """Return each value of a header, whatever its case."""
+        return tuple(
+            value for key, value in self.headers if key.lower() == name.lower()
+        )
 
 
 class Exchange:
