Read logs that name sharers by boot alone; note daemons with rates too

The amounts stand in fields of their own now; shares_noted_before fails without that. - a daemon with shares of rates alone was given them though its note had not been committed, so a next leader might not have known of it. It keeps what it holds until it is noted. - notes of daemons that hold less were proposed one after the other within the leader's round of tending; they go together now.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -34,6 +34,7 @@
       | runs_outlast_a_leader      |
       | waiting_past_a_lease       |
       | first_lease_lasts          |
+      | shares_noted_before        |
 
   Scenario: Every guard that is switched off is noticed
     When each guard is switched off in its scenario
--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -8,6 +8,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import json
 import typing
 import unittest.mock
 
@@ -490,6 +491,23 @@
         return world.oracle.check_at_end()
 
 
+async def shares_noted_before(seed: int = 1) -> list[str]:
+    """A log of a former release is read: it names sharers by boot alone."""
+    entry = wire.decode(
+        b'{"note_sharers": {"joined": ["a#1"], "gone": ["b#1"]}}',
+        catalogue.Command,
+    )
+    machine = catalogue.CatalogueMachine()
+    machine.apply(1, wire.encode(entry))
+    snapshot = list(machine.snapshot())
+    line = json.loads(snapshot[0])
+    line["sharers"], line["share_notes"] = ["c#1"], []
+    again = catalogue.CatalogueMachine()
+    again.restore(1, [json.dumps(line).encode(), *snapshot[1:]])
+    found = [set(m.sharer_by_boot) for m in (machine, again)]
+    return [] if found == [{"a#1"}, {"c#1"}] else [f"sharers: {found}"]
+
+
 async def waiting_past_a_lease(seed: int = 1) -> list[str]:
     """Who waits for a share at a daemon that is cut off is sent elsewhere.
 
@@ -658,6 +676,7 @@
     runs_outlast_a_leader,
     waiting_past_a_lease,
     first_lease_lasts,
+    shares_noted_before,
 )
 SCENARIO_BY_NAME = {scenario.__name__: scenario for scenario in SCENARIOS}
 
--- a/libs/catalogue/src/bergamotsail/catalogue/_commands.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_commands.py
@@ -220,9 +220,9 @@
     """
 
     boot: str
-    address: str
-    runs_last_s: float
-    most_by_key: dict[str, int]
+    address: str = ""
+    runs_last_s: float = 0.0
+    most_by_key: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -233,13 +233,16 @@
     next knows of all that may be in use.
 
     Args:
-        joined: what holds from now on, for each boot in place of what was
-            noted before.
+        joined: boots that may hold shares; logs of former releases say no
+            more than that.
         gone: boots that surely hold none any more.
+        sharers: what holds from now on, for each boot in place of what was
+            noted before.
     """
 
-    joined: tuple[Sharer, ...] = ()
+    joined: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
+    sharers: tuple[Sharer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -53,7 +53,9 @@
     document: str | None = None
     copies: _commands.Copies | None = None
     order_holders: tuple[str, ...] = ()
-    sharers: tuple[_commands.Sharer, ...] = ()
+    # Boots alone, as former releases noted them.
+    sharers: tuple[str, ...] = ()
+    share_notes: tuple[_commands.Sharer, ...] = ()
 
 
 class CatalogueMachine(quorum.Machine):
@@ -329,7 +331,9 @@
     def _note_sharers(self, note: _commands.NoteSharers) -> None:
         for boot in note.gone:
             self.sharer_by_boot.pop(boot, None)
-        for sharer in note.joined:
+        for boot in note.joined:
+            self.sharer_by_boot.setdefault(boot, _commands.Sharer(boot))
+        for sharer in note.sharers:
             self.sharer_by_boot[sharer.boot] = sharer
 
     def _set_versioned(
@@ -375,7 +379,7 @@
                 floor_ms=self.floor_ms,
                 document=self.routes_document,
                 order_holders=self.order_holders,
-                sharers=tuple(self.sharer_by_boot.values()),
+                share_notes=tuple(self.sharer_by_boot.values()),
             ),
             dict(self.copies_by_target),
         )
@@ -404,8 +408,11 @@
                 self.floor_ms = line.floor_ms
                 self.routes_document = line.document
                 self.order_holders = line.order_holders
-                for sharer in line.sharers:
-                    self.sharer_by_boot[sharer.boot] = sharer
+                self._note_sharers(
+                    _commands.NoteSharers(
+                        joined=line.sharers, sharers=line.share_notes
+                    )
+                )
         self.view.index = index
         self._effects_after = index
 
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -225,7 +225,7 @@
             commit,
             effects,
             behind,
-            self._noted_shares(term, daemon.boot, share_by_key),
+            self._noted_shares(term, request, share_by_key),
             term.digest.delta(request.digest_term, request.digest_version),
             self._hand_over(term, daemon.boot),
             tuple(member.address for member in self._node.config.members),
@@ -467,17 +467,25 @@
         observe.log_event("shares", "freed", boot=boot, why=why)
 
     def _noted_shares(
-        self, term: _Term, boot: str, share_by_key: dict[str, int]
+        self,
+        term: _Term,
+        request: _messages.Heartbeat,
+        share_by_key: dict[str, int],
     ) -> dict[str, int]:
-        """Lower shares to what the log allows."""
-        return {
-            key: (
-                min(share, term.notes.most(boot, key))
-                if key.startswith(_ledger.CONCURRENCY)
-                else share
-            )
-            for key, share in share_by_key.items()
-        }
+        """Lower shares to what the log allows.
+
+        Rates are noted by no amount: nothing outlasts the lease there.
+        """
+        boot = request.daemon.boot
+        allowed = {}
+        for key, share in share_by_key.items():
+            most = share
+            if key.startswith(_ledger.CONCURRENCY):
+                most = term.notes.most(boot, key)
+            elif not term.notes.knows(boot):
+                most = request.held_by_key.get(key, 0)
+            allowed[key] = min(share, most)
+        return allowed
 
     def _take_statuses(
         self, term: _Term, request: _messages.Heartbeat
@@ -663,10 +671,13 @@
         gone = self._machine.sharer_by_boot.keys() - kept
         if gone:
             await term.notes.forget(gone)
-        for boot, session in list(term.session_by_boot.items()):
-            if boot not in term.undeclared:
-                held_by_key = term.ledger.held(boot)
-                await term.notes.lower(session.daemon, held_by_key)
+        await term.notes.lower(
+            [
+                (session.daemon, term.ledger.held(boot))
+                for boot, session in term.session_by_boot.items()
+                if boot not in term.undeclared
+            ]
+        )
 
     def _end_sessions(self, term: _Term) -> None:
         now = self._clock.now()
--- a/libs/control/src/bergamotsail/control/_share_notes.py
+++ b/libs/control/src/bergamotsail/control/_share_notes.py
@@ -48,12 +48,15 @@
         )
         self._gone: set[str] = set()
 
+    def knows(self, boot: str) -> bool:
+        """Whether the log names a daemon, so that it may hold shares."""
+        return boot in self._noted() and boot not in self._gone
+
     def most(self, boot: str, key: str) -> int:
         """Return how much a daemon may hold whatever becomes of the log."""
-        known = self._noted().get(boot)
-        if known is None or boot in self._gone:
+        if not self.knows(boot):
             return 0
-        entries = [known, *self._pending_by_boot.get(boot, ())]
+        entries = [self._noted()[boot], *self._pending_by_boot[boot]]
         return min(entry.most_by_key.get(key, 0) for entry in entries)
 
     async def cover(
@@ -71,27 +74,32 @@
         )
         if lasts and enough:
             return
-        sharer = _sharer(daemon, runs_last_s, held_by_key)
         try:
             async with asyncio.timeout(NOTE_TIMEOUT_S):
-                await self._note(sharer)
+                await self._note([_sharer(daemon, runs_last_s, held_by_key)])
         except (wire.ServingError, TimeoutError) as error:
             logging.info("control: %s is not noted yet. %r", boot, error)
 
     async def lower(
         self,
-        daemon: _messages.DaemonInfo,
-        held_by_key: collections.abc.Mapping[str, int],
+        held: collections.abc.Iterable[
+            tuple[_messages.DaemonInfo, collections.abc.Mapping[str, int]]
+        ],
     ) -> None:
-        """Note less for a daemon that holds far less than it might."""
-        known = self._noted().get(daemon.boot)
-        if known is None or self._pending_by_boot.get(daemon.boot):
-            return
-        if any(
-            held_by_key.get(key, 0) * LOWER_AT <= most
-            for key, most in known.most_by_key.items()
-        ):
-            await self._note(_sharer(daemon, known.runs_last_s, held_by_key))
+        """Note less for daemons that hold far less than they might."""
+        lowered = []
+        for daemon, held_by_key in held:
+            known = self._noted().get(daemon.boot)
+            if known is None or self._pending_by_boot[daemon.boot]:
+                continue
+            if any(
+                held_by_key.get(key, 0) * LOWER_AT <= most
+                for key, most in known.most_by_key.items()
+            ):
+                sharer = _sharer(daemon, known.runs_last_s, held_by_key)
+                lowered.append(sharer)
+        if lowered:
+            await self._note(lowered)
 
     async def forget(self, boots: set[str]) -> None:
         """Note that these daemons surely hold nothing any more.
@@ -106,23 +114,26 @@
         finally:
             self._gone = set()
 
-    async def _note(self, sharer: catalogue.Sharer) -> None:
-        pending = self._pending_by_boot[sharer.boot]
-        pending.append(sharer)
-        note = catalogue.NoteSharers(joined=(sharer,))
+    async def _note(self, sharers: list[catalogue.Sharer]) -> None:
+        for sharer in sharers:
+            self._pending_by_boot[sharer.boot].append(sharer)
+        note = catalogue.NoteSharers(sharers=tuple(sharers))
         noting = asyncio.ensure_future(
             self._propose(catalogue.Command(note_sharers=note))
         )
-        noting.add_done_callback(lambda done: self._ended(sharer, done))
+        noting.add_done_callback(lambda done: self._ended(sharers, done))
         await asyncio.shield(noting)
 
-    def _ended(self, sharer: catalogue.Sharer, noting: asyncio.Future) -> None:
-        if not noting.cancelled() and noting.exception() is None:
-            self._pending_by_boot[sharer.boot].remove(sharer)
+    def _ended(
+        self, sharers: list[catalogue.Sharer], noting: asyncio.Future
+    ) -> None:
+        if noting.cancelled() or noting.exception() is not None:
+            # An entry whose fate is not known may still be committed, so it
+            # counts for as long as this leader leads.
+            logging.info("control: Shares of %d are in doubt.", len(sharers))
             return
-        # An entry whose fate is not known may still be committed, so it
-        # counts for as long as this leader leads.
-        logging.info("control: It is open what %s may hold.", sharer.boot)
+        for sharer in sharers:
+            self._pending_by_boot[sharer.boot].remove(sharer)
 
 
 def _sharer(
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -458,18 +458,17 @@
         where the list or the leader does not know of it yet.
         """
         now = self._clock.now()
-        heard = self._session.heard
-        if not heard.is_leaving(target) and not heard.pause_left_s(
-            target, now
-        ):
+        leaving = self._session.heard.is_leaving(target)
+        pause_s = self._session.heard.pause_left_s(target, now)
+        if not leaving and pause_s == 0.0:
             return
         observe.log_event(
             "route",
             "closed",
             request=attempt.request.id,
             target=target,
-            leaving=heard.is_leaving(target),
-            pause_left_s=round(heard.pause_left_s(target, now), 3),
+            leaving=leaving,
+            pause_left_s=round(pause_s, 3),
         )
         raise _ClosedError("The target takes no work.", ran=wire.Ran.NOT_RUN)
 
