Name only those leaving targets to the leader that it does not know

Found by reading: each request for a place named every target that had ever said that it leaves, up to 4,096, as one to avoid. The leader knows those that the digest shows as leaving; only the others are named now.

--- a/libs/control/src/bergamotsail/control/_heard.py
+++ b/libs/control/src/bergamotsail/control/_heard.py
@@ -73,14 +73,13 @@
         """Whether a target is leaving, by the list or its own word."""
         return info.leaving or info.id in self._leaving
 
-    def closed(self, now: float, longer_than_s: float = 0.0) -> list[str]:
-        """Return who is leaving, or paused for longer than that."""
-        paused = [
+    def paused(self, longer_than_s: float, now: float) -> tuple[str, ...]:
+        """Return who wants no work for longer than that."""
+        return tuple(
             target
             for target in list(self._paused_until)
             if self.pause_left_s(target, now) > longer_than_s
-        ]
-        return [*self._leaving, *paused]
+        )
 
     def untold(
         self,
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -354,6 +354,10 @@
         """Whether a target may be sent something new right now."""
         return self.heard.takes_work(target, self._clock.now())
 
+    def untold_leaving(self) -> tuple[str, ...]:
+        """Return targets that told this daemon alone that they leave."""
+        return self.heard.untold(self.digest.target_by_id)
+
     def open_targets(
         self,
     ) -> collections.abc.Iterator[_messages.TargetInfo]:
@@ -427,7 +431,7 @@
             self.digest.version,
             uses=self._participant.uses(),
             ends=ends,
-            leaving=self.heard.untold(self.digest.target_by_id),
+            leaving=self.untold_leaving(),
             runs_last_s=self._participant.promise_runs(),
         )
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.BEFORE)
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -401,7 +401,11 @@
         assert model is not None
         name = f"{request.id}.{attempt.places}"
         attempt.places += 1
-        closed = self._session.heard.closed(self._clock.now(), SHORT_PAUSE_S)
+        # Who gives places knows nothing of these.
+        closed = (
+            *self._session.untold_leaving(),
+            *self._session.heard.paused(SHORT_PAUSE_S, self._clock.now()),
+        )
         place = await self._places.take(
             placement.PlaceRequest(
                 self._session.boot,
