Admission: keep the unit of a request admitted as its wait ends

Two faults of the queue of one daemon, each with a scenario in virtual time (features/admission.feature) that failed before.

- A request that was admitted in the turn of the event loop in which its wait timed out was refused, and its unit of the limit was never given back (admitted_as_wait_ends: 2 units in use by one request).
The wait now looks whether the request has its units before it refuses.
- Known red 'A caller reconnects after its entry was killed': the killed entry led, and requests queued at another entry were refused in the moment in which its lease ended, often 0.1 s before the next leader renewed it.
They now stay queued for 0.5 s without a lease; nothing is admitted meanwhile (waiting_over_an_election, waiting_without_a_lease).
The bound keeps waiting_as_lease_ends as it was: refused, with another address, 3.5 s after the cut.

--- a/libs/routing/src/bergamotsail/routing/_admission.py
+++ b/libs/routing/src/bergamotsail/routing/_admission.py
@@ -20,6 +20,9 @@
 BURST_S = 1.0
 POLL_S = 0.02
 WANTED_WINDOW_S = 5.0
+# How long queued requests stay queued after the lease has expired. Elections
+# take 0.5 to 0.9 s and usually begin before the lease ends.
+LEASE_GAP_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +51,13 @@
     deadline: float
     ready: asyncio.Future
 
+    @property
+    def admitted(self) -> bool:
+        """Whether it has taken its units."""
+        ready = self.ready
+        ended = ready.done() and not ready.cancelled()
+        return ended and ready.exception() is None
+
 
 class _Share(abc.ABC):
     """The part of one limit that this daemon may use.
@@ -190,6 +200,8 @@
         # the leader has confirmed, and the bound that was sent last.
         self._confirmed_bound = float("-inf")
         self._sent_bound = float("-inf")
+        # When the lease was first seen to be expired; None while it is valid.
+        self._lapsed_at: float | None = None
 
     @contextlib.asynccontextmanager
     async def enter(
@@ -325,23 +337,20 @@
             async with asyncio.timeout(wait_s):
                 await ready
         except TimeoutError:
-            raise self._limit_error(member) from None
+            # The request may have been admitted in the turn of the event
+            # loop in which its wait ended; then it has its units.
+            if not waiter.admitted:
+                raise self._limit_error(member) from None
         except asyncio.CancelledError:
-            self._return_if_taken(waiter)
+            if waiter.admitted:
+                for key in keys:
+                    self._share_by_key[key].give_back()
             raise
         finally:
             polling.cancel()
             if waiter in queue:
                 queue.remove(waiter)
 
-    def _return_if_taken(self, waiter: _Waiter) -> None:
-        """Return the units of a waiter cancelled just after its admission."""
-        ready = waiter.ready
-        taken = ready.done() and not ready.cancelled()
-        if taken and ready.exception() is None:
-            for key in waiter.keys:
-                self._share_by_key[key].give_back()
-
     async def _poll(self, ready: asyncio.Future) -> None:
         """Recheck the queues until *ready* is done.
 
@@ -389,16 +398,19 @@
                 share.record_wanted(share.used + waiting, now)
 
     def _admit_waiting(self) -> None:
-        """Admit queued requests, or refuse all once the lease has expired.
+        """Admit queued requests, or refuse all if the lease stays expired.
 
         The shares expire with the lease: the leader may allot them to other
-        daemons from then on.
+        daemons from then on. So nothing is admitted without a lease, but the
+        requests stay queued for LEASE_GAP_S, since a new leader usually
+        renews the lease by then.
         """
         try:
             self._check_lease()
         except wire.LeaseLostError as error:
-            self._refuse_waiting(error)
+            self._on_lease_lost(error)
             return
+        self._lapsed_at = None
         for queue in self._waiting_by_member.values():
             for waiter in list(queue):
                 if waiter.ready.done():
@@ -407,6 +419,14 @@
                     queue.remove(waiter)
                     waiter.ready.set_result(None)
 
+    def _on_lease_lost(self, error: wire.LeaseLostError) -> None:
+        now = self._clock.now()
+        if self._lapsed_at is None:
+            self._lapsed_at = now
+        if now - self._lapsed_at >= LEASE_GAP_S:
+            self._lapsed_at = None
+            self._refuse_waiting(error)
+
     def _refuse_waiting(self, error: wire.LeaseLostError) -> None:
         for queue in self._waiting_by_member.values():
             for waiter in queue:
