Members: several tokens, priority, and members of a route table

A Member now holds several tokens and a priority; a RouteTable may name members, checked as a whole (a token or name twice, an empty name, a negative budget). routing.authenticate decides for each request by the entry's own routes: 401 for a token that nobody holds, 503 while the routes may be out of date, none for public routes. The forwarder passes the member's name on and keeps the credentials. bergamotsail member tokens|rotate|revoke.

Tests: platform/features/members.feature (real processes: keys, public routes, rotation, a moved key, the last key of a member, a revoked key on a fresh entry and without replicas, invalid tables), features/members.feature (hypothesis: the header and the table), rows in features/cli.feature.

--- a/libs/catalogue/src/bergamotsail/catalogue/__init__.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -8,6 +8,7 @@
 from bergamotsail.catalogue import _commands
 from bergamotsail.catalogue import _entries
 from bergamotsail.catalogue import _machine
+from bergamotsail.catalogue import _members
 from bergamotsail.catalogue import _routes
 from bergamotsail.catalogue import _view
 
@@ -16,16 +17,20 @@
 Entry = _entries.Entry
 EntryClass = _entries.EntryClass
 Kind = _entries.Kind
-Limits = _entries.Limits
-Member = _entries.Member
 Pool = _entries.Pool
 PoolKind = _entries.PoolKind
 Quarantine = _entries.Quarantine
 Service = _entries.Service
-hash_token = _entries.hash_token
 parse_value = _entries.parse_value
 check_id = _entries.check_id
 
+Budget = _members.Budget
+BudgetUnit = _members.BudgetUnit
+Limits = _members.Limits
+Member = _members.Member
+find_holder = _members.find_holder
+hash_token = _members.hash_token
+
 Change = _commands.Change
 Claim = _commands.Claim
 ClaimReply = _commands.ClaimReply
@@ -53,6 +58,7 @@
 EngineSpec = _routes.EngineSpec
 Route = _routes.Route
 RouteIndex = _routes.RouteIndex
+RouteMember = _routes.RouteMember
 RouteKind = _routes.RouteKind
 RoutePool = _routes.RoutePool
 RouteTable = _routes.RouteTable
--- a/libs/catalogue/src/bergamotsail/catalogue/_entries.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_entries.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 import enum
-import hashlib
 import re
 import sys
 
+from bergamotsail.catalogue import _members
 from bergamotsail.catalogue import _routes
 from bergamotsail import wire
 
@@ -39,41 +39,6 @@
     SERVICE = "service"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limits:
-    """Limits enforced across all daemons together.
-
-    Args:
-        concurrency: maximum number of concurrent requests, or None for no
-            limit.
-        rate: maximum number of requests admitted per second, or None for no
-            limit.
-        slot_share: maximum share of an engine's adapter slots, 0 to 1, that
-            may be occupied while another member waits for one, or None for
-            a share by member weight.
-    """
-
-    concurrency: int | None = None
-    rate: float | None = None
-    slot_share: float | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
-    """A customer's team, which owns adapters and services and calls them.
-
-    Args:
-        token_sha256: SHA-256 of the token its callers send, in hex.
-        weight: its weight in fair sharing among members.
-        retry_budget: retries allowed per first attempt, 0 to 1.
-    """
-
-    token_sha256: str
-    limits: Limits = Limits()
-    weight: float = 1.0
-    retry_budget: float = 0.1
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Adapter:
     """A LoRA adapter and its versions.
@@ -91,7 +56,7 @@
     versions: dict[str, str]
     default_version: str
     entry_class: EntryClass = EntryClass.STANDARD
-    limits: Limits = Limits()
+    limits: _members.Limits = _members.NO_LIMITS
     callers: tuple[str, ...] = ()
 
 
@@ -117,7 +82,7 @@
     owner: str
     pool: str
     entry_class: EntryClass = EntryClass.STANDARD
-    limits: Limits = Limits()
+    limits: _members.Limits = _members.NO_LIMITS
     non_idempotent: tuple[ServiceCall, ...] = ()
     callers: tuple[str, ...] = ()
 
@@ -158,7 +123,7 @@
 
 
 Value = (
-    Member
+    _members.Member
     | Adapter
     | Service
     | Pool
@@ -168,7 +133,7 @@
 )
 
 TYPE_BY_KIND: dict[Kind, type] = {
-    Kind.MEMBER: Member,
+    Kind.MEMBER: _members.Member,
     Kind.ADAPTER: Adapter,
     Kind.SERVICE: Service,
     Kind.POOL: Pool,
@@ -191,9 +156,6 @@
     value: Value
 
 
-NO_LIMITS = Limits()
-
-
 def intern_common_parts(value: Value) -> Value:
     """Return an equal value whose common parts are interned.
 
@@ -211,15 +173,14 @@
             for version, weights in value.versions.items()
         },
         default_version=sys.intern(value.default_version),
-        limits=NO_LIMITS if value.limits == NO_LIMITS else value.limits,
+        limits=(
+            _members.NO_LIMITS
+            if value.limits == _members.NO_LIMITS
+            else value.limits
+        ),
     )
 
 
-def hash_token(token: str) -> str:
-    """Return the SHA-256 of a token in hex, the form that is stored."""
-    return hashlib.sha256(token.encode()).hexdigest()
-
-
 def parse_value(kind: Kind, data: bytes) -> Value:
     """Decode and validate the value of an entry.
 
@@ -249,13 +210,8 @@
 
 def _problems(value: Value) -> list[str]:
     problems: list[str] = []
-    if isinstance(value, Member):
-        if not re.fullmatch(r"[0-9a-f]{64}", value.token_sha256):
-            problems.append("token_sha256 must be 64 lowercase hex digits.")
-        if not value.weight > 0:
-            problems.append("weight must be greater than 0.")
-        if not 0 <= value.retry_budget <= 1:
-            problems.append("retry_budget must be from 0 to 1.")
+    if isinstance(value, _members.Member):
+        problems.extend(_members.member_problems(value))
     if isinstance(value, Adapter):
         if value.default_version not in value.versions:
             problems.append("default_version must be one of versions.")
@@ -265,21 +221,10 @@
             for version in value.versions
             if not ID_PATTERN.fullmatch(version)
         )
-    if isinstance(value, (Member, Adapter, Service)):
-        problems.extend(_limit_problems(value.limits))
+    if isinstance(value, (_members.Member, Adapter, Service)):
+        problems.extend(_members.limit_problems(value.limits))
+    if isinstance(value, (Adapter, Service)) and value.limits.budget:
+        problems.append("budget is a limit of members only.")
     if isinstance(value, Quarantine) and value.ends < 1:
         problems.append("ends must be 1 or more.")
     return problems
-
-
-def _limit_problems(limits: Limits) -> list[str]:
-    problems: list[str] = []
-    if limits.concurrency is not None and limits.concurrency < 1:
-        problems.append("concurrency must be 1 or more, or null.")
-    if limits.rate is not None and not limits.rate > 0:
-        problems.append("rate must be greater than 0, or null.")
-    if limits.slot_share is not None and not 0 < limits.slot_share <= 1:
-        problems.append(
-            "slot_share must be greater than 0 and at most 1, or null."
-        )
-    return problems
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -6,6 +6,7 @@
 
 from bergamotsail.catalogue import _commands
 from bergamotsail.catalogue import _entries
+from bergamotsail.catalogue import _members
 from bergamotsail.catalogue import _routes
 from bergamotsail.catalogue import _view
 from bergamotsail import quorum
@@ -190,9 +191,12 @@
             value = _entries.parse_value(put.kind, put.value.encode())
         except wire.ServingError as error:
             return error.message
-        if isinstance(value, _entries.Member):
-            token_owner = self.view.member_by_token.get(value.token_sha256)
-            if token_owner not in (None, put.id):
+        if isinstance(value, _members.Member):
+            holders = {
+                self.view.member_by_token.get(token)
+                for token in value.token_hashes
+            }
+            if holders - {None, put.id}:
                 return "Another member has this token. Choose another."
             return None
         if isinstance(value, (_entries.Pool, _entries.Quarantine)):
--- a/libs/catalogue/src/bergamotsail/catalogue/_routes.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_routes.py
@@ -5,10 +5,12 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import hashlib
 
+from bergamotsail.catalogue import _members
 from bergamotsail import wire
 
 SLASH = "/"
@@ -50,6 +52,7 @@
         resumable: whether a broken stream may resume at another target.
         pause_s: maximum gap between events of a stream that is still on
             time.
+        public: whether callers need no token.
     """
 
     name: str
@@ -63,6 +66,7 @@
     priority: int = 0
     resumable: bool = False
     pause_s: float | None = None
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -138,14 +142,27 @@
     idle_timeout_s: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteMember:
+    """A member that a route table names."""
+
+    name: str
+    member: _members.Member
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteTable:
-    """All routes, pools and limits under one version."""
+    """All routes, pools, limits and members under one version.
+
+    Args:
+        members: the members that may call; None if callers need no token.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     pools: tuple[RoutePool, ...] = ()
     limits: CallerLimits = CallerLimits()
+    members: tuple[RouteMember, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,9 +204,32 @@
             f"Route {route.name}: {problem}"
             for problem in _route_problems(route, pools)
         )
+    problems.extend(_member_problems(table.members or ()))
     return problems
 
 
+def _member_problems(
+    members: collections.abc.Sequence[RouteMember],
+) -> collections.abc.Iterator[str]:
+    names_by_token: dict[str, list[str]] = collections.defaultdict(list)
+    count_by_name = collections.Counter(named.name for named in members)
+    for name, count in count_by_name.items():
+        if not name:
+            yield "Members must have a name."
+        if count > 1:
+            yield f"Several members are named {name}; remove all but one."
+    for named in members:
+        for problem in _members.member_problems(named.member):
+            yield f"Member {named.name}: {problem}"
+        for problem in _members.limit_problems(named.member.limits):
+            yield f"Member {named.name}: {problem}"
+        for token in set(named.member.token_hashes):
+            names_by_token[token].append(named.name)
+    for names in names_by_token.values():
+        if len(names) > 1:
+            yield f"Members {', '.join(names)} hold the same token."
+
+
 def _route_problems(route: Route, pools: set[str]) -> list[str]:
     problems: list[str] = []
     if not route.host:
@@ -223,6 +263,19 @@
             self._routes_by_host.setdefault(route.host, []).append(route)
         for routes in self._routes_by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self.member_by_name = {
+            named.name: named.member for named in table.members or ()
+        }
+        self.member_by_token = {
+            token: name
+            for name, member in self.member_by_name.items()
+            for token in member.token_hashes
+        }
+
+    @property
+    def needs_token(self) -> bool:
+        """Whether callers of routes that are not public need a token."""
+        return self.table.members is not None
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any.
--- a/libs/catalogue/src/bergamotsail/catalogue/_view.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_view.py
@@ -5,6 +5,7 @@
 import zlib
 
 from bergamotsail.catalogue import _entries
+from bergamotsail.catalogue import _members
 from bergamotsail.catalogue import _routes
 from bergamotsail import wire
 
@@ -155,6 +156,13 @@
         """Entries of kind MEMBER."""
         return self.by_kind[_entries.Kind.MEMBER]
 
+    def budget(self, member: str) -> _members.Budget | None:
+        """Return the budget of a member of the route table or catalogue."""
+        found = self._routes.member_by_name.get(member)
+        if found is None and member in self.member_by_id:
+            found = self.member_by_id[member].value
+        return None if found is None else found.limits.budget
+
     @property
     def adapter_by_id(self) -> dict[str, _entries.Entry]:
         """Entries of kind ADAPTER."""
@@ -215,7 +223,8 @@
         by_id = self.by_kind[effect.kind]
         previous = by_id.pop(effect.id, None)
         if previous is not None and effect.kind is _entries.Kind.MEMBER:
-            self.member_by_token.pop(previous.value.token_sha256, None)
+            for token in previous.value.token_hashes:
+                self.member_by_token.pop(token, None)
         if text is None:
             return
         value_type = _entries.TYPE_BY_KIND[effect.kind]
@@ -224,7 +233,8 @@
             effect.kind, effect.id, effect.index, value
         )
         if effect.kind is _entries.Kind.MEMBER:
-            self.member_by_token[value.token_sha256] = effect.id
+            for token in value.token_hashes:
+                self.member_by_token[token] = effect.id
         if effect.kind is _entries.Kind.ROUTES:
             self._routes = _routes.RouteIndex(value)
 
--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -10,6 +10,7 @@
 from bergamotsail.daemon import _peer_endpoint
 from bergamotsail.daemon import _process
 from bergamotsail.daemon import _process_monitor
+from bergamotsail.daemon import _relay_handler
 from bergamotsail.daemon import _roles
 from bergamotsail import wire
 
@@ -20,11 +21,15 @@
 EntryPoint = _roles.EntryPoint
 Replica = _roles.Replica
 REPLICA_TIMING = _roles.REPLICA_TIMING
+RelayedAnswer = _relay_handler.RelayedAnswer
+RelayHandler = _relay_handler.RelayHandler
 RoleSettings = _roles.RoleSettings
 make_counting_transport = _roles.make_counting_transport
 metrics_application = _roles.metrics_application
 PEER_BODY_BYTES = _process.PEER_BODY_BYTES
+ignore_reload_signal = _process.ignore_reload_signal
 listen = _process.listen
+reloads = _process.reloads
 wait_for_stop_signal = _process.wait_for_stop_signal
 LoopLag = _peer_endpoint.LoopLag
 PeerEndpoint = _peer_endpoint.PeerEndpoint
--- a/libs/daemon/src/bergamotsail/daemon/_caller_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_caller_handlers.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import hmac
 import time
 import typing
 import uuid
@@ -54,20 +53,18 @@
             UnauthenticatedError: the token is missing or belongs to no
                 member.
         """
-        header = self.request.headers.get("Authorization", "")
-        scheme, _, token = header.partition(" ")
-        digest = catalogue.hash_token(token)
-        view = self.daemon.session.view
-        member = view.member_by_token.get(digest)
-        if scheme != "Bearer" or member is None:
+        values = self.request.headers.get_list("Authorization")
+        token = wire.parse_bearer(values)
+        by_token = self.daemon.session.view.member_by_token
+        member = None
+        if token is not None:
+            member = catalogue.find_holder(by_token, token)
+        if member is None:
             self.daemon.session.check_fresh()
             raise wire.UnauthenticatedError(
                 "Missing or invalid token. Send your member's token as "
                 "Authorization: Bearer TOKEN."
             )
-        stored = view.member_by_id[member].value.token_sha256
-        if not hmac.compare_digest(stored, digest):
-            raise wire.UnauthenticatedError("The member's token is invalid.")
         return routing.Caller(member)
 
     def request_id(self) -> str:
--- a/libs/daemon/src/bergamotsail/daemon/_process.py
+++ b/libs/daemon/src/bergamotsail/daemon/_process.py
@@ -4,12 +4,14 @@
 import collections.abc
 import signal
 
+from absl import logging
 from tornado import httpserver
 from tornado import httputil
 from tornado import netutil
 from tornado import web
 
 from bergamotsail.daemon import _bounded_body
+from bergamotsail import wire
 
 # Listen backlog, large because all callers may reconnect at once.
 LISTEN_BACKLOG = 1024
@@ -50,3 +52,22 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
     await stop_requested.wait()
+
+
+def ignore_reload_signal() -> None:
+    """Ignore SIGHUP, which would otherwise end the process."""
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGHUP, lambda: logging.info("main: SIGHUP ignored.")
+    )
+
+
+async def reloads(
+    interval_s: float,
+) -> collections.abc.AsyncIterator[None]:
+    """Yield at each SIGHUP, and without one after each interval."""
+    hangup = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, hangup.set)
+    while True:
+        await wire.wait_event(hangup, interval_s)
+        hangup.clear()
+        yield
--- a/libs/daemon/src/bergamotsail/daemon/cli.py
+++ b/libs/daemon/src/bergamotsail/daemon/cli.py
@@ -18,6 +18,8 @@
 from absl import app
 from absl import flags
 
+from bergamotsail import catalogue
+from bergamotsail.daemon import _member_tokens
 from bergamotsail import explain
 from bergamotsail import observe
 from bergamotsail import settings as settings_lib
@@ -62,6 +64,9 @@
                                  of {"kind", "id", "value"}
   catalogue delete KIND ID       delete an entry
   catalogue history              latest changes
+  member tokens ID               hashes of the tokens that a member holds
+  member rotate ID               add a new token to a member and print it
+  member revoke ID HASH          remove a token from a member
   status                         replicas, instances, targets, owners
   metrics                        metrics merged over --addresses
   form                           bootstrap the log of a new system, once
@@ -198,10 +203,12 @@
     print(json.dumps(_body_or_exit(await client.send("GET", path)), indent=2))
 
 
-def _change_headers(operation_id: str) -> dict[str, str]:
+def _change_headers(
+    operation_id: str, if_revision: int | None
+) -> dict[str, str]:
     headers = {"X-Operation-Id": operation_id}
-    if _IF_REVISION.value is not None:
-        headers["If-Match"] = f'"{_IF_REVISION.value}"'
+    if if_revision is not None:
+        headers["If-Match"] = f'"{if_revision}"'
     return headers
 
 
@@ -211,6 +218,7 @@
     kind: str,
     entry_id: str,
     body: bytes | None,
+    if_revision: int | None = None,
 ) -> typing.Any:
     """Send a change, with retries.
 
@@ -218,7 +226,9 @@
     does not apply it twice.
     """
     operation_id = _OPERATION_ID.value or uuid.uuid4().hex
-    headers = _change_headers(operation_id)
+    if _IF_REVISION.value is not None:
+        if_revision = _IF_REVISION.value
+    headers = _change_headers(operation_id, if_revision)
     path = f"/admin/v1/entries/{kind}/{entry_id}"
     for _ in range(RETRIES):
         try:
@@ -262,6 +272,58 @@
     _print_result(reply, [(kind, entry_id)], ("KIND", "DELETED"))
 
 
+async def _member(client: ApiClient, args: list[str]) -> None:
+    action, *rest = args or [""]
+    handlers = {
+        "tokens": (_list_tokens, 1),
+        "rotate": (_rotate_token, 1),
+        "revoke": (_revoke_token, 2),
+    }
+    handler, argument_count = handlers.get(action, (None, 0))
+    if handler is None or len(rest) != argument_count:
+        raise UsageError("Unknown member command or wrong arguments.")
+    await handler(client, *rest)
+
+
+async def _read_member(client: ApiClient, member: str) -> typing.Any:
+    path = f"/admin/v1/entries/member/{member}"
+    return _body_or_exit(await client.send("GET", path))
+
+
+async def _list_tokens(client: ApiClient, member: str) -> None:
+    entry = await _read_member(client, member)
+    hashes = _member_tokens.hashes(entry["value"])
+    _print_result(hashes, [(token,) for token in hashes], ("TOKEN_SHA256",))
+
+
+async def _rotate_token(client: ApiClient, member: str) -> None:
+    """Add a token; the previous ones stay valid until they are revoked."""
+    token = _member_tokens.new_token()
+    token_sha256 = catalogue.hash_token(token)
+    entry = await _read_member(client, member)
+    value = _member_tokens.with_token(entry["value"], token_sha256)
+    await _put_member(client, member, value, entry["revision"])
+    row = (token, token_sha256)
+    result = {"token": token, "token_sha256": token_sha256}
+    _print_result(result, [row], ("TOKEN", "TOKEN_SHA256"))
+
+
+async def _revoke_token(
+    client: ApiClient, member: str, token_sha256: str
+) -> None:
+    entry = await _read_member(client, member)
+    value = _member_tokens.without_token(entry["value"], token_sha256)
+    reply = await _put_member(client, member, value, entry["revision"])
+    _print_result(reply, [(member, token_sha256)], ("ID", "REVOKED"))
+
+
+async def _put_member(
+    client: ApiClient, member: str, value: typing.Any, revision: int
+) -> typing.Any:
+    body = json.dumps(value).encode()
+    return await _change(client, "PUT", "member", member, body, revision)
+
+
 async def _history(client: ApiClient) -> None:
     response = await client.send("GET", "/admin/v1/history")
     changes = _body_or_exit(response)
@@ -439,6 +501,7 @@
     ],
 ] = {
     "catalogue": _catalogue,
+    "member": _member,
     "status": _status,
     "metrics": _metrics,
     "form": _form,
@@ -468,6 +531,9 @@
     except UsageError as error:
         print(f"{error}\n\n{USAGE}", file=sys.stderr)
         return EXIT_USAGE
+    except wire.BadRequestError as error:
+        print(f"{error.code}: {error.message}", file=sys.stderr)
+        return EXIT_FAILED
     except wire.ServingError as error:
         print(f"{error.code}: {error.message}", file=sys.stderr)
         return EXIT_UNREACHABLE
--- a/libs/observe/src/bergamotsail/observe/__init__.py
+++ b/libs/observe/src/bergamotsail/observe/__init__.py
@@ -10,6 +10,7 @@
 
 EventHandler = _events.EventHandler
 EventLog = _events.EventLog
+install_event_handler = _events.install_event_handler
 lines_dropped = _events.lines_dropped
 log_event = _events.log_event
 
--- a/libs/observe/src/bergamotsail/observe/_events.py
+++ b/libs/observe/src/bergamotsail/observe/_events.py
@@ -13,6 +13,8 @@
 import threading
 import time
 
+from absl import logging
+
 MAX_QUEUED_LINES = 5_000
 
 
@@ -106,3 +108,12 @@
         if record.exc_info:
             fields["trace"] = self.format(record)[-2000:]
         log_event(part if text else "log", "line", **fields)
+
+
+def install_event_handler() -> None:
+    """Make the messages of absl.logging events, from level INFO on."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    root = logging.get_absl_logger()
+    root.handlers = [EventHandler()]
+    root.propagate = False
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -18,6 +18,7 @@
 from bergamotsail import control
 from bergamotsail import observe
 from bergamotsail import placement
+from bergamotsail.routing import _authentication
 from bergamotsail.routing import _fatal
 from bergamotsail.routing import _forward_types
 from bergamotsail.routing import _placements
@@ -96,6 +97,7 @@
     answer: AnswerWriter
     deadline: float
     age_s: float
+    caller: _authentication.Caller
     avoid: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     placements: int = 0
@@ -122,6 +124,13 @@
             ),
         )
 
+    @property
+    def priority(self) -> int:
+        """The priority of the request, 0 is the most urgent."""
+        if self.caller.priority is not None:
+            return self.caller.priority
+        return self.route.priority
+
     def record_piece(self, now: float) -> None:
         """Record the arrival of a piece of the answer."""
         if self.last_piece_at is not None:
@@ -237,12 +246,15 @@
             raise wire.NotFoundError(
                 "No route matches this host and path. Check both."
             )
+        caller = _authentication.authenticate(
+            routes, route, request.token, self._session.fresh()
+        )
         patience_s = request.patience_s or DEFAULT_PATIENCE_S
         deadline = request.arrived_at + min(patience_s, route.timeout_s)
         pool = routes.choose_pool(route, request.id)
         self._budgets.count(pool.name)
         age_s = self._estimate_age_s(route, patience_s)
-        return _Attempt(request, route, pool, answer, deadline, age_s)
+        return _Attempt(request, route, pool, answer, deadline, age_s, caller)
 
     def _estimate_age_s(
         self, route: catalogue.Route, patience_s: float
@@ -274,6 +286,7 @@
             "end",
             request=request.id,
             route=route,
+            member=attempt.caller.name if attempt is not None else None,
             adapter=_adapter_of(request),
             routes_version=self._session.view.routes.table.version,
             leader_silent_s=round(self._session.silent_s(), 3),
@@ -449,7 +462,7 @@
                 model.prompt_tokens,
                 model.output_tokens,
                 model.parts,
-                attempt.route.priority,
+                attempt.priority,
                 self._placement_patience_s(attempt),
                 self._datacentre,
                 (*attempt.avoid, *not_accepting),
@@ -545,9 +558,11 @@
             target,
             address,
             version,
-            min(attempt.route.priority, 9),
+            min(attempt.priority, 9),
             attempt.deadline - self._clock.now(),
             resume,
+            attempt.caller.name,
+            not self._session.view.routes.needs_token,
         )
 
     async def _send(self, attempt: _Attempt, destination: Destination) -> None:
--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -40,6 +40,7 @@
         resume_after: id of the last event that the caller received of a
             stream.
         caller: the caller's credentials; empty without any.
+        token: the caller's token, None if its credentials are not valid.
     """
 
     id: str
@@ -54,6 +55,7 @@
     model: ModelPart | None = None
     resume_after: str | None = None
     caller: str = ""
+    token: str | None = None
 
     @property
     def member(self) -> str:
@@ -80,6 +82,8 @@
         priority: 0 is the most urgent.
         left_s: the remaining patience of the caller.
         resume_after: id of the event after which to resume a stream.
+        member: the member that sent the request, empty if unknown.
+        keeps_credentials: whether to pass on the caller's credentials.
     """
 
     target: str
@@ -88,6 +92,8 @@
     priority: int
     left_s: float
     resume_after: str | None = None
+    member: str = ""
+    keeps_credentials: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from bergamotsail.wire import _background
+from bergamotsail.wire import _bearer
 from bergamotsail.wire import _clock
 from bergamotsail.wire import _codec
 from bergamotsail.wire import _curl
@@ -39,6 +40,8 @@
 FaultInjector = _steps.FaultInjector
 NoFaultInjector = _steps.NoFaultInjector
 
+parse_bearer = _bearer.parse_bearer
+
 BackgroundTasks = _background.BackgroundTasks
 
 lazy_names = _lazy.lazy_names
