Limits: budgets of members by tokens, over all daemons

A budget (rate and burst, in tokens or requests) limits a member over all daemons. The leader keeps a token bucket for each member; a request that asks it for a placement is debited there, with no further message. What a daemon admits by itself (plain calls, placements found without a leader, second runs) it reports with its heartbeat; what surely did not run is returned.

Counts of tokens that are no numbers cost as much as the largest request; '2' in another script or 5,000 digits ended the handler before (ValueError).

--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -21,6 +21,7 @@
 from bergamotsail.control import _quarantine
 from bergamotsail.control import _share_notes
 from bergamotsail.control import _turns
+from bergamotsail import limits
 from bergamotsail import observe
 from bergamotsail import quorum
 from bergamotsail import targets
@@ -125,6 +126,7 @@
     Args:
         use_tracker: if given, the leader grants no ownership of targets but
             sends all orders itself, with its term as the fencing token.
+        budgets: what members spend of their budgets.
     """
 
     def __init__(
@@ -141,7 +143,11 @@
         steps: wire.FaultInjector = wire.NoFaultInjector(),
         use_tracker: UseTracker | None = None,
         metrics: observe.Metrics | None = None,
+        budgets: limits.LeaderBudgets | None = None,
     ) -> None:
+        self._budgets = budgets or limits.LeaderBudgets(
+            limits.BudgetSettings(alone_after_s=timing.alone_after_s)
+        )
         self._metrics = metrics or observe.Metrics()
         self._address = address
         self._node = node
@@ -242,6 +248,7 @@
             self._targets_to_hand_over(term, daemon.boot),
             tuple(member.address for member in self._node.config.members),
             term.quarantine.suspects(),
+            self._record_spending(term, request),
         )
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.AFTER)
         return reply
@@ -597,6 +604,15 @@
             shares[key] = share
         return shares
 
+    def _record_spending(
+        self, term: _Term, request: _messages.Heartbeat
+    ) -> dict[str, float]:
+        """Record a report; return which share of requests to admit."""
+        ledger = self._budgets.of_term(term.term, self._clock.now())
+        budget_of, now = self._machine.view.budget, self._clock.now()
+        ledger.record(request.spending, request.daemon.address, budget_of, now)
+        return ledger.admit_shares(budget_of, now)
+
     def _targets_to_hand_over(self, term: _Term, boot: str) -> tuple[str, ...]:
         target = term.hand_over_by_boot.get(boot)
         return (target,) if target is not None else ()
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -3,9 +3,12 @@
 import dataclasses
 
 from bergamotsail import catalogue
+from bergamotsail import limits
 from bergamotsail import quarantine
 from bergamotsail import wire
 
+ALONE_AFTER_LEASES = 0.6
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseTiming:
@@ -42,6 +45,15 @@
         """
         return self.lease_s * (1 + self.drift) + self.order_flight_s
 
+    @property
+    def alone_after_s(self) -> float:
+        """Silence of the leader after which a daemon is on its own.
+
+        More than one heartbeat must have failed, as they are sent thrice in a
+        lease.
+        """
+        return ALONE_AFTER_LEASES * self.lease_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DaemonInfo:
@@ -153,6 +165,7 @@
             that the digest doesn't show as leaving.
         runs_last_s: upper bound in seconds for the duration of all requests
             that it has admitted or admits before the reply.
+        spending: what members asked for and spent of their budgets.
     """
 
     daemon: DaemonInfo
@@ -169,6 +182,7 @@
     ends: tuple[quarantine.Observation, ...] = ()
     leaving: tuple[str, ...] = ()
     runs_last_s: float = 0.0
+    spending: limits.SpendingReport = limits.SpendingReport()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,6 +197,8 @@
         replicas: addresses of all replicas.
         suspects: identities of requests that were lost with a target; a
             complete response to one clears it.
+        admit_share_by_member: for members above their budget, the share of
+            their requests that the daemon should not refuse at once.
     """
 
     leader: str
@@ -195,6 +211,9 @@
     hand_over: tuple[str, ...] = ()
     replicas: tuple[str, ...] = ()
     suspects: tuple[str, ...] = ()
+    admit_share_by_member: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -13,6 +13,7 @@
 from bergamotsail.control import _digest
 from bergamotsail.control import _messages
 from bergamotsail.control import _target_notices
+from bergamotsail import limits
 from bergamotsail import quarantine
 from bergamotsail import quorum
 from bergamotsail import wire
@@ -265,6 +266,10 @@
         self.leader = leader
         self.observations = quarantine.Observations(clock)
         self.notices = _target_notices.TargetNotices()
+        self.budgets = limits.DaemonBudgets(
+            wire.make_rng(daemon.boot),
+            limits.BudgetSettings(alone_after_s=timing.alone_after_s),
+        )
         self._transport = transport
         self._timing = timing
         self._node = node
@@ -336,6 +341,21 @@
         sent_at = self._lease_until - self._timing.usable_s
         return self._clock.now() - sent_at
 
+    def admit_within_budget(self, member: str, cost: float) -> None:
+        """Admit a request of a member as far as this daemon decides.
+
+        Raises:
+            LimitError: the member is above its limit.
+            OverloadError: this daemon's part of the budget is spent.
+        """
+        budget = self.view.budget(member)
+        if budget is None:
+            return
+        contact = limits.LeaderContact(
+            self.silent_s(), len(self.daemon_by_boot)
+        )
+        self.budgets.admit(member, budget, cost, contact, self._clock.now())
+
     @property
     def goes_through_neighbour(self) -> bool:
         """Whether calls to the leader are relayed by another daemon."""
@@ -448,9 +468,14 @@
             ends=ends,
             leaving=self.unreported_leaving(),
             runs_last_s=self._participant.declare_run_bound(),
+            spending=self.budgets.take_report(),
         )
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.BEFORE)
-        reply = await self._send(request)
+        try:
+            reply = await self._send(request)
+        except wire.ServingError:
+            self.budgets.return_report(request.spending)
+            raise
         sent_at = self._sent_at
         answered_at = self._clock.now()
         self.leader.found(reply.leader)
@@ -467,6 +492,7 @@
             self.kick()
         self._participant.confirm_run_bound()
         self._participant.take_shares(reply.share_by_key)
+        self.budgets.take_shares(reply.admit_share_by_member)
         if reply.hand_over:
             self._participant.hand_over(reply.hand_over)
         self._participant.view_changed()
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -20,6 +20,7 @@
 from bergamotsail.daemon import _access_log
 from bergamotsail.daemon import _peer_endpoint
 from bergamotsail.daemon import _process_monitor
+from bergamotsail import limits
 from bergamotsail import observe
 from bergamotsail import placement
 from bergamotsail import quorum
@@ -60,6 +61,7 @@
             lose power: acknowledged entries survive, and the log stays
             writable.
         domain: failure domain of this process; its data centre when None.
+        budget_slack: units by which the budget of a member may be exceeded.
     """
 
     name: str
@@ -74,6 +76,7 @@
     places: placement.PlaceSettings = placement.PlaceSettings()
     tolerated_failures: int = 1
     domain: str | None = None
+    budget_slack: float = 0.0
 
     @property
     def voters(self) -> int:
@@ -244,6 +247,11 @@
             ),
         )
         self.node.election_observer = self.process_monitor
+        budgets = limits.LeaderBudgets(
+            limits.BudgetSettings(
+                settings.budget_slack, settings.lease.alone_after_s
+            )
+        )
         self.placer = placement.Placer(
             _NodeLeadership(self.node),
             lambda: self.machine.view,
@@ -264,6 +272,7 @@
                 clock.now() if started_at is None else started_at,
                 settings.initial_order_delay_s,
             ),
+            budgets=budgets,
         )
         self.coordinator = control.Coordinator(
             settings.address,
@@ -276,6 +285,7 @@
             clock=clock,
             use_tracker=self.placer,
             metrics=self.metrics,
+            budgets=budgets,
         )
         self.node.serve(self.server)
         self.coordinator.serve(self.server)
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -68,6 +68,8 @@
             the adapter or loads it.
         age_s: approximate time that the client spent on earlier attempts.
         releases: pending releases of the daemon, sent along.
+        member: the member that sent the request.
+        cost: units of the member's budget to debit; 0 if that was done.
     """
 
     boot: str
@@ -87,6 +89,8 @@
     hope_s: float = 60.0
     age_s: float = 0.0
     releases: ReleaseRequest | None = None
+    member: str = ""
+    cost: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -15,6 +15,7 @@
 
 from bergamotsail import catalogue
 from bergamotsail import control
+from bergamotsail import limits
 from bergamotsail import observe
 from bergamotsail.placement import _counter
 from bergamotsail.placement import _decisions
@@ -90,6 +91,7 @@
         copy_registry: where copies are recorded for the next leader.
         holder_registry: where the processes that gave orders are recorded.
         tenure: decides when this process may give orders.
+        budgets: what members spend of their budgets.
     """
 
     def __init__(
@@ -108,7 +110,9 @@
         ),
         holder_registry: _tenure.HolderRegistry = _tenure.NoHolderRegistry(),
         tenure: _tenure.Tenure | None = None,
+        budgets: limits.LeaderBudgets | None = None,
     ) -> None:
+        self._budgets = budgets or limits.LeaderBudgets()
         self._settings = settings
         self._rights = _rights.OrderRights(
             leadership,
@@ -188,6 +192,7 @@
                 "Too many requests are waiting for an engine. Try again.",
                 retry_after_s=RETRY_AFTER_S,
             )
+        self._debit(request)
         done = asyncio.get_running_loop().create_future()
         arrived_at = self._clock.now() - request.waited_s
         waiter = _waiting.Waiter(request, arrived_at, done)
@@ -203,6 +208,34 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
+    def _debit(self, request: _place_messages.PlaceRequest) -> None:
+        """Debit a request from its member's budget.
+
+        Raises:
+            LimitError: the member is above its limit.
+        """
+        budget = self._view().budget(request.member)
+        if budget is None or not request.cost:
+            return
+        now = self._clock.now()
+        ledger = self._budgets.of_term(self._leadership.term, now)
+        wait_s = ledger.take(request.member, budget, request.cost, now)
+        if wait_s == 0.0:
+            self._metrics.count("budget_debits", member=request.member)
+            return
+        self._metrics.count("budget_refusals", member=request.member)
+        observe.log_event(
+            "limit",
+            "refuse",
+            request=request.request,
+            member=request.member,
+            cost=request.cost,
+            level=round(ledger.level(request.member, budget, now)),
+            per_s=budget.per_s,
+            term=self._leadership.term,
+        )
+        raise limits.limit_error(request.member, wait_s)
+
     def _check_tenure(self, waiter: _waiting.Waiter) -> None:
         """Refuse a request at once if its load can't be ordered in time.
 
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -110,6 +110,9 @@
     sent_at: float = 0.0
     last_piece_at: float | None = None
     longest_pause_s: float = 0.0
+    debit: _placements.Debit = dataclasses.field(
+        default_factory=_placements.Debit
+    )
     tracked: _fatal.TrackedRequest = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -216,6 +219,8 @@
             raise
         finally:
             self.active -= 1
+            if attempt is not None:
+                self._return_debit(attempt)
             self._log_end(request, attempt, code, started_at)
 
     async def _wait_for_routes(self, request: CallerRequest) -> None:
@@ -249,12 +254,51 @@
         caller = _authentication.authenticate(
             routes, route, request.token, self._session.fresh()
         )
-        patience_s = request.patience_s or DEFAULT_PATIENCE_S
-        deadline = request.arrived_at + min(patience_s, route.timeout_s)
         pool = routes.choose_pool(route, request.id)
         self._budgets.count(pool.name)
+        debit = self._admit(request, caller, pool)
+        patience_s = request.patience_s or DEFAULT_PATIENCE_S
+        deadline = request.arrived_at + min(patience_s, route.timeout_s)
         age_s = self._estimate_age_s(route, patience_s)
-        return _Attempt(request, route, pool, answer, deadline, age_s, caller)
+        return _Attempt(
+            request, route, pool, answer, deadline, age_s, caller, debit=debit
+        )
+
+    def _admit(
+        self,
+        request: CallerRequest,
+        caller: _authentication.Caller,
+        pool: catalogue.RoutePool,
+    ) -> _placements.Debit:
+        """Admit a request within the budget of its member.
+
+        Raises:
+            LimitError: the member is above its limit.
+            OverloadError: the limit can't be checked without a leader.
+        """
+        budget = self._session.view.budget(caller.name)
+        if budget is None:
+            return _placements.Debit()
+        size = request.size
+        if size is not None and pool.engine is not None:
+            # An engine runs nothing that is larger than its memory.
+            size = min(size, pool.engine.memory_tokens)
+        cost = budget.cost(size)
+        try:
+            self._session.admit_within_budget(caller.name, cost)
+        except wire.ServingError as error:
+            self._metrics.count("budget_refusals", member=caller.name)
+            observe.log_event(
+                "limit",
+                "refuse",
+                request=request.id,
+                member=caller.name,
+                cost=cost,
+                code=error.code,
+                leader_silent_s=round(self._session.silent_s(), 3),
+            )
+            raise
+        return _placements.Debit(caller.name, cost)
 
     def _estimate_age_s(
         self, route: catalogue.Route, patience_s: float
@@ -317,6 +361,22 @@
             error,
         )
 
+    def _debit_send(self, attempt: _Attempt) -> None:
+        """Debit a send that asks the leader for nothing.
+
+        A send after a run is a further run, and is debited as well.
+        """
+        debit = attempt.debit
+        if debit.cost and (attempt.runs > 0 or not debit.taken):
+            self._session.budgets.spend(debit.member, debit.cost)
+        debit.taken = True
+
+    def _return_debit(self, attempt: _Attempt) -> None:
+        """Return the debit of a request that surely has not run."""
+        debit = attempt.debit
+        if debit.cost and debit.taken and attempt.runs == 0:
+            self._session.budgets.spend(debit.member, -debit.cost)
+
     async def _serve(self, attempt: _Attempt) -> None:
         last: wire.ServingError | None = None
         while attempt.sends < MAX_SENDS:
@@ -372,6 +432,7 @@
             await self._wait_for_pool(attempt)
             return
         destination = self._destination(attempt, info.id, info.address, None)
+        self._debit_send(attempt)
         failed = True
         self._services.started(info.id)
         try:
@@ -452,6 +513,8 @@
             *self._session.unreported_leaving(),
             *self._session.notices.paused(SHORT_PAUSE_S, self._clock.now()),
         )
+        if attempt.runs > 0:
+            self._debit_send(attempt)
         place = await self._placements.acquire(
             placement.PlaceRequest(
                 self._session.boot,
@@ -470,7 +533,8 @@
                 attempt.route.objective_s,
                 attempt.route.objective_s * REFUSE_AFTER_OBJECTIVES,
                 attempt.age_s,
-            )
+            ),
+            attempt.debit,
         )
         outcome = Outcome.LEFT
         try:
--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -41,6 +41,7 @@
             stream.
         caller: the caller's credentials; empty without any.
         token: the caller's token, None if its credentials are not valid.
+        size: declared number of tokens, None without a declaration.
     """
 
     id: str
@@ -56,6 +57,7 @@
     resume_after: str | None = None
     caller: str = ""
     token: str | None = None
+    size: int | None = None
 
     @property
     def member(self) -> str:
--- a/libs/targets/src/bergamotsail/targets/__init__.py
+++ b/libs/targets/src/bergamotsail/targets/__init__.py
@@ -25,6 +25,7 @@
 
 Flag = _header_values.Flag
 Seconds = _header_values.Seconds
+parse_count = _header_values.parse_count
 parse_flag = _header_values.parse_flag
 parse_seconds = _header_values.parse_seconds
 
--- a/libs/targets/src/bergamotsail/targets/_header_values.py
+++ b/libs/targets/src/bergamotsail/targets/_header_values.py
@@ -6,6 +6,9 @@
 import collections.abc
 import dataclasses
 
+# Counts and times are below 10^9.
+MAX_DIGITS = 9
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Flag:
@@ -64,3 +67,14 @@
         else:
             invalid_value = text
     return Seconds(longest_s, invalid_value)
+
+
+def parse_count(text: str) -> int | None:
+    """Return a decimal number of at most MAX_DIGITS digits, else None.
+
+    Example: ``parse_count(" 12 ")`` is 12; ``"-1"`` and ``"\xb2"`` give None.
+    """
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit()):
+        return None
+    return int(digits) if len(digits) <= MAX_DIGITS else None
