--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -16,3 +16,7 @@
       | hot_and_half_cut_off          |
       | limit_lowered_below_demand    |
       | hot_with_plain_calls          |
+
+  Scenario: Every replaced guard of the budgets is detected
+    When each guard of the budgets is replaced
+    Then no guarantee is violated
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -31,6 +31,7 @@
       | limit_across_daemons       |
       | limit_across_leaders       |
       | rate_across_daemons        |
+      | budget_across_daemons      |
       | runs_outlast_a_lease       |
       | runs_outlast_a_leader      |
       | waiting_as_lease_ends      |
--- a/features/steps/budgets.py
+++ b/features/steps/budgets.py
@@ -12,3 +12,8 @@
         for daemons, per_s in ((6, 4_200), (59, 250_000), (191, 4_200))
         for fault in budgets.play(name, daemons, per_s)
     ]
+
+
+@behave.when("each guard of the budgets is replaced")
+def replace_guards(context) -> None:
+    context.faults = budgets.undetected_mutants()
--- a/features/support/budgets.py
+++ b/features/support/budgets.py
@@ -12,6 +12,7 @@
 import heapq
 import itertools
 import random
+from unittest import mock
 
 from bergamotsail import catalogue
 from bergamotsail import limits
@@ -305,3 +306,52 @@
         if name == "calm" and result.refused >= MAX_REFUSED:
             faults.append(f"budget: seed {seed} refuses too much: {result}")
     return faults
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mutant:
+    """A guard that is replaced, and the day that must detect it."""
+
+    owner: type
+    guard: str
+    replacement: collections.abc.Callable[..., object]
+    day: str
+
+
+MUTANTS = (
+    Mutant(limits.BudgetLedger, "take", lambda *_: 0.0, "hot"),
+    Mutant(
+        limits.BudgetLedger,
+        "record",
+        lambda *_: None,
+        "hot_with_plain_calls",
+    ),
+    Mutant(
+        limits.BudgetLedger,
+        "_part_alone",
+        lambda *_: 0.0,
+        "hot_and_half_cut_off",
+    ),
+    Mutant(
+        limits.DaemonBudgets,
+        "_take_own_part",
+        lambda *_: None,
+        "hot_and_half_cut_off",
+    ),
+    Mutant(
+        limits.DaemonBudgets,
+        "take_shares",
+        lambda *_: None,
+        "hot_with_plain_calls",
+    ),
+)
+
+
+def undetected_mutants() -> list[str]:
+    """Return the guards whose replacement breaks no guarantee."""
+    undetected = []
+    for mutant in MUTANTS:
+        with mock.patch.object(mutant.owner, mutant.guard, mutant.replacement):
+            if not play(mutant.day, 59, 250_000):
+                undetected.append(mutant.guard)
+    return undetected
--- a/features/support/scenarios.py
+++ b/features/support/scenarios.py
@@ -16,12 +16,14 @@
 from bergamotsail import catalogue
 from bergamotsail import control
 from bergamotsail import daemon as daemon_lib
+from bergamotsail import limits
 from bergamotsail import placement
 from bergamotsail.placement import _residents
 from bergamotsail import quorum
 from bergamotsail import routing
 from bergamotsail import standins
 from bergamotsail import wire
+from features.support import oracle as oracle_lib
 from features.support import world as world_lib
 
 SimulatedCluster = world_lib.SimulatedCluster
@@ -681,6 +683,54 @@
         return faults
 
 
+async def budget_across_daemons(seed: int = 1) -> list[str]:
+    """A budget holds across all daemons, and spares who is below it.
+
+    A completion costs 13 tokens, so the budget is worth 5 a second.
+    """
+    async with SimulatedCluster(Settings(seed=seed)) as world:
+        per_s, burst, cost = 65.0, 130.0, 13
+        value = {
+            "token_sha256": catalogue.hash_token("tahi-token"),
+            "limits": {"budget": {"per_s": per_s, "burst": burst}},
+        }
+        await world.put("member", "tahi", value)
+        await asyncio.sleep(1.5)
+        below = await _send_evenly(world, 0, per_s=4, length_s=6.0)
+        hot, other = await asyncio.gather(
+            _send_evenly(world, 0, per_s=40, length_s=8.0),
+            _send_evenly(world, 1, per_s=2, length_s=8.0),
+        )
+        faults = world.oracle.check_at_end()
+        for answer in (*below, *other):
+            if answer.error is not None:
+                faults.append(f"limits: refused below: {answer.error!r}")
+        admitted = cost * sum(answer.error is None for answer in hot)
+        # Requests of one heartbeat's time are admitted before the leader
+        # hears of them.
+        unreported = 40 * 0.5 * cost
+        if admitted > 1.1 * (per_s * 8.0 + burst) + unreported:
+            faults.append(f"limits: {admitted} tokens admitted in 8 s")
+        codes = {a.error.code for a in hot if a.error is not None}
+        if codes != {"limit_reached"}:
+            faults.append(f"limits: unexpected refusals: {codes}")
+        return faults
+
+
+async def _send_evenly(
+    world: SimulatedCluster, adapter: int, per_s: float, length_s: float
+) -> list[oracle_lib.Answer]:
+    """Send completions to all daemons in turn; return their answers."""
+    tasks = []
+    for number in range(int(per_s * length_s)):
+        entry = world.entry(number % 5)
+        tasks.append(
+            asyncio.create_task(world.complete(adapter, entry, tokens=10))
+        )
+        await asyncio.sleep(1 / per_s)
+    return list(await asyncio.gather(*tasks))
+
+
 SCENARIOS: tuple[
     collections.abc.Callable[..., collections.abc.Coroutine], ...
 ] = (
@@ -706,6 +756,7 @@
     limit_across_daemons,
     limit_across_leaders,
     rate_across_daemons,
+    budget_across_daemons,
     runs_outlast_a_lease,
     runs_outlast_a_leader,
     waiting_as_lease_ends,
@@ -944,6 +995,13 @@
         yield
 
 
+@contextlib.contextmanager
+def spending_ignored() -> collections.abc.Iterator[None]:
+    """Ignore what daemons report of their members' requests."""
+    with patch(limits.BudgetLedger, "record", lambda *_: None):
+        yield
+
+
 @contextlib.contextmanager
 def early_share_increase() -> collections.abc.Iterator[None]:
     """Raise shares before the leader knows all daemons that hold some.
@@ -1001,6 +1059,7 @@
     Mutant(8, "runs_outlast_a_leader", early_share_release),
     Mutant(8, "runs_outlast_a_lease", early_share_release),
     Mutant(8, "waiting_as_lease_ends", waiting_not_refused),
+    Mutant(8, "budget_across_daemons", spending_ignored),
 )
 
 
--- a/libs/limits/src/bergamotsail/limits/_daemon_budgets.py
+++ b/libs/limits/src/bergamotsail/limits/_daemon_budgets.py
@@ -81,7 +81,7 @@
             self._take_own_part(member, budget, cost, contact, now)
             return
         self._own_by_member.pop(member, None)
-        share = self._share_by_member.get(member, 1.0)
+        share = self.share(member)
         if share >= 1.0:
             return
         first = self._rng.random()
@@ -90,6 +90,10 @@
         if credit < 1.0:
             raise limit_error(member, 1.0 / max(share, 0.01))
 
+    def share(self, member: str) -> float:
+        """Return which share of a member's requests is not refused here."""
+        return self._share_by_member.get(member, 1.0)
+
     def spend(self, member: str, cost: float) -> None:
         """Count a request that the leader has not debited.
 
--- a/libs/routing/src/bergamotsail/routing/_completions.py
+++ b/libs/routing/src/bergamotsail/routing/_completions.py
@@ -12,6 +12,7 @@
 from bergamotsail import observe
 from bergamotsail import placement
 from bergamotsail.routing import _admission
+from bergamotsail.routing import _budget_admission
 from bergamotsail.routing import _choice
 from bergamotsail.routing import _retries
 from bergamotsail import targets
@@ -25,6 +26,8 @@
 PREFIX_CHARS = 64
 SEPARATOR = "~"
 CANCEL_TIMEOUT_S = 2.0
+# Callers send text; engines count tokens.
+CHARACTERS_PER_TOKEN = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +77,12 @@
     entry_class: str | None = None
     resume: ResumePoint | None = None
 
+    @property
+    def size(self) -> int:
+        """Estimate of its tokens: of the prompt, and at most generated."""
+        prompt_tokens = -(-len(self.prompt.text) // CHARACTERS_PER_TOKEN)
+        return prompt_tokens + self.prompt.max_tokens
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerPart:
@@ -120,6 +129,9 @@
     ) -> None:
         self._session = session
         self._admission = admission
+        self._budget_admission = _budget_admission.BudgetAdmission(
+            session, metrics
+        )
         self._owners = owners
         self._transport = transport
         self._routing = routing
@@ -139,6 +151,7 @@
         adapter = self.resolve(caller, completion.model)
         _check_resumed_model(completion)
         entry = self._session.view.adapter_by_id[adapter.partition("@")[0]]
+        debit = self._admit(caller, completion)
         deadline = self._clock.now() + completion.deadline_s
         started_at = self._clock.now()
         entered = self._admission.enter(
@@ -149,6 +162,7 @@
         )
         async with entered:
             self._budgets.record_first_try(caller.member)
+            debit.take_here()
             attempt = _Attempt(
                 caller,
                 completion,
@@ -167,6 +181,16 @@
             finally:
                 await parts.aclose()
 
+    def _admit(
+        self, caller: Caller, completion: Completion
+    ) -> _budget_admission.Debit:
+        """Admit a completion; one that resumes a run was admitted before."""
+        if completion.resume is not None:
+            return _budget_admission.Debit(self._session.budgets)
+        return self._budget_admission.admit(
+            caller.member, completion.size, completion.request
+        )
+
     def resolve(self, caller: Caller, model: str) -> str:
         """Return ``adapter@version`` for a model that the caller may use.
 
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -19,6 +19,7 @@
 from bergamotsail import observe
 from bergamotsail import placement
 from bergamotsail.routing import _authentication
+from bergamotsail.routing import _budget_admission
 from bergamotsail.routing import _fatal
 from bergamotsail.routing import _forward_types
 from bergamotsail.routing import _placements
@@ -98,6 +99,7 @@
     deadline: float
     age_s: float
     caller: _authentication.Caller
+    debit: _budget_admission.Debit
     avoid: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     placements: int = 0
@@ -110,9 +112,6 @@
     sent_at: float = 0.0
     last_piece_at: float | None = None
     longest_pause_s: float = 0.0
-    debit: _placements.Debit = dataclasses.field(
-        default_factory=_placements.Debit
-    )
     tracked: _fatal.TrackedRequest = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -134,6 +133,13 @@
             return self.caller.priority
         return self.route.priority
 
+    def debit_send(self) -> None:
+        """Debit a send that the leader does not debit."""
+        if self.runs > 0:
+            self.debit.take_again()
+        else:
+            self.debit.take_here()
+
     def record_piece(self, now: float) -> None:
         """Record the arrival of a piece of the answer."""
         if self.last_piece_at is not None:
@@ -171,6 +177,7 @@
         self._rng = rng or random.Random()
         self._session = session
         self._guard = _fatal.QuarantineGuard(session, metrics)
+        self._admission = _budget_admission.BudgetAdmission(session, metrics)
         self._placements = placements
         self._services = services
         self._budgets = budgets
@@ -219,8 +226,8 @@
             raise
         finally:
             self.active -= 1
-            if attempt is not None:
-                self._return_debit(attempt)
+            if attempt is not None and attempt.runs == 0:
+                attempt.debit.give_back()
             self._log_end(request, attempt, code, started_at)
 
     async def _wait_for_routes(self, request: CallerRequest) -> None:
@@ -256,50 +263,16 @@
         )
         pool = routes.choose_pool(route, request.id)
         self._budgets.count(pool.name)
-        debit = self._admit(request, caller, pool)
+        debit = self._admission.admit(
+            caller.name, _size(request, pool), request.id
+        )
         patience_s = request.patience_s or DEFAULT_PATIENCE_S
         deadline = request.arrived_at + min(patience_s, route.timeout_s)
         age_s = self._estimate_age_s(route, patience_s)
         return _Attempt(
-            request, route, pool, answer, deadline, age_s, caller, debit=debit
+            request, route, pool, answer, deadline, age_s, caller, debit
         )
 
-    def _admit(
-        self,
-        request: CallerRequest,
-        caller: _authentication.Caller,
-        pool: catalogue.RoutePool,
-    ) -> _placements.Debit:
-        """Admit a request within the budget of its member.
-
-        Raises:
-            LimitError: the member is above its limit.
-            OverloadError: the limit can't be checked without a leader.
-        """
-        budget = self._session.view.budget(caller.name)
-        if budget is None:
-            return _placements.Debit()
-        size = request.size
-        if size is not None and pool.engine is not None:
-            # An engine runs nothing that is larger than its memory.
-            size = min(size, pool.engine.memory_tokens)
-        cost = budget.cost(size)
-        try:
-            self._session.admit_within_budget(caller.name, cost)
-        except wire.ServingError as error:
-            self._metrics.count("budget_refusals", member=caller.name)
-            observe.log_event(
-                "limit",
-                "refuse",
-                request=request.id,
-                member=caller.name,
-                cost=cost,
-                code=error.code,
-                leader_silent_s=round(self._session.silent_s(), 3),
-            )
-            raise
-        return _placements.Debit(caller.name, cost)
-
     def _estimate_age_s(
         self, route: catalogue.Route, patience_s: float
     ) -> float:
@@ -361,22 +334,6 @@
             error,
         )
 
-    def _debit_send(self, attempt: _Attempt) -> None:
-        """Debit a send that asks the leader for nothing.
-
-        A send after a run is a further run, and is debited as well.
-        """
-        debit = attempt.debit
-        if debit.cost and (attempt.runs > 0 or not debit.taken):
-            self._session.budgets.spend(debit.member, debit.cost)
-        debit.taken = True
-
-    def _return_debit(self, attempt: _Attempt) -> None:
-        """Return the debit of a request that surely has not run."""
-        debit = attempt.debit
-        if debit.cost and debit.taken and attempt.runs == 0:
-            self._session.budgets.spend(debit.member, -debit.cost)
-
     async def _serve(self, attempt: _Attempt) -> None:
         last: wire.ServingError | None = None
         while attempt.sends < MAX_SENDS:
@@ -432,7 +389,7 @@
             await self._wait_for_pool(attempt)
             return
         destination = self._destination(attempt, info.id, info.address, None)
-        self._debit_send(attempt)
+        attempt.debit_send()
         failed = True
         self._services.started(info.id)
         try:
@@ -514,7 +471,7 @@
             *self._session.notices.paused(SHORT_PAUSE_S, self._clock.now()),
         )
         if attempt.runs > 0:
-            self._debit_send(attempt)
+            attempt.debit.take_again()
         place = await self._placements.acquire(
             placement.PlaceRequest(
                 self._session.boot,
@@ -861,6 +818,14 @@
     return f"{request.model.model}/{request.model.adapter}"
 
 
+def _size(request: CallerRequest, pool: catalogue.RoutePool) -> int | None:
+    """Return the tokens that a request can take at most, if it has any."""
+    if request.size is None or pool.engine is None:
+        return request.size
+    # An engine runs nothing that is larger than its memory.
+    return min(request.size, pool.engine.memory_tokens)
+
+
 def _retryable(
     error: wire.ServingError, ran: wire.RunStatus
 ) -> _RetryableError:
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -8,6 +8,7 @@
 from bergamotsail import control
 from bergamotsail import observe
 from bergamotsail import placement
+from bergamotsail.routing import _budget_admission
 from bergamotsail.routing import _silence
 from bergamotsail.routing import _survey
 from bergamotsail import wire
@@ -55,20 +56,6 @@
     code = "leader_moved"
 
 
-@dataclasses.dataclass(slots=True)
-class Debit:
-    """The debit of one request from its member's budget.
-
-    Args:
-        cost: units to debit, 0 without a budget.
-        taken: whether they are debited, at the leader or on this daemon.
-    """
-
-    member: str = ""
-    cost: float = 0.0
-    taken: bool = False
-
-
 class AskRateLimiter:
     """Token bucket that limits a daemon's rate of placement requests.
 
@@ -166,7 +153,9 @@
         return tuple(self._use_by_request.values())
 
     async def acquire(
-        self, request: placement.PlaceRequest, debit: Debit
+        self,
+        request: placement.PlaceRequest,
+        debit: _budget_admission.Debit,
     ) -> placement.PlaceReply:
         """Request a placement until one is granted or patience runs out.
 
@@ -185,7 +174,7 @@
         while (left_s := deadline - self._clock.now()) > 0:
             found = self._place_without_leader(request, left_s)
             if found is not None:
-                self._spend(debit)
+                debit.take_here()
                 return self._register_use(request, found)
             if self._survey_task is not None and not self._survey_task.done():
                 await self._clock.sleep(min(SURVEY_POLL_S, left_s))
@@ -211,21 +200,21 @@
                 waited_s=request.waited_s + self._clock.now() - started_at,
                 releases=self._take_releases(),
                 member=debit.member,
-                cost=0.0 if debit.taken else debit.cost,
+                cost=debit.due,
             )
             try:
                 reply = await self._ask(call_request)
-                debit.taken = True
+                debit.mark_taken()
                 self._on_leader_reply()
                 return self._register_use(request, reply)
             except LeaderMovedError:
                 continue
             except wire.StillWaitingError:
-                debit.taken = True
+                debit.mark_taken()
                 self._leader_heard_at = self._clock.now()
                 continue
             except wire.NoCapacityError:
-                debit.taken = True
+                debit.mark_taken()
                 self._leader_heard_at = self._clock.now()
                 raise
             except wire.LimitError:
@@ -239,7 +228,7 @@
                     pause_s = max(pause_s, error.retry_after_s or 0.0)
                 cached = self._cached_placement(request)
                 if cached is not None:
-                    self._spend(debit)
+                    debit.take_here()
                     return self._register_use(request, cached)
             await self._wait_to_retry(min(pause_s, left_s))
             pause_s = min(pause_s * 2, MAX_RETRY_PAUSE_S)
@@ -248,12 +237,6 @@
             retry_after_s=1.0,
         ) from last
 
-    def _spend(self, debit: Debit) -> None:
-        """Debit a request that the leader has not debited."""
-        if not debit.taken and debit.cost:
-            self._session.budgets.spend(debit.member, debit.cost)
-        debit.taken = True
-
     def _take_releases(self) -> placement.ReleaseRequest | None:
         """Take the queued releases, to be sent with the next call."""
         if not self._ended and not self._begun:
--- a/libs/routing/src/bergamotsail/routing/_services.py
+++ b/libs/routing/src/bergamotsail/routing/_services.py
@@ -20,6 +20,7 @@
 from bergamotsail import observe
 from bergamotsail import quarantine
 from bergamotsail.routing import _admission
+from bergamotsail.routing import _budget_admission
 from bergamotsail.routing import _completions
 from bergamotsail.routing import _fatal
 from bergamotsail.routing import _keys
@@ -102,6 +103,9 @@
         self._wall_s = wall_s
         self._session = session
         self._admission = admission
+        self._budget_admission = _budget_admission.BudgetAdmission(
+            session, metrics
+        )
         self._make_service = make_service
         self._metrics = metrics
         self._clock = clock
@@ -127,10 +131,12 @@
         key_time_ms = self._validated_key_time_ms(call) if once else 0
         deadline = self._clock.now() + call.deadline_s
         tracked = _tracked(caller, call, entry.value)
+        debit = self._budget_admission.admit(caller.member, None, call.request)
         entered = self._admission.enter(
             caller.member, catalogue.Kind.SERVICE, entry.id, call.deadline_s
         )
         async with entered:
+            debit.take_here()
             if once:
                 # A non-idempotent call is not cancelled when its caller goes
                 # away, so that its outcome is still recorded.
