--- a/libs/bench/src/bergamotsail/bench/_virtual.py
+++ b/libs/bench/src/bergamotsail/bench/_virtual.py
@@ -32,6 +32,8 @@
         load_s: seconds for one load when it is the only one.
         daemon: settings that extend or override those of each daemon.
         seed: seed of the network, the disks and the daemons.
+        budget_by_member: budgets, in tokens per second.
+        slow_factor: how much slower every third engine steps.
     """
 
     members: tuple[str, ...]
@@ -43,6 +45,17 @@
     daemon: dict[str, object] = dataclasses.field(default_factory=dict)
     seed: int = 1
     datacentres: tuple[str, ...] = ("dc-a", "dc-b", "dc-c")
+    budget_by_member: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    slow_factor: float = 1.0
+
+    def engine_at(self, number: int) -> standins.EngineSettings:
+        """Return the settings of an engine."""
+        if number % 3 != 0:
+            return self.engine
+        step_s = self.engine.step_s * self.slow_factor
+        return dataclasses.replace(self.engine, step_s=step_s)
 
 
 class Deployment:
@@ -63,7 +76,9 @@
     async def __aenter__(self) -> "Deployment":
         settings = self.settings
         for number in range(settings.engines):
-            engine = standins.EngineStandIn(settings.engine, self.store)
+            engine = standins.EngineStandIn(
+                settings.engine_at(number), self.store
+            )
             await self._stack.enter_async_context(engine)
             self.engine_by_address[f"10.1.0.{number + 1}:8000"] = engine
         self.publish()
@@ -159,7 +174,12 @@
         await self._put("pool", "llm", {"kind": "engine"})
         for member in self.settings.members:
             token = catalogue.hash_token(f"{member}-token")
-            await self._put("member", member, {"token_sha256": token})
+            value: dict[str, object] = {"token_sha256": token}
+            per_s = self.settings.budget_by_member.get(member)
+            if per_s is not None:
+                budget = {"per_s": per_s, "burst": per_s}
+                value["limits"] = {"budget": budget}
+            await self._put("member", member, value)
         numbers = range(self.settings.adapters)
         for start in numbers[::PUT_BATCH]:
             batch = numbers[start : start + PUT_BATCH]
--- a/libs/bench/src/bergamotsail/bench/_workloads.py
+++ b/libs/bench/src/bergamotsail/bench/_workloads.py
@@ -34,6 +34,12 @@
         stall_weight: weight of load stalls against batch efficiency in
             placement.
         skew: exponent of the Zipf distribution of adapter popularity.
+        member_skew: exponent of the Zipf distribution of requests over
+            members; 0 for equal members.
+        budget_factor: budget of a member as a multiple of its usual
+            requests; None without budgets.
+        slow_factor: how much slower every third engine steps.
+        prompt_characters: length of a prompt.
     """
 
     name: str
@@ -49,15 +55,59 @@
     engine: standins.EngineSettings = standins.EngineSettings(
         adapter_slots=8, batch_slots=16, step_s=0.012
     )
+    member_skew: float = 0.0
+    budget_factor: float | None = None
+    slow_factor: float = 1.0
+    prompt_characters: int = 8
+
+    @property
+    def weight_by_member(self) -> dict[str, float]:
+        """The part of the requests that each member usually sends."""
+        weights = [
+            1 / (rank + 1) ** self.member_skew
+            for rank in range(len(self.members))
+        ]
+        total = sum(weights)
+        return {
+            member: weight / total
+            for member, weight in zip(self.members, weights)
+        }
+
+    @property
+    def mean_cost(self) -> float:
+        """Mean cost of a request, in tokens."""
+        return self.prompt_characters / CHARACTERS_PER_TOKEN + MEAN_TOKENS
 
 
+MEAN_TOKENS = 30
+CHARACTERS_PER_TOKEN = 4
 TAHI = DeploymentProfile(
     "tahi", ("tahi", "other"), 6, 9, 3000, 0.25, 6.0, 0.004, 1.0
 )
 LAKESHORE = DeploymentProfile(
     "lakeshore", ("lakeshore", "other"), 6, 6, 3000, 0.333, 3.5, 0.001, 0.0
 )
-PROFILES = (TAHI, LAKESHORE)
+# A fifth of a deployment with many members of different size, budgets, many
+# small adapters and unequal engines.
+TAHI_NOW = DeploymentProfile(
+    "tahi-now",
+    tuple(f"member-{number}" for number in range(16)),
+    12,
+    14,
+    2000,
+    0.036,
+    56.0,
+    0.001,
+    1.0,
+    engine=standins.EngineSettings(
+        adapter_slots=5, batch_slots=64, step_s=0.0105
+    ),
+    member_skew=1.0,
+    budget_factor=1.8,
+    slow_factor=1.3,
+    prompt_characters=9_200,
+)
+PROFILES = (TAHI, LAKESHORE, TAHI_NOW)
 
 EVENTS = (
     "steady",
@@ -68,9 +118,12 @@
     "leaving",
     "daemon_lost",
     "daemon_stop",
+    "hot_member",
 )
-MEAN_TOKENS = 30
 FLOOD_RATE = 20.0
+# A hot member sends this many times its usual.
+HOT_FACTOR = 7.5
+HOT_MEMBER = 1
 
 
 def trace(
@@ -81,6 +134,8 @@
     arrivals = list(_zipf_arrivals(profile, event, seconds, rng))
     if event == "flood":
         arrivals += _flood_arrivals(profile, seconds, rng)
+    if event == "hot_member":
+        arrivals += _hot_arrivals(profile, seconds, rng)
     arrivals.sort(key=lambda arrival: arrival.at)
     return arrivals
 
@@ -103,9 +158,41 @@
             rng.shuffle(ranks)
             has_shifted = True
         adapter = ranks[rng.choices(range(profile.adapters), weights)[0]]
+        if profile.member_skew:
+            adapter = _of_drawn_member(profile, adapter, rng)
         yield Arrival(at, adapter, _draw_tokens(rng))
 
 
+def _of_drawn_member(
+    profile: DeploymentProfile, adapter: int, rng: random.Random
+) -> int:
+    """Return the adapter of a drawn member that is as popular as *adapter*."""
+    weights = list(profile.weight_by_member.values())
+    member = rng.choices(range(len(weights)), weights)[0]
+    return adapter // len(weights) * len(weights) + member
+
+
+def _hot_arrivals(
+    profile: DeploymentProfile, seconds: float, rng: random.Random
+) -> collections.abc.Iterator[Arrival]:
+    """Yield what a hot member sends beyond its usual.
+
+    It is hot in the middle third of the trace.
+    """
+    member = profile.members[HOT_MEMBER]
+    usual = profile.rate * profile.weight_by_member[member]
+    extra = _member_adapters(profile, HOT_MEMBER)
+    at = seconds / 3
+    while at < seconds * 2 / 3:
+        at += rng.expovariate(usual * (HOT_FACTOR - 1))
+        yield Arrival(at, rng.choice(extra), _draw_tokens(rng))
+
+
+def _member_adapters(profile: DeploymentProfile, member: int) -> range:
+    """Return the adapters of a member, which are numbered in turn."""
+    return range(member, profile.adapters, len(profile.members))
+
+
 def _flood_arrivals(
     profile: DeploymentProfile, seconds: float, rng: random.Random
 ) -> collections.abc.Iterator[Arrival]:
--- a/libs/bench/src/bergamotsail/bench/experiment.py
+++ b/libs/bench/src/bergamotsail/bench/experiment.py
@@ -36,6 +36,10 @@
     "events", None, "Workload events to run; default: all."
 )
 
+_PROFILES = flags.DEFINE_list(
+    "profiles", None, "Names of the deployments to run; default: all."
+)
+
 WARMUP_FRACTION = 1 / 3
 DEADLINE_S = 30.0
 BASELINES = ("least_loaded", "hash")
@@ -85,6 +89,9 @@
     refused: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    refused_by_member: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     answered: int = 0
     requests: int = 0
     by_second: dict[int, list[float]] = dataclasses.field(
@@ -104,6 +111,7 @@
     deployment: _virtual.Deployment,
     arrival: _workloads.Arrival,
     client_s: float,
+    prompt_characters: int,
     outcomes: Outcomes | None,
 ) -> None:
     members = deployment.settings.members
@@ -118,7 +126,10 @@
     completion = routing.Completion(
         f"r{arrival.at:.6f}",
         name,
-        targets.Prompt(f"prompt {arrival.adapter % 7}", arrival.tokens),
+        targets.Prompt(
+            f"prompt {arrival.adapter % 7}".ljust(prompt_characters),
+            arrival.tokens,
+        ),
         DEADLINE_S,
     )
     code = ""
@@ -136,6 +147,7 @@
     outcomes.requests += 1
     if code:
         outcomes.refused[code] += 1
+        outcomes.refused_by_member[member] += 1
         return
     outcomes.answered += 1
     outcomes.first_s[member].append(first or 0.0)
@@ -170,6 +182,17 @@
         await deployment.stop(addresses[-1])
 
 
+def _budgets(profile: _workloads.DeploymentProfile) -> dict[str, float]:
+    """Return the budget of each member, in tokens per second."""
+    if profile.budget_factor is None:
+        return {}
+    tokens_per_s = profile.rate * profile.mean_cost * profile.budget_factor
+    return {
+        member: weight * tokens_per_s
+        for member, weight in profile.weight_by_member.items()
+    }
+
+
 async def _run(task: Task) -> dict[str, object]:
     profile = task.profile
     settings = _virtual.DeploymentSettings(
@@ -187,6 +210,8 @@
             },
         },
         task.seed,
+        budget_by_member=_budgets(profile),
+        slow_factor=profile.slow_factor,
     )
     arrivals = _workloads.trace(profile, task.event, task.seconds, task.seed)
     warmup_end = task.seconds * WARMUP_FRACTION
@@ -211,6 +236,7 @@
                         deployment,
                         arrival,
                         profile.client_s,
+                        profile.prompt_characters,
                         outcomes if is_counted else None,
                     )
                 )
@@ -258,6 +284,7 @@
         "requests": outcomes.requests,
         "answered": outcomes.answered,
         "refused": dict(outcomes.refused),
+        "refused_by_member": dict(outcomes.refused_by_member),
         "load_stall_ms": stalls,
         "first_token_ms": {
             "p50": round(percentile(first_token_s, 0.5) * 1000, 1),
@@ -328,15 +355,20 @@
     if _QUICK.value:
         events = ("steady",)
         seconds = min(seconds, 45.0)
+    profiles = [
+        profile
+        for profile in _workloads.PROFILES
+        if _PROFILES.value is None or profile.name in _PROFILES.value
+    ]
     tasks = [
         Task(
             profile, event, policy, seconds, _SEED.value, profile.stall_weight
         )
-        for profile in _workloads.PROFILES
+        for profile in profiles
         for event in events
         for policy in POLICIES
     ]
-    for profile in _workloads.PROFILES if not _QUICK.value else ():
+    for profile in profiles if not _QUICK.value else ():
         # The steady workload with the complementary stall weight, which is
         # the one of the other deployment.
         other = 1.0 - profile.stall_weight
