--- a/features/support/heard.py
+++ b/features/support/heard.py
@@ -352,7 +352,7 @@
         self.wait_s = 0.0
 
     async def acquire(
-        self, request: placement.PlaceRequest
+        self, request: placement.PlaceRequest, _debit: object
     ) -> placement.PlaceReply:
         for target in self._world.targets:
             if target.id in request.avoid:
--- a/libs/routing/src/bergamotsail/routing/_budget_admission.py
+++ b/libs/routing/src/bergamotsail/routing/_budget_admission.py
@@ -18,12 +18,12 @@
     """The debit of one request from its member's budget.
 
     Args:
-        budgets: the budgets on this daemon.
+        budgets: the budgets on this daemon; None if there is no cost.
         cost: units to debit, 0 without a budget.
         taken: whether they are debited, at the leader or on this daemon.
     """
 
-    budgets: limits.DaemonBudgets
+    budgets: limits.DaemonBudgets | None = None
     member: str = ""
     cost: float = 0.0
     taken: bool = False
@@ -45,12 +45,12 @@
     def take_again(self) -> None:
         """Debit a further run of the request on this daemon."""
         self.taken = True
-        if self.cost:
+        if self.cost and self.budgets is not None:
             self.budgets.spend(self.member, self.cost)
 
     def give_back(self) -> None:
         """Return the debit, since the request surely has not run."""
-        if self.taken and self.cost:
+        if self.taken and self.cost and self.budgets is not None:
             self.budgets.spend(self.member, -self.cost)
         self.taken = False
 
@@ -78,7 +78,7 @@
         """
         budget = self._session.view.budget(member)
         if budget is None:
-            return Debit(self._session.budgets)
+            return Debit()
         cost = budget.cost(size)
         try:
             self._session.admit_within_budget(member, cost)
--- a/libs/routing/src/bergamotsail/routing/_completions.py
+++ b/libs/routing/src/bergamotsail/routing/_completions.py
@@ -186,7 +186,7 @@
     ) -> _budget_admission.Debit:
         """Admit a completion; one that resumes a run was admitted before."""
         if completion.resume is not None:
-            return _budget_admission.Debit(self._session.budgets)
+            return _budget_admission.Debit()
         return self._budget_admission.admit(
             caller.member, completion.size, completion.request
         )
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -9,7 +9,6 @@
 import asyncio
 import collections
 import collections.abc
-import dataclasses
 import random
 
 from absl import logging
@@ -18,6 +17,7 @@
 from bergamotsail import control
 from bergamotsail import observe
 from bergamotsail import placement
+from bergamotsail.routing import _attempt
 from bergamotsail.routing import _authentication
 from bergamotsail.routing import _budget_admission
 from bergamotsail.routing import _fatal
@@ -28,7 +28,6 @@
 
 MAX_SENDS = 6
 CONNECT_TIMEOUT_S = 0.5
-RETRY_AFTER_S = 0.5
 # A starting instance receives its routes from the leader 0.2 to 0.8 s after
 # it begins to serve, also after a power loss of all instances. A request that
 # arrives before that waits at most this long, and at most this share of its
@@ -41,8 +40,6 @@
 PLACEMENT_WAIT_SHARE = 0.7
 PLACEMENT_WAIT_OBJECTIVES = 3.0
 REFUSE_AFTER_OBJECTIVES = 1.5
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
 SERVER_ERROR = 500
 DEADLINE_MARGIN_S = 0.03
 # Pauses of an engine up to this length are waited out: it is about the time
@@ -60,99 +57,6 @@
 Outcome = placement.UseOutcome
 
 
-class _RetryableError(wire.ServingError):
-    """A send failed and the attempt may be sent again.
-
-    Args:
-        ran: NOT_RUN if the request is known not to have run.
-    """
-
-    code = "try_next"
-
-
-class _NotAcceptingError(_RetryableError):
-    """The target accepts no work at the moment; nothing was sent."""
-
-    code = "closed"
-
-
-class _InvalidAnswerError(wire.PeerLostError):
-    """The received answer is incomplete or belongs to another request."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Attempt:
-    """State of one attempt of a caller, across all its sends.
-
-    Args:
-        age_s: estimate of how long the caller had been trying before.
-        sends: how often it was sent to a target.
-        runs: how many of the sends may have run.
-        partial_event: the received start of an incomplete event.
-        longest_pause_s: the longest gap between two pieces of the answer.
-    """
-
-    request: CallerRequest
-    route: catalogue.Route
-    pool: catalogue.RoutePool
-    answer: AnswerWriter
-    deadline: float
-    age_s: float
-    caller: _authentication.Caller
-    debit: _budget_admission.Debit
-    avoid: set[str] = dataclasses.field(default_factory=set)
-    sends: int = 0
-    placements: int = 0
-    runs: int = 0
-    last_event: str | None = None
-    partial_event: bytes = b""
-    target: str = ""
-    aborted: bool = False
-    on_first_piece: collections.abc.Callable[[], None] | None = None
-    sent_at: float = 0.0
-    last_piece_at: float | None = None
-    longest_pause_s: float = 0.0
-    tracked: _fatal.TrackedRequest = dataclasses.field(init=False)
-
-    def __post_init__(self) -> None:
-        request = self.request
-        self.tracked = _fatal.TrackedRequest(
-            request.id,
-            request.member,
-            self.pool.name,
-            lambda: request.identity,
-            lambda: (
-                wire.RunStatus.UNKNOWN if self.runs else wire.RunStatus.NOT_RUN
-            ),
-        )
-
-    @property
-    def priority(self) -> int:
-        """The priority of the request, 0 is the most urgent."""
-        if self.caller.priority is not None:
-            return self.caller.priority
-        return self.route.priority
-
-    def debit_send(self) -> None:
-        """Debit a send that the leader does not debit."""
-        if self.runs > 0:
-            self.debit.take_again()
-        else:
-            self.debit.take_here()
-
-    def record_piece(self, now: float) -> None:
-        """Record the arrival of a piece of the answer."""
-        if self.last_piece_at is not None:
-            pause_s = now - self.last_piece_at
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self.last_piece_at = now
-
-    def abort(self) -> None:
-        """Abort the answer so that the caller sees it is incomplete."""
-        self.aborted = True
-        self.answer.abort()
-
-
 class Forwarder:
     """Serves callers' requests according to the current route table.
 
@@ -211,7 +115,7 @@
         self.active += 1
         started_at = self._clock.now()
         code = "done"
-        attempt: _Attempt | None = None
+        attempt: _attempt.Attempt | None = None
         try:
             await self._wait_for_routes(request)
             attempt = self._start_attempt(request, answer)
@@ -246,7 +150,7 @@
 
     def _start_attempt(
         self, request: CallerRequest, answer: AnswerWriter
-    ) -> _Attempt:
+    ) -> _attempt.Attempt:
         routes = self._session.view.routes
         if routes.table.version == 0:
             raise wire.OverloadError(
@@ -264,12 +168,12 @@
         pool = routes.choose_pool(route, request.id)
         self._budgets.count(pool.name)
         debit = self._admission.admit(
-            caller.name, _size(request, pool), request.id
+            caller.name, _attempt.size_of(request, pool), request.id
         )
         patience_s = request.patience_s or DEFAULT_PATIENCE_S
         deadline = request.arrived_at + min(patience_s, route.timeout_s)
         age_s = self._estimate_age_s(route, patience_s)
-        return _Attempt(
+        return _attempt.Attempt(
             request, route, pool, answer, deadline, age_s, caller, debit
         )
 
@@ -291,7 +195,7 @@
     def _log_end(
         self,
         request: CallerRequest,
-        attempt: _Attempt | None,
+        attempt: _attempt.Attempt | None,
         code: str,
         started_at: float,
     ) -> None:
@@ -304,7 +208,7 @@
             request=request.id,
             route=route,
             member=attempt.caller.name if attempt is not None else None,
-            adapter=_adapter_of(request),
+            adapter=_attempt.adapter_of(request),
             routes_version=self._session.view.routes.table.version,
             leader_silent_s=round(self._session.silent_s(), 3),
             code=code,
@@ -312,10 +216,10 @@
             runs=attempt.runs if attempt is not None else 0,
             target=attempt.target if attempt is not None else None,
             took_s=round(took_s, 4),
-            longest_pause_s=_longest_pause_s(attempt),
+            longest_pause_s=_attempt.longest_pause_s(attempt),
         )
 
-    async def _serve_in_time(self, attempt: _Attempt) -> None:
+    async def _serve_in_time(self, attempt: _attempt.Attempt) -> None:
         left_s = attempt.deadline - self._clock.now() - DEADLINE_MARGIN_S
         try:
             async with asyncio.timeout(max(left_s, 0.0)):
@@ -323,18 +227,18 @@
         except TimeoutError:
             self._time_out(attempt)
 
-    def _time_out(self, attempt: _Attempt) -> None:
+    def _time_out(self, attempt: _attempt.Attempt) -> None:
         """End an attempt whose deadline has passed."""
         error = wire.DeadlineError(
             "The target did not answer in time.", ran=wire.RunStatus.UNKNOWN
         )
-        _abort_or_raise(
+        _attempt.abort_or_raise(
             attempt,
             "No target accepted the request before its deadline",
             error,
         )
 
-    async def _serve(self, attempt: _Attempt) -> None:
+    async def _serve(self, attempt: _attempt.Attempt) -> None:
         last: wire.ServingError | None = None
         while attempt.sends < MAX_SENDS:
             self._guard.check(attempt.tracked)
@@ -345,17 +249,17 @@
                 async with self._guard.exclusive(attempt.tracked, left_s):
                     await self._try(attempt)
                 return
-            except _RetryableError as error:
+            except _attempt.RetryableError as error:
                 last = error
         self._abort_or_refuse(attempt, last)
 
-    async def _try(self, attempt: _Attempt) -> None:
+    async def _try(self, attempt: _attempt.Attempt) -> None:
         if attempt.pool.engine is not None and attempt.request.model:
             await self._try_engine(attempt)
         else:
             await self._try_service(attempt)
 
-    def _may_repeat(self, attempt: _Attempt) -> bool:
+    def _may_repeat(self, attempt: _attempt.Attempt) -> bool:
         """Whether the attempt may be sent again.
 
         The route, the number of lost targets and the budget limit this. If
@@ -370,16 +274,19 @@
         return self._budgets.take(attempt.pool.name)
 
     def _abort_or_refuse(
-        self, attempt: _Attempt, last: wire.ServingError | None
+        self, attempt: _attempt.Attempt, last: wire.ServingError | None
     ) -> None:
         """End an attempt that will not be sent again."""
-        _abort_or_raise(
-            attempt, "No target accepts the request", _unknown_outcome(), last
+        _attempt.abort_or_raise(
+            attempt,
+            "No target accepts the request",
+            _attempt.unknown_outcome(),
+            last,
         )
 
     # Plain services
 
-    async def _try_service(self, attempt: _Attempt) -> None:
+    async def _try_service(self, attempt: _attempt.Attempt) -> None:
         info = self._services.choose(
             attempt.pool.name,
             self._session.open_targets(),
@@ -401,7 +308,7 @@
         finally:
             self._services.ended(info.id, failed)
 
-    def _remaining_pauses_s(self, attempt: _Attempt) -> list[float]:
+    def _remaining_pauses_s(self, attempt: _attempt.Attempt) -> list[float]:
         """Return the remaining pause of each target that is not leaving."""
         now = self._clock.now()
         notices = self._session.notices
@@ -412,18 +319,18 @@
             and not notices.is_marked_leaving(info)
         ]
 
-    def _all_paused(self, attempt: _Attempt) -> bool:
+    def _all_paused(self, attempt: _attempt.Attempt) -> bool:
         """Whether all targets that are not leaving are paused."""
         return min(self._remaining_pauses_s(attempt), default=0.0) > 0.0
 
-    async def _wait_for_pool(self, attempt: _Attempt) -> None:
+    async def _wait_for_pool(self, attempt: _attempt.Attempt) -> None:
         """Wait for the shortest pause if the caller's patience allows it.
 
         Raises:
             OverloadError: the pause is too long, or no target is paused;
                 nothing was run.
             UnknownOutcomeError: likewise, but an earlier send may have run.
-            _NotAcceptingError: the pause is over; the attempt may be retried.
+            NotAcceptingError: the pause is over; the attempt may be retried.
         """
         pause_s = min(self._remaining_pauses_s(attempt), default=0.0)
         if pause_s == 0.0:
@@ -431,32 +338,32 @@
             return
         left_s = attempt.deadline - self._clock.now()
         if pause_s * (1 + PAUSE_JITTER) > left_s * PLACEMENT_WAIT_SHARE:
-            _abort_or_raise(
+            _attempt.abort_or_raise(
                 attempt,
                 "All targets have paused new work",
-                _unknown_outcome(),
+                _attempt.unknown_outcome(),
                 retry_after_s=pause_s,
             )
             return
         await self._wait_for_pause_end(attempt, pause_s)
 
     async def _wait_for_pause_end(
-        self, attempt: _Attempt, pause_s: float
+        self, attempt: _attempt.Attempt, pause_s: float
     ) -> None:
         """Sleep until a pause is over, then have the attempt retried.
 
         Raises:
-            _NotAcceptingError: always, after the pause.
+            NotAcceptingError: always, after the pause.
         """
         spread_s = pause_s * PAUSE_JITTER * self._rng.random()
         await self._clock.sleep(pause_s + spread_s)
-        raise _NotAcceptingError(
+        raise _attempt.NotAcceptingError(
             "The target was paused.", ran=wire.RunStatus.NOT_RUN
         )
 
     # Engines
 
-    async def _try_engine(self, attempt: _Attempt) -> None:
+    async def _try_engine(self, attempt: _attempt.Attempt) -> None:
         if self._all_paused(attempt):
             await self._wait_for_pool(attempt)
         request = attempt.request
@@ -496,7 +403,7 @@
         outcome = Outcome.LEFT
         try:
             self._check_accepting(attempt, place.target)
-        except _NotAcceptingError:
+        except _attempt.NotAcceptingError:
             self._placements.release(use_id, place.target, outcome)
             await self._wait_for_engine(attempt, place.target)
             raise
@@ -515,21 +422,21 @@
         try:
             await self._send(attempt, destination)
             outcome = Outcome.FAILED if attempt.aborted else Outcome.DONE
-        except _RetryableError as error:
-            outcome = _outcome_of(error)
+        except _attempt.RetryableError as error:
+            outcome = _attempt.outcome_of(error)
             raise
         finally:
             attempt.on_first_piece = None
             self._placements.release(use_id, place.target, outcome)
 
-    def _check_accepting(self, attempt: _Attempt, target: str) -> None:
+    def _check_accepting(self, attempt: _attempt.Attempt, target: str) -> None:
         """Raise if a target is leaving or paused.
 
         The target may have announced this while the request waited for its
         placement, before the instance list or the leader knows about it.
 
         Raises:
-            _NotAcceptingError: the target accepts no work.
+            NotAcceptingError: the target accepts no work.
         """
         now = self._clock.now()
         leaving = self._session.notices.is_leaving(target)
@@ -544,11 +451,13 @@
             leaving=leaving,
             pause_left_s=round(pause_s, 3),
         )
-        raise _NotAcceptingError(
+        raise _attempt.NotAcceptingError(
             "The target is leaving or paused.", ran=wire.RunStatus.NOT_RUN
         )
 
-    async def _wait_for_engine(self, attempt: _Attempt, target: str) -> None:
+    async def _wait_for_engine(
+        self, attempt: _attempt.Attempt, target: str
+    ) -> None:
         """Wait out a short pause of an engine, else avoid the engine."""
         notices = self._session.notices
         pause_s = notices.pause_left_s(target, self._clock.now())
@@ -560,7 +469,7 @@
             return
         await self._wait_for_pause_end(attempt, pause_s)
 
-    def _placement_patience_s(self, attempt: _Attempt) -> float:
+    def _placement_patience_s(self, attempt: _attempt.Attempt) -> float:
         left_s = attempt.deadline - self._clock.now()
         objectives_s = attempt.route.objective_s * PLACEMENT_WAIT_OBJECTIVES
         return max(min(left_s * PLACEMENT_WAIT_SHARE, objectives_s), 0.0)
@@ -569,7 +478,7 @@
 
     def _destination(
         self,
-        attempt: _Attempt,
+        attempt: _attempt.Attempt,
         target: str,
         address: str,
         version: int | None,
@@ -586,7 +495,9 @@
             not self._session.view.routes.needs_token,
         )
 
-    async def _send(self, attempt: _Attempt, destination: Destination) -> None:
+    async def _send(
+        self, attempt: _attempt.Attempt, destination: Destination
+    ) -> None:
         """Send to one target and relay its answer."""
         # The request may have been quarantined, or the target may have
         # announced a pause, while this attempt waited for its placement.
@@ -624,8 +535,8 @@
                 await self._relay_answer(attempt, exchange, head)
             self._guard.served(attempt.tracked, destination.target)
         except wire.NotSentError as error:
-            raise _retryable(error, wire.RunStatus.NOT_RUN) from error
-        except _InvalidAnswerError as error:
+            raise _attempt.retryable(error, wire.RunStatus.NOT_RUN) from error
+        except _attempt.InvalidAnswerError as error:
             attempt.runs += 1
             self._handle_lost_answer(attempt, error)
         except wire.PeerLostError as error:
@@ -645,12 +556,12 @@
             del self._running_by_target[target]
 
     def _handle_lost_answer(
-        self, attempt: _Attempt, error: wire.ServingError
+        self, attempt: _attempt.Attempt, error: wire.ServingError
     ) -> None:
         """Abort an answer that has started and cannot be resumed.
 
         Raises:
-            _RetryableError: no answer has started, or it can be resumed.
+            RetryableError: no answer has started, or it can be resumed.
         """
         observe.log_event(
             "route",
@@ -669,11 +580,11 @@
         ):
             attempt.abort()
             return
-        raise _retryable(error, wire.RunStatus.UNKNOWN) from error
+        raise _attempt.retryable(error, wire.RunStatus.UNKNOWN) from error
 
     async def _relay_answer(
         self,
-        attempt: _Attempt,
+        attempt: _attempt.Attempt,
         exchange: wire.Exchange,
         head: wire.ReplyHead,
     ) -> None:
@@ -697,21 +608,21 @@
                 f"The target did not run the request ({code})."
             )
             error.code = code
-            raise _retryable(error, wire.RunStatus.NOT_RUN)
+            raise _attempt.retryable(error, wire.RunStatus.NOT_RUN)
         if not parsed.own or not parsed.has_seal:
-            raise _InvalidAnswerError(
+            raise _attempt.InvalidAnswerError(
                 "The answer is invalid or belongs to another request."
             )
         if head.status >= SERVER_ERROR and not attempt.answer.started:
             if attempt.route.repeatable and self._has_other_target(attempt):
                 attempt.runs += 1
                 error = wire.EngineError("The target failed the request.")
-                raise _retryable(error, wire.RunStatus.FAILED)
+                raise _attempt.retryable(error, wire.RunStatus.FAILED)
         attempt.partial_event = b""
         if not attempt.answer.started:
             attempt.answer.start(head.status, self._dialect.returning(head))
         elif head.status >= 300:
-            raise _InvalidAnswerError(
+            raise _attempt.InvalidAnswerError(
                 "The target could not resume the stream."
             )
         is_stream = attempt.route.kind is catalogue.RouteKind.STREAM
@@ -721,18 +632,18 @@
             if attempt.on_first_piece is not None:
                 attempt.on_first_piece()
             if whole_events_only:
-                piece = _complete_events(attempt, piece)
+                piece = _attempt.complete_events(attempt, piece)
             if piece:
                 await attempt.answer.write(piece)
         if attempt.partial_event:
-            raise _InvalidAnswerError(
+            raise _attempt.InvalidAnswerError(
                 "The stream ended in the middle of an event."
             )
         attempt.runs += 1
         await attempt.answer.finish()
 
     def _record_announcements(
-        self, attempt: _Attempt, parsed: _forward_types.ParsedHead
+        self, attempt: _attempt.Attempt, parsed: _forward_types.ParsedHead
     ) -> None:
         """Record a drain or pause that a target announces in its answer."""
         for announced in (parsed.leaving, parsed.pause):
@@ -757,7 +668,7 @@
             self._log_announcement(attempt, "pause", until - now)
 
     def _log_announcement(
-        self, attempt: _Attempt, what: str, left_s: float | None
+        self, attempt: _attempt.Attempt, what: str, left_s: float | None
     ) -> None:
         observe.log_event(
             "heard",
@@ -767,96 +678,10 @@
             left_s=None if left_s is None else round(left_s, 3),
         )
 
-    def _has_other_target(self, attempt: _Attempt) -> bool:
+    def _has_other_target(self, attempt: _attempt.Attempt) -> bool:
         if attempt.runs + 1 >= attempt.route.attempts:
             return False
         others = _service_choice.candidates(
             attempt.pool.name, self._session.open_targets(), attempt.avoid
         )
         return attempt.sends < MAX_SENDS and any(others)
-
-
-def _abort_or_raise(
-    attempt: _Attempt,
-    reason: str,
-    error_if_ran: wire.ServingError,
-    cause: wire.ServingError | None = None,
-    retry_after_s: float = RETRY_AFTER_S,
-) -> None:
-    """Abort an answer that has started, else raise the final error.
-
-    Raises:
-        OverloadError: no target ran the request.
-        ServingError: *error_if_ran*, as the request may have run.
-    """
-    if attempt.answer.started:
-        attempt.abort()
-        return
-    if attempt.runs == 0:
-        raise wire.OverloadError(
-            f"{reason}; it has not run.", retry_after_s=retry_after_s
-        ) from cause
-    raise error_if_ran from cause
-
-
-def _unknown_outcome() -> wire.ServingError:
-    return wire.UnknownOutcomeError(
-        "The target's answer was lost; the request may have run."
-    )
-
-
-def _longest_pause_s(attempt: _Attempt | None) -> float | None:
-    """Return the longest gap between pieces of an answer, for the log."""
-    if attempt is None or not attempt.longest_pause_s:
-        return None
-    return round(attempt.longest_pause_s, 4)
-
-
-def _adapter_of(request: CallerRequest) -> str | None:
-    if request.model is None:
-        return None
-    return f"{request.model.model}/{request.model.adapter}"
-
-
-def _size(request: CallerRequest, pool: catalogue.RoutePool) -> int | None:
-    """Return the tokens that a request can take at most, if it has any."""
-    if request.size is None or pool.engine is None:
-        return request.size
-    # An engine runs nothing that is larger than its memory.
-    return min(request.size, pool.engine.memory_tokens)
-
-
-def _retryable(
-    error: wire.ServingError, ran: wire.RunStatus
-) -> _RetryableError:
-    retryable = _RetryableError(error.message, ran=ran)
-    retryable.code = error.code
-    return retryable
-
-
-def _outcome_of(error: wire.ServingError) -> Outcome:
-    if error.code == "absent":
-        return Outcome.ABSENT
-    if error.code == "refused":
-        return Outcome.REFUSED
-    if error.code == _NotAcceptingError.code:
-        return Outcome.LEFT
-    return Outcome.FAILED
-
-
-def _complete_events(attempt: _Attempt, piece: bytes) -> bytes:
-    """Return the events that a piece completes and record the last event id.
-
-    The rest of the piece is kept as the start of the next event.
-    """
-    data = attempt.partial_event + piece
-    end = data.rfind(EVENT_END)
-    if end < 0:
-        attempt.partial_event = data
-        return b""
-    complete = data[: end + len(EVENT_END)]
-    attempt.partial_event = data[end + len(EVENT_END) :]
-    for line in complete.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            attempt.last_event = line[len(ID_FIELD) :].strip().decode()
-    return complete
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -155,18 +155,20 @@
     async def acquire(
         self,
         request: placement.PlaceRequest,
-        debit: _budget_admission.Debit,
+        debit: _budget_admission.Debit | None = None,
     ) -> placement.PlaceReply:
         """Request a placement until one is granted or patience runs out.
 
         Args:
-            debit: updated once the request is debited.
+            debit: updated once the request is debited; None without a
+                budget.
 
         Raises:
             LimitError: the member is above its limit.
             NoCapacityError: the leader refused the request.
             OverloadError: no placement was granted in time.
         """
+        debit = debit or _budget_admission.Debit()
         started_at = self._clock.now()
         deadline = started_at + request.patience_s
         pause_s = ASK_RETRY_S
