Limits: a daemon that lost its leader goes on for members below their limit

It now begins with half a second of its part, and up to 2.5 s of silence a member that was below its limit may owe one request, always where the debts of all daemons are small beside the limit; a member above its limit gets its part alone.

--- a/libs/limits/src/bergamotsail/limits/_daemon_budgets.py
+++ b/libs/limits/src/bergamotsail/limits/_daemon_budgets.py
@@ -13,8 +13,15 @@
 # A refused caller returns no sooner and no later than this.
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 5.0
-# What a daemon on its own may save up of its part of a budget.
+# What a daemon on its own begins with, and may save up, of its part.
+FIRST_PART_S = 0.5
 OWN_PART_S = 8.0
+# So long a daemon on its own admits a request that is larger than what is left
+# of its part. Most leaders are replaced by then.
+DEBT_S = 2.5
+# It always does where the debts of all daemons are within this part of what
+# becomes available per second.
+DEBT_PART = 0.6
 # Members whose requests are counted here; the oldest are forgotten.
 MAX_MEMBERS = 2_000
 
@@ -137,14 +144,18 @@
         own = self._own_by_member.get(member)
         if own is None:
             alone_s = contact.silent_s - self._settings.alone_after_s
-            own = _OwnPart(0.0, now - alone_s)
+            own = _OwnPart(per_s * FIRST_PART_S, now - alone_s)
             self._own_by_member[member] = own
             while len(self._own_by_member) > MAX_MEMBERS:
                 self._own_by_member.pop(next(iter(self._own_by_member)))
         gained = per_s * max(0.0, now - own.refilled_at)
         own.level = min(own.level + gained, per_s * OWN_PART_S)
         own.refilled_at = now
-        if own.level < cost:
+        debts = cost * max(contact.daemons, 1)
+        small = debts <= DEBT_PART * budget.per_s
+        was_below = self.share(member) >= 1.0
+        may_owe = was_below and (small or contact.silent_s <= DEBT_S)
+        if own.level < (0.0 if may_owe else cost):
             raise wire.OverloadError(
                 f"The limit of member {member} can't be checked, as this "
                 "instance can't reach the leader. Use another address.",
--- a/libs/limits/src/bergamotsail/limits/_ledger.py
+++ b/libs/limits/src/bergamotsail/limits/_ledger.py
@@ -47,7 +47,7 @@
         requests within the limit would be refused after each election; with
         a full one, several elections in a row would exceed the limit.
         """
-        return 0.4 * budget.burst + self.slack / 5
+        return 0.5 * budget.burst + self.slack / 4
 
 
 @dataclasses.dataclass(slots=True)
