--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -608,9 +608,13 @@
         self, term: _Term, request: _messages.Heartbeat
     ) -> dict[str, float]:
         """Record a report; return which share of requests to admit."""
-        ledger = self._budgets.of_term(term.term, self._clock.now())
         budget_of, now = self._machine.view.budget, self._clock.now()
-        ledger.record(request.spending, request.daemon.address, budget_of, now)
+        ledger = self._budgets.of_term(term.term, now)
+        address = request.daemon.address
+        ledger.record(request.spending, address, budget_of, now)
+        if request.daemon.leaving:
+            # It admits nothing soon, so nothing is set aside for it.
+            ledger.forget_daemon(address)
         return ledger.admit_shares(budget_of, now)
 
     def _targets_to_hand_over(self, term: _Term, boot: str) -> tuple[str, ...]:
