--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -20,3 +20,7 @@
   Scenario: Every replaced guard of the budgets is detected
     When each guard of the budgets is replaced
     Then no guarantee is violated
+
+  Scenario: A small member below its limit is hardly ever refused
+    When a member of 4,200 a second is calm before 59 daemons
+    Then no guarantee is violated
--- a/features/steps/budgets.py
+++ b/features/steps/budgets.py
@@ -17,3 +17,8 @@
 @behave.when("each guard of the budgets is replaced")
 def replace_guards(context) -> None:
     context.faults = budgets.undetected_mutants()
+
+
+@behave.when("a member of 4,200 a second is calm before 59 daemons")
+def play_calm(context) -> None:
+    context.faults = budgets.refused_when_calm(59, 4_200)
--- a/features/support/budgets.py
+++ b/features/support/budgets.py
@@ -355,3 +355,12 @@
             if not play(mutant.day, 59, 250_000):
                 undetected.append(mutant.guard)
     return undetected
+
+
+def refused_when_calm(daemons: int, per_s: float) -> list[str]:
+    """Return a fault if a member below its limit is refused too often."""
+    results = [Fleet(Day(daemons, per_s), seed).play() for seed in range(10)]
+    refused = sum(result.refused for result in results) / len(results)
+    if refused < MAX_REFUSED:
+        return []
+    return [f"budget: {refused:.4f} of the requests below are refused"]
