Observability: versions in the lines of grants and sends

Requests began on an old version of their adapter; whether the leader granted it, the entry did not know the newer one, or the request waited after its grant could not be told apart from the logs. A grant names the version and the newest one that the leader knew, a send the newest one that the entry knew and how the place was found. No logic changes.

--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -765,6 +765,8 @@
             request=request.request,
             adapter="/".join(waiter.name),
             target=record.info.id,
+            version=slot.version if slot is not None else None,
+            newest=self._wanted_version(waiter.name),
             reason=reason,
             waited_s=round(waited_s, 4),
             running=record.running,
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -295,7 +295,7 @@
         if info is None:
             await self._wait_for_pool(attempt)
             return
-        destination = self._destination(attempt, info.id, info.address, None)
+        destination = self._destination(attempt, info.id, info.address)
         attempt.debit_send()
         failed = True
         self._services.started(info.id)
@@ -408,7 +408,7 @@
             await self._wait_for_engine(attempt, place.target)
             raise
         destination = self._destination(
-            attempt, place.target, place.address, place.version
+            attempt, place.target, place.address, place
         )
         placed_at = self._clock.now()
 
@@ -481,20 +481,28 @@
         attempt: _attempt.Attempt,
         target: str,
         address: str,
-        version: int | None,
+        place: placement.PlaceReply | None = None,
     ) -> Destination:
         resume = attempt.last_event or attempt.request.resume_after
         return Destination(
             target,
             address,
-            version,
+            place.version if place is not None else None,
             min(attempt.priority, 9),
             attempt.deadline - self._clock.now(),
             resume,
             attempt.caller.name,
             not self._session.view.routes.needs_token,
+            place.reason if place is not None else None,
         )
 
+    def _newest_version(self, request: CallerRequest) -> int | None:
+        """Return the newest version set for a request's adapter, if any."""
+        model = request.model
+        if model is None:
+            return None
+        return self._session.view.named_version(model.model, model.adapter)
+
     async def _send(
         self, attempt: _attempt.Attempt, destination: Destination
     ) -> None:
@@ -515,6 +523,8 @@
             route=attempt.route.name,
             target=destination.target,
             version=destination.version,
+            newest=self._newest_version(request),
+            placed=destination.placed,
             send=attempt.sends,
             resume=destination.resume_after,
         )
--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -86,6 +86,7 @@
         resume_after: id of the event after which to resume a stream.
         member: the member that sent the request, empty if unknown.
         keeps_credentials: whether to pass on the caller's credentials.
+        placed: how the placement was found, None without a placement.
     """
 
     target: str
@@ -96,6 +97,7 @@
     resume_after: str | None = None
     member: str = ""
     keeps_credentials: bool = True
+    placed: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -432,6 +432,8 @@
             "recall",
             request=request.request,
             target=found.reply.target,
+            version=found.reply.version,
+            newest=named,
             age_s=round(age_s, 3),
             leader_silent_s=round(self._session.silent_s(), 3),
         )
