Test: requests begin on a version that was replaced long ago

Callers got answers of an old version of their adapter more than 5 s after a newer one had been acknowledged.

--- /dev/null
+++ b/features/steps/versions.py
@@ -0,0 +1,19 @@
+"""Steps that test on which version of its adapter a request begins."""
+
+import behave
+
+from features.support import versions
+
+
+@behave.when("each version scenario runs")
+def run_scenarios(context) -> None:
+    context.faults = [
+        f"{name}: {fault}"
+        for name in versions.BOUNDED
+        for fault in versions.run_scenario(name)[:1]
+    ]
+
+
+@behave.when("the version scenario {name} runs")
+def run_scenario(context, name: str) -> None:
+    context.faults = versions.run_scenario(name)
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -195,11 +195,15 @@
             )
         self.sequence += 1
         self.pending[name] = version
-        delay_s = COPY_LOAD_S if name in self._copies else STORE_LOAD_S
+        delay_s = self.load_time_s(name, version)
         self._call_later(delay_s, self._loaded, name, version, self._start)
         self._record_report()
         return Outcome.STARTED
 
+    def load_time_s(self, name: str, version: int) -> float:
+        """Return the duration of a load."""
+        return COPY_LOAD_S if name in self._copies else STORE_LOAD_S
+
     def _loaded(self, name: str, version: int, start: int) -> None:
         if start != self._start:
             return
@@ -289,6 +293,8 @@
 class PlacerHarness:
     """Runs a placer with fake engines; an async context manager."""
 
+    engine_class: type[FakeEngine] = FakeEngine
+
     def __init__(
         self,
         seed: int,
@@ -309,10 +315,19 @@
             for n in range(engines)
         )
         for info in self.infos:
-            engine = FakeEngine(self.spec, fault_rates, self.rng)
+            engine = self.engine_class(self.spec, fault_rates, self.rng)
             self.engine_by_id[info.id] = engine
         self._put_routes()
-        self.placer = placement.Placer(
+        self.placer = self.make_placer(initial_delay_s)
+        self.served = 0
+        self.refused = 0
+        self.faults: list[str] = []
+        self._index = 1
+        self._number = 0
+
+    def make_placer(self, initial_delay_s: float) -> placement.Placer:
+        """Return a placer that waits this long before its first order."""
+        return placement.Placer(
             self.leader,
             lambda: self.machine.view,
             self.engine_of,
@@ -320,11 +335,6 @@
             observe.Metrics(),
             tenure=placement.Tenure(0.0, 0.0, initial_delay_s),
         )
-        self.served = 0
-        self.refused = 0
-        self.faults: list[str] = []
-        self._index = 1
-        self._number = 0
 
     def _put_routes(self) -> None:
         pool = catalogue.RoutePool(POOL, "/health", 64, self.spec)
--- /dev/null
+++ b/features/support/versions.py
@@ -0,0 +1,353 @@
+"""On which version of its adapter a request begins after a newer one is set.
+
+The fake engines are the test oracle: they know which version each run begins
+on and when each version was set. They replace an adapter as real engines do:
+the replacement waits for the runs of the old version, and until it is complete
+requests for the adapter that have not begun are rejected as not run.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import functools
+
+from bergamotsail import control
+from bergamotsail import placement
+from bergamotsail import wire
+from features.support import ledger
+
+MODEL = ledger.MODEL
+ADAPTER = "a1"
+ENTRY = "entry-1"
+# How long after a newer version is set a request may still begin on an older
+# one.
+VERSION_BOUND_S = 5.0
+# Time of a request on its way to an engine.
+TRANSFER_S = 0.005
+QUEUE_STEP_S = 0.01
+# Patience of one call for a placement, and the pause after a refused one.
+PLACE_PATIENCE_S = 3.0
+RETRY_PAUSE_S = 0.3
+USES_INTERVAL_S = 0.5
+SETTLE_S = 2.0
+
+
+class VersionEngine(ledger.FakeEngine):
+    """Queues requests and replaces versions once their runs have ended.
+
+    Attributes:
+        queue_s: how long each request waits before it begins.
+        load_s_by_version: duration of the loads of some versions.
+    """
+
+    def __init__(self, *args: object) -> None:
+        self.queue_s = 0.0
+        self.load_s_by_version: dict[int, float] = {}
+        self._replacement_by_name: dict[str, int] = {}
+        super().__init__(*args)
+
+    def load_time_s(self, name: str, version: int) -> float:
+        usual_s = super().load_time_s(name, version)
+        return self.load_s_by_version.get(version, usual_s)
+
+    def _loaded(self, name: str, version: int, start: int) -> None:
+        if self.running.get(name):
+            self._replacement_by_name[name] = version
+            return
+        super()._loaded(name, version, start)
+
+    def end(self, name: str) -> None:
+        super().end(name)
+        if not self.running.get(name) and name in self._replacement_by_name:
+            version = self._replacement_by_name.pop(name)
+            super()._loaded(name, version, self._start)
+
+    def takes(self, name: str, version: int | None) -> bool:
+        """Whether a request that expects this version is not rejected."""
+        if name in self.pending or name in self._leaving:
+            return False
+        return name in self.ready and version in (None, self.ready[name])
+
+    async def wait_for_turn(self, name: str, version: int | None) -> bool:
+        """Wait in the queue; return False if the request is rejected."""
+        begins_at = asyncio.get_running_loop().time() + self.queue_s
+        while self.takes(name, version):
+            left_s = begins_at - asyncio.get_running_loop().time()
+            if left_s <= 0:
+                return self.begin(name)
+            await asyncio.sleep(min(QUEUE_STEP_S, left_s))
+        return False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setting:
+    """A version of an adapter that was set."""
+
+    at: float
+    version: int
+
+
+class VersionHarness(ledger.PlacerHarness):
+    """Calls for adapters whose versions change; an async context manager."""
+
+    engine_class = VersionEngine
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self._settings_by_adapter: dict[str, list[Setting]] = (
+            collections.defaultdict(list)
+        )
+        self._use_by_request: dict[str, control.Use] = {}
+        self.took_s: list[float] = []
+
+    async def __aenter__(self) -> "VersionHarness":
+        await super().__aenter__()
+        self._reporting = asyncio.create_task(self._report_uses())
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        self._reporting.cancel()
+        await super().__aexit__(*exc)
+
+    async def _report_uses(self) -> None:
+        while True:
+            await asyncio.sleep(USES_INTERVAL_S)
+            uses = tuple(self._use_by_request.values())
+            self.placer.take_uses(ENTRY, uses)
+
+    def name_version(self, adapter: str, version: int) -> None:
+        super().name_version(adapter, version)
+        now = asyncio.get_running_loop().time()
+        self._settings_by_adapter[adapter].append(Setting(now, version))
+
+    async def elect(self, initial_delay_s: float = 0.0) -> None:
+        """Replace the leader by another process with the same log."""
+        await self.placer.__aexit__()
+        self.leader.number += 1
+        self.placer = self.make_placer(initial_delay_s)
+        await self.placer.__aenter__()
+        self.placer.targets_changed(self.infos)
+
+    async def call(
+        self, adapter: str, work_s: float, patience_s: float = 8.0
+    ) -> None:
+        """Serve a request as an entry does; repeat it if it did not run."""
+        started_at = asyncio.get_running_loop().time()
+        deadline = started_at + patience_s
+        avoid: tuple[str, ...] = ()
+        while (left_s := deadline - asyncio.get_running_loop().time()) > 0:
+            request = dataclasses.replace(
+                self.new_request(adapter, min(left_s, PLACE_PATIENCE_S)),
+                avoid=avoid,
+            )
+            try:
+                place = await self.placer.on_place(request)
+            except wire.ServingError:
+                await asyncio.sleep(min(RETRY_PAUSE_S, left_s))
+                continue
+            if await self._run(request, place, work_s):
+                now = asyncio.get_running_loop().time()
+                self.took_s.append(now - work_s - started_at)
+                self.served += 1
+                return
+            avoid = (*avoid, place.target)
+        self.refused += 1
+
+    async def _run(
+        self,
+        request: placement.PlaceRequest,
+        place: placement.PlaceReply,
+        work_s: float,
+    ) -> bool:
+        """Send a request to its engine; return whether it ran."""
+        engine = self.engine_by_id[place.target]
+        self._use_by_request[request.request] = control.Use(
+            request.request, place.target, MODEL, request.adapter, 120
+        )
+        await asyncio.sleep(TRANSFER_S)
+        ran = await engine.wait_for_turn(request.adapter, place.version)
+        outcome = placement.UseOutcome.REFUSED
+        if ran:
+            outcome = placement.UseOutcome.DONE
+            self._check_version(request.adapter, engine)
+            begun = placement.BegunUse(
+                request.request, place.target, TRANSFER_S + engine.queue_s
+            )
+            await self._release(begun=(begun,))
+            await asyncio.sleep(work_s)
+            engine.end(request.adapter)
+        del self._use_by_request[request.request]
+        ended = placement.EndedUse(request.request, place.target, outcome)
+        await self._release(ended=(ended,))
+        return ran
+
+    async def _release(
+        self,
+        ended: tuple[placement.EndedUse, ...] = (),
+        begun: tuple[placement.BegunUse, ...] = (),
+    ) -> None:
+        release = placement.ReleaseRequest(ENTRY, ended, begun)
+        with contextlib.suppress(wire.ServingError):
+            await self.placer.on_release(release)
+
+    def _check_version(self, adapter: str, engine: VersionEngine) -> None:
+        now = asyncio.get_running_loop().time()
+        version = engine.ready[adapter]
+        for setting in self._settings_by_adapter[adapter]:
+            since_s = now - setting.at
+            if setting.version > version and since_s > VERSION_BOUND_S:
+                self.faults.append(
+                    f"a request began on version {version}, {since_s:.2f} s "
+                    f"after version {setting.version} was set"
+                )
+                return
+
+    def start_calls(
+        self, interval_s: float, work_s: float, until_s: float
+    ) -> asyncio.Task:
+        """Call for the adapter again and again in the background."""
+        return asyncio.create_task(
+            self._call_repeatedly(interval_s, work_s, until_s)
+        )
+
+    async def _call_repeatedly(
+        self, interval_s: float, work_s: float, until_s: float
+    ) -> None:
+        ends_at = asyncio.get_running_loop().time() + until_s
+        async with asyncio.TaskGroup() as group:
+            while asyncio.get_running_loop().time() < ends_at:
+                group.create_task(self.call(ADAPTER, work_s))
+                await asyncio.sleep(interval_s)
+
+
+async def load_ends_after_next_version() -> list[str]:
+    """A load that takes longer than the bound ends on an old version."""
+    async with VersionHarness(1, ledger.FaultRates()) as harness:
+        await asyncio.sleep(SETTLE_S)
+        for engine in harness.engine_by_id.values():
+            engine.load_s_by_version[1] = VERSION_BOUND_S + 0.2
+        harness.name_version(ADAPTER, 1)
+        waiting = asyncio.create_task(harness.call(ADAPTER, 0.1))
+        await asyncio.sleep(0.1)
+        harness.name_version(ADAPTER, 2)
+        await waiting
+        return harness.check() + _unserved(harness)
+
+
+async def versions_in_series(interval_s: float) -> list[str]:
+    """Further versions don't extend the use of a copy that stays busy."""
+    async with VersionHarness(1, ledger.FaultRates(), engines=1) as harness:
+        await asyncio.sleep(SETTLE_S)
+        harness.name_version(ADAPTER, 1)
+        busy = asyncio.create_task(harness.call(ADAPTER, 12.0))
+        await asyncio.sleep(1.0)
+        calls = harness.start_calls(0.2, 0.1, 10.0)
+        for number in range(int(8.0 / interval_s) + 1):
+            harness.name_version(ADAPTER, 2 + number)
+            await asyncio.sleep(interval_s)
+        await asyncio.gather(busy, calls)
+        return harness.check()
+
+
+async def election_after_new_version(after_s: float) -> list[str]:
+    """A new leader does not extend the use of a copy that stays busy."""
+    async with VersionHarness(1, ledger.FaultRates(), engines=1) as harness:
+        await asyncio.sleep(SETTLE_S)
+        harness.name_version(ADAPTER, 1)
+        busy = asyncio.create_task(harness.call(ADAPTER, 10.0))
+        await asyncio.sleep(1.0)
+        harness.name_version(ADAPTER, 2)
+        await asyncio.sleep(after_s)
+        await harness.elect(initial_delay_s=3.0)
+        await harness.start_calls(0.2, 0.1, 6.0)
+        await busy
+        return harness.check()
+
+
+async def queue_outlasts_bound() -> list[str]:
+    """Requests that wait at an engine begin on a version in force."""
+    async with VersionHarness(1, ledger.FaultRates()) as harness:
+        await asyncio.sleep(SETTLE_S)
+        harness.name_version(ADAPTER, 1)
+        await harness.call(ADAPTER, 0.1)
+        for engine in harness.engine_by_id.values():
+            engine.queue_s = VERSION_BOUND_S + 1.0
+        queued = asyncio.create_task(harness.call(ADAPTER, 0.1, 20.0))
+        await asyncio.sleep(0.2)
+        harness.name_version(ADAPTER, 2)
+        await asyncio.sleep(4.0)
+        for engine in harness.engine_by_id.values():
+            engine.queue_s = 0.0
+        await queued
+        return harness.check() + _unserved(harness)
+
+
+async def order_executed_late() -> list[str]:
+    """A load of an old version that is executed late is not used."""
+    async with VersionHarness(1, ledger.FaultRates(), engines=1) as harness:
+        await asyncio.sleep(SETTLE_S)
+        (engine,) = harness.engine_by_id.values()
+        engine.fault_rates = ledger.FaultRates(late=1.0, max_delay_s=6.0)
+        harness.name_version(ADAPTER, 1)
+        await harness.call(ADAPTER, 0.1, 0.1)
+        harness.name_version(ADAPTER, 2)
+        await asyncio.sleep(1.0)
+        harness.refused = 0
+        engine.fault_rates = ledger.FaultRates()
+        await asyncio.sleep(7.0)
+        await harness.call(ADAPTER, 0.1)
+        return harness.check() + _unserved(harness)
+
+
+async def busy_copy_is_replaced() -> list[str]:
+    """Calls for a busy adapter go on while its copies are replaced."""
+    async with VersionHarness(1, ledger.FaultRates(), engines=2) as harness:
+        await asyncio.sleep(SETTLE_S)
+        harness.name_version(ADAPTER, 1)
+        await harness.call(ADAPTER, 0.1)
+        calls = harness.start_calls(0.05, 1.0, 12.0)
+        for version in (2, 3, 4):
+            await asyncio.sleep(2.0)
+            harness.name_version(ADAPTER, version)
+        await calls
+        return harness.check() + _unserved(harness)
+
+
+def _unserved(harness: VersionHarness) -> list[str]:
+    """Return a fault if any call was refused."""
+    if harness.refused:
+        return [f"{harness.refused} calls were refused"]
+    return []
+
+
+INTERVALS_S = (0.3, 0.9, 2.0, 5.2)
+PHASES_S = (0.1, 0.9, 2.0, 3.5, 4.5)
+
+# Scenarios in which no request may begin on an old version beyond the bound.
+BOUNDED: dict[str, collections.abc.Callable[[], collections.abc.Coroutine]] = (
+    {
+        "load_ends_after_next_version": load_ends_after_next_version,
+        "queue_outlasts_bound": queue_outlasts_bound,
+        "order_executed_late": order_executed_late,
+    }
+    | {
+        f"versions_in_series each {interval_s} s": functools.partial(
+            versions_in_series, interval_s
+        )
+        for interval_s in INTERVALS_S
+    }
+    | {
+        f"election_after_new_version after {after_s} s": functools.partial(
+            election_after_new_version, after_s
+        )
+        for after_s in PHASES_S
+    }
+)
+SCENARIOS = BOUNDED | {"busy_copy_is_replaced": busy_copy_is_replaced}
+
+
+def run_scenario(name: str) -> list[str]:
+    """Run a scenario by its name, in virtual time."""
+    return ledger.run(SCENARIOS[name]())
--- /dev/null
+++ b/features/versions.feature
@@ -0,0 +1,12 @@
+Feature: On which version of its adapter a request begins
+  A new version is in force within its bound, whatever happens meanwhile:
+  loads that end late, further versions, elections, queues at engines, and
+  orders that are executed late.
+
+  Scenario: No request begins on a version that was replaced 5 s ago
+    When each version scenario runs
+    Then no guarantee is violated
+
+  Scenario: Calls for a busy adapter are served while its copies are replaced
+    When the version scenario busy_copy_is_replaced runs
+    Then no guarantee is violated
