Placement: an old version may be used until 1 s after it was the newest

Callers got answers of an old version of their adapter more than 5 s after a newer one had been acknowledged.

Cause: the period in which a copy of an old version may still be used counted from the first look at such a copy, and began anew with each further version. A look happened only for slots that were ready, by a leader that may order. So a load that ended late, an order of the old version that was executed late, a new leader and each further version opened the period again.

Evidence: five scenarios of features/versions.feature, by the placer alone in virtual time: a load of 5.2 s (begun 5.12 s after the newer version), versions each 0.3 to 5.2 s (up to 8.8 s), an election (5.11 s), a late order (8.31 s).

Now each slot notes when its version was last known to be the newest, and is usable for 1 s after that. A look that comes late, a further version, a new leader (which knows nothing of the slot) and a late order can only shorten the period: what was not looked at in time is too old. All slots are looked at, whatever their state and whether or not orders are allowed.

What is left is a request that waits at its engine for 6 s; that is another cause.

--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -17,3 +17,10 @@
 @behave.when("the version scenario {name} runs")
 def run_scenario(context, name: str) -> None:
     context.faults = versions.run_scenario(name)
+
+
+@behave.when("each guard of versions is disabled")
+def run_mutants(context) -> None:
+    context.mutants = versions.MUTANTS
+    numbers = range(len(versions.MUTANTS))
+    context.found = [versions.run_mutant(number) for number in numbers]
--- a/features/support/versions.py
+++ b/features/support/versions.py
@@ -15,6 +15,8 @@
 
 from bergamotsail import control
 from bergamotsail import placement
+from bergamotsail.placement import _engine_record
+from bergamotsail.placement import _placer
 from bergamotsail import wire
 from features.support import ledger
 
@@ -72,12 +74,12 @@
 
     async def wait_for_turn(self, name: str, version: int | None) -> bool:
         """Wait in the queue; return False if the request is rejected."""
-        begins_at = asyncio.get_running_loop().time() + self.queue_s
+        steps = round(self.queue_s / QUEUE_STEP_S)
         while self.takes(name, version):
-            left_s = begins_at - asyncio.get_running_loop().time()
-            if left_s <= 0:
+            if steps == 0:
                 return self.begin(name)
-            await asyncio.sleep(min(QUEUE_STEP_S, left_s))
+            steps -= 1
+            await asyncio.sleep(QUEUE_STEP_S)
         return False
 
 
@@ -145,7 +147,7 @@
             try:
                 place = await self.placer.on_place(request)
             except wire.ServingError:
-                await asyncio.sleep(min(RETRY_PAUSE_S, left_s))
+                await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             if await self._run(request, place, work_s):
                 now = asyncio.get_running_loop().time()
@@ -351,3 +353,44 @@
 def run_scenario(name: str) -> list[str]:
     """Run a scenario by its name, in virtual time."""
     return ledger.run(SCENARIOS[name]())
+
+
+def _looked_at_first(
+    placer: _placer.Placer,
+    name: _engine_record.AdapterName,
+    slot: _engine_record.Slot,
+    now: float,
+) -> int | None:
+    """Start the period of an old version at the first look, for a mutant."""
+    slot.newest_at = max(slot.newest_at, 0.0) or now
+    return _NEWER_VERSION(placer, name, slot, now)
+
+
+_NEWER_VERSION = _placer.Placer._newer_version
+
+# Mutants, each of which disables a guard: name, scenario that must then
+# fail, patched attribute.
+MUTANTS = (
+    (
+        "start requests on an old version",
+        "versions_in_series each 5.2 s",
+        (_placer, "OLD_VERSION_S", 1e9),
+    ),
+    (
+        "count the period from the first look, after an election",
+        "election_after_new_version after 4.5 s",
+        (_placer.Placer, "_newer_version", _looked_at_first),
+    ),
+    (
+        "count the period from the first look, after a late order",
+        "order_executed_late",
+        (_placer.Placer, "_newer_version", _looked_at_first),
+    ),
+)
+
+
+def run_mutant(number: int) -> list[str]:
+    """Run the scenario of a mutant with its guard disabled."""
+    _, scenario, guard = MUTANTS[number]
+    with ledger.disabled_guard(guard):
+        return run_scenario(scenario)
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -10,3 +10,7 @@
   Scenario: Calls for a busy adapter are served while its copies are replaced
     When the version scenario busy_copy_is_replaced runs
     Then no guarantee is violated
+
+  Scenario: Every disabled guard of versions is noticed
+    When each guard of versions is disabled
+    Then each disabled guard is detected
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -277,7 +277,12 @@
         victim: _engine_record.AdapterName | None,
         now: float,
     ) -> None:
-        """Start to load an adapter, evicting *victim* first if not None."""
+        """Start to load the newest version of an adapter.
+
+        Args:
+            version: None if none has been set.
+            victim: evicted first if not None.
+        """
         record = self.record
         replaced = record.slot_by_name.get(name)
         uses = replaced.uses if replaced is not None else 0
@@ -285,7 +290,7 @@
             del record.slot_by_name[victim]
         load_s = COPY_LOAD_S if record.has_copy(name) else STORE_LOAD_S
         slot = _engine_record.Slot(
-            version, State.LOADING, uses, now, now + load_s
+            version, State.LOADING, uses, now, now + load_s, newest_at=now
         )
         record.slot_by_name[name] = slot
         self._log(
--- a/libs/placement/src/bergamotsail/placement/_engine_record.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_record.py
@@ -51,6 +51,7 @@
         ready_at: when its load is expected to finish.
         reported: found in a report rather than loaded by this process, so
             that requests granted by an earlier leader may run on it.
+        newest_at: when its version was last known to be the newest one set.
     """
 
     version: int | None
@@ -59,6 +60,7 @@
     used_at: float = 0.0
     ready_at: float = 0.0
     reported: bool = False
+    newest_at: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,6 +191,10 @@
         for grant in self.grant_by_request.values():
             if grant.name in slot_by_name:
                 slot_by_name[grant.name].uses += 1
+        for name, slot in slot_by_name.items():
+            earlier = self.slot_by_name.get(name)
+            if earlier is not None and earlier.version == slot.version:
+                slot.newest_at = earlier.newest_at
         self.slot_by_name = slot_by_name
         self.known = True
 
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -138,10 +138,6 @@
             self._record_by_target, policy, settings, self._is_current
         )
         self._waiters: list[_waiting.Waiter] = []
-        # Newest version of each adapter and when it was first seen.
-        self._newest_version_by_name: dict[
-            _engine_record.AdapterName, tuple[int, float]
-        ] = {}
         self._store = _engine_orders.StoreLoadLock()
         self._background = wire.BackgroundTasks()
         self._removed_targets: set[str] = set()
@@ -786,6 +782,22 @@
     def _wanted_version(self, name: _engine_record.AdapterName) -> int | None:
         return self._view().named_version(*name)
 
+    def _newer_version(
+        self,
+        name: _engine_record.AdapterName,
+        slot: _engine_record.Slot,
+        now: float,
+    ) -> int | None:
+        """Return the newest version of an adapter if a slot's is older.
+
+        Otherwise records that the slot has the newest one now.
+        """
+        wanted = self._wanted_version(name)
+        if wanted is not None and (slot.version or 0) < wanted:
+            return wanted
+        slot.newest_at = now
+        return None
+
     def _too_old(
         self,
         name: _engine_record.AdapterName,
@@ -794,32 +806,28 @@
     ) -> bool:
         """Whether a slot's version is too old to start requests on.
 
-        Also records when a newer version is first seen, which starts the
-        period of OLD_VERSION_S.
+        The period of OLD_VERSION_S counts from when the version was last
+        known to be the newest. So neither a look that comes late, as after an
+        election or a slow load, nor a further version can extend it.
         """
-        wanted = self._wanted_version(name)
-        if wanted is None or (slot.version or 0) >= wanted:
+        if self._newer_version(name, slot, now) is None:
             return False
-        version, named_at = self._newest_version_by_name.get(name, (0, 0.0))
-        if version != wanted:
-            named_at = now
-            self._newest_version_by_name[name] = (wanted, now)
-        return now - named_at > OLD_VERSION_S
+        return now - slot.newest_at > OLD_VERSION_S
 
     def _refresh_versions(self, now: float) -> None:
-        """Load the newest version into idle slots that hold an older one."""
-        if not self._rights.may_order():
-            return
+        """Load the newest version into idle slots that hold an older one.
+
+        All slots are looked at, whatever their state and whether or not
+        orders are allowed, so that each records until when it was the newest.
+        """
+        may_order = self._rights.may_order()
         for orders in self._orders_by_target.values():
-            for name, slot in list(orders.record.slot_by_name.items()):
-                wanted = self._wanted_version(name)
-                if wanted is None or slot.state is not State.READY:
-                    continue
-                if (slot.version or 0) >= wanted:
+            record = orders.record
+            for name, slot in list(record.slot_by_name.items()):
+                wanted = self._newer_version(name, slot, now)
+                if wanted is None or not (may_order and record.may_load):
                     continue
-                # Called to record when the newer version was first seen.
-                self._too_old(name, slot, now)
-                if orders.record.is_idle(slot, now) and orders.record.may_load:
+                if record.is_idle(slot, now):
                     orders.start_load(name, wanted, None, now)
 
 
