Placement: requests that wait for an old version are placed again

Callers got answers of an old version of their adapter more than 5 s after a newer one had been acknowledged.

Cause: nothing bounded the time between a grant and the start of the run. A request that waits in the queue of its engine begins on the version that the engine holds then; and as long as it waits, the copy counts as in use and is not replaced.

Now the newest version is loaded over a copy that has been old for 3 s, if requests may still wait there. Between the last grant (1 s) and this lie two seconds for a lost reply and a connection; two more are left for lost orders. A leader that does not know whether a request has begun takes it for waiting: a replacement harms no run. The confirmation of such a load waits until the runs have ended, and engines are not blamed for what a replacement rejected.

--- a/features/support/versions.py
+++ b/features/support/versions.py
@@ -13,6 +13,8 @@
 import dataclasses
 import functools
 
+from hypothesis import strategies as st
+
 from bergamotsail import control
 from bergamotsail import placement
 from bergamotsail.placement import _engine_record
@@ -283,7 +285,13 @@
         for engine in harness.engine_by_id.values():
             engine.queue_s = 0.0
         await queued
-        return harness.check() + _unserved(harness)
+        now = asyncio.get_running_loop().time()
+        blamed = [
+            f"{target} is blamed for the rejection"
+            for target, orders in harness.placer._orders_by_target.items()
+            if orders.record.faults(now) > 0.1
+        ]
+        return harness.check() + _unserved(harness) + blamed
 
 
 async def order_executed_late() -> list[str]:
@@ -324,6 +332,81 @@
     return []
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """A step of a random history: what happens after a pause."""
+
+    pause_s: float
+    kind: str
+    value: float
+
+
+HISTORIES = st.lists(
+    st.one_of(
+        *(
+            st.builds(
+                Step,
+                st.sampled_from((0.0, 0.3, 0.9, 2.0, 5.2)),
+                st.just(kind),
+                st.sampled_from(values),
+            )
+            for kind, values in (
+                ("version", (0.0,)),
+                ("call", (0.1, 1.0, 7.0)),
+                ("queue", (0.0, 0.6, 3.0, 8.0)),
+                ("load", (0.05, 0.3, 4.0, 6.0)),
+                ("elect", (0.0, 3.0)),
+                ("late", (0.0, 0.4)),
+            )
+        )
+    ),
+    min_size=4,
+    max_size=14,
+)
+
+
+async def _play(steps: collections.abc.Sequence[Step]) -> list[str]:
+    """Play a history; at its end a call must be served by the newest."""
+    async with VersionHarness(1, ledger.FaultRates(), engines=2) as harness:
+        engines = list(harness.engine_by_id.values())
+        version = 1
+        await asyncio.sleep(SETTLE_S)
+        harness.name_version(ADAPTER, version)
+        calls = [harness.start_calls(0.7, 0.4, 15.0)]
+        for step in steps:
+            await asyncio.sleep(step.pause_s)
+            if step.kind == "version":
+                version += 1
+                harness.name_version(ADAPTER, version)
+            elif step.kind == "call":
+                call = harness.call(ADAPTER, step.value)
+                calls.append(asyncio.create_task(call))
+            elif step.kind == "elect":
+                await harness.elect(step.value)
+            for engine in engines:
+                if step.kind == "queue":
+                    engine.queue_s = step.value
+                elif step.kind == "load":
+                    engine.load_s_by_version[version + 1] = step.value
+                elif step.kind == "late":
+                    engine.fault_rates = ledger.FaultRates(late=step.value)
+        for engine in engines:
+            engine.queue_s, engine.fault_rates = 0.0, ledger.FaultRates()
+        await asyncio.gather(*calls)
+        await asyncio.sleep(14.0)
+        served = harness.served
+        await harness.call(ADAPTER, 0.1)
+        if harness.served == served:
+            harness.faults.append("no call was served at the end")
+        return harness.check()
+
+
+def history_keeps_bound(steps: collections.abc.Sequence[Step]) -> None:
+    """Check a random history of versions, loads, queues and elections."""
+    faults = ledger.run(_play(steps))
+    assert not faults, (faults[:2], steps)
+
+
 INTERVALS_S = (0.3, 0.9, 2.0, 5.2)
 PHASES_S = (0.1, 0.9, 2.0, 3.5, 4.5)
 
@@ -386,6 +469,16 @@
         "order_executed_late",
         (_placer.Placer, "_newer_version", _looked_at_first),
     ),
+    (
+        "leave requests in the queue of an old version",
+        "queue_outlasts_bound",
+        (_placer, "OLD_VERSION_QUEUE_S", 1e9),
+    ),
+    (
+        "blame an engine for requests that a replacement rejected",
+        "queue_outlasts_bound",
+        (_engine_record.EngineRecord, "is_loading", lambda *_: False),
+    ),
 )
 
 
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -23,6 +23,8 @@
 COPY_LOAD_S = 0.025
 STORE_LOAD_S = 0.25
 CONFIRM_INTERVAL_S = 0.02
+# Interval of the checks whether the runs of a replaced version have ended.
+RUNS_POLL_S = 0.05
 MAX_CONFIRM_ATTEMPTS = 60
 MAX_SEND_ATTEMPTS = 3
 MAX_LOST_CONFIRMS = 2
@@ -360,8 +362,13 @@
     async def _confirm(
         self, name: _engine_record.AdapterName, slot: _engine_record.Slot
     ) -> None:
-        """Repeat a load order until the engine answers that it is loaded."""
+        """Repeat a load order until the engine answers that it is loaded.
+
+        A load that replaces another version first waits for its runs.
+        """
         await self._clock.sleep(max(0.0, slot.ready_at - self._clock.now()))
+        while slot.uses > 0 and self._still_planned(name, slot):
+            await self._clock.sleep(RUNS_POLL_S)
         lost = 0
         for _ in range(MAX_CONFIRM_ATTEMPTS):
             if self.record.slot_by_name.get(name) is not slot:
--- a/libs/placement/src/bergamotsail/placement/_engine_record.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_record.py
@@ -131,6 +131,8 @@
             tuple[AdapterName, str], None
         ] = collections.OrderedDict()
         self._faults = _counter.DecayingCounter(FAULT_HALF_LIFE_S)
+        # Requests whose answer has started, as far as daemons reported it.
+        self._begun: set[tuple[str, str]] = set()
 
     @property
     def may_load(self) -> bool:
@@ -220,6 +222,11 @@
             return False
         return not (slot.reported and self.may_have_unreported_runs(now))
 
+    def is_loading(self, name: AdapterName) -> bool:
+        """Whether an adapter is being loaded or replaced."""
+        slot = self.slot_by_name.get(name)
+        return slot is not None and slot.state is not SlotState.READY
+
     def may_have_unreported_runs(self, now: float) -> bool:
         """Whether requests may run here that daemons have not reported."""
         return now < self._runs_reported_by
@@ -302,6 +309,22 @@
             slot.uses += 1
             slot.used_at = grant.granted_at
 
+    def begin(self, key: tuple[str, str], first_s: float, now: float) -> None:
+        """Record that an answer started *first_s* after its grant."""
+        self.reading.begun(key, first_s, now)
+        if key in self.grant_by_request:
+            self._begun.add(key)
+
+    def may_have_queued(self, name: AdapterName) -> bool:
+        """Whether requests for an adapter may wait here to begin.
+
+        Requests that an earlier leader granted count as waiting.
+        """
+        return any(
+            grant.name == name and key not in self._begun
+            for key, grant in self.grant_by_request.items()
+        )
+
     def release(self, boot: str, request: str, now: float) -> Grant | None:
         """Remove a request and return its grant, if there was one."""
         self.reading.drop((boot, request))
@@ -313,6 +336,7 @@
         grant = self.grant_by_request.pop((boot, request), None)
         if grant is None:
             return None
+        self._begun.discard((boot, request))
         self.tokens -= grant.tokens
         slot = self.slot_by_name.get(grant.name)
         if slot is not None:
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -58,8 +58,11 @@
 # Minimum delay before the next scheduling pass, as a multiple of the duration
 # of the last one.
 SCHEDULE_SPACING = 3.0
-# How long requests may still start on a version after a newer one is named.
+# How long requests may still be placed on a version after a newer one is set.
 OLD_VERSION_S = 1.0
+# Requests that have not begun on an old version this long after a newer one
+# was set are placed again.
+OLD_VERSION_QUEUE_S = 3.0
 RETRY_AFTER_S = 0.5
 
 State = _engine_record.SlotState
@@ -341,9 +344,7 @@
             orders = self._orders_by_target.get(begun.target)
             if orders is not None:
                 key = (request.boot, begun.request)
-                orders.record.reading.begun(
-                    key, begun.first_s, self._clock.now()
-                )
+                orders.record.begin(key, begun.first_s, self._clock.now())
         for ended in request.ended:
             self._end_use(request.boot, ended)
 
@@ -355,6 +356,10 @@
         grant = self._release(boot, ended.request, ended.target, now)
         if ended.outcome is Outcome.FAILED:
             orders.record.add_fault(now)
+        elif grant is not None and orders.record.is_loading(grant.name):
+            # The engine rejected the request because its adapter is being
+            # replaced, which is no fault.
+            return
         elif ended.outcome is Outcome.REFUSED:
             orders.record.add_fault(now, 0.5)
         elif ended.outcome is Outcome.ABSENT:
@@ -815,7 +820,12 @@
         return now - slot.newest_at > OLD_VERSION_S
 
     def _refresh_versions(self, now: float) -> None:
-        """Load the newest version into idle slots that hold an older one.
+        """Replace older versions in slots by the newest one.
+
+        A slot is replaced when it is idle. If requests may still wait there
+        after OLD_VERSION_QUEUE_S, it is replaced while it is busy: the engine
+        completes its runs first, but rejects the waiting requests as not
+        run, which no other message achieves.
 
         All slots are looked at, whatever their state and whether or not
         orders are allowed, so that each records until when it was the newest.
@@ -827,10 +837,26 @@
                 wanted = self._newer_version(name, slot, now)
                 if wanted is None or not (may_order and record.may_load):
                     continue
-                if record.is_idle(slot, now):
+                if record.is_idle(slot, now) or _must_reject_queue(
+                    record, name, slot, now
+                ):
                     orders.start_load(name, wanted, None, now)
 
 
+def _must_reject_queue(
+    record: _engine_record.EngineRecord,
+    name: _engine_record.AdapterName,
+    slot: _engine_record.Slot,
+    now: float,
+) -> bool:
+    """Whether requests that wait for an old version must begin elsewhere."""
+    return (
+        slot.state is State.READY
+        and now - slot.newest_at > OLD_VERSION_QUEUE_S
+        and record.may_have_queued(name)
+    )
+
+
 def _max_wait_without_load_s(request: _place_messages.PlaceRequest) -> float:
     """Return how long a request may wait while no load is in progress."""
     hope_s = min(request.hope_s - request.waited_s, request.patience_s)
