Placement: a load of a version that can't be used is not waited for

Callers whose adapter got a new version while it was being loaded waited until the load of the old one ended, and for a second load after it.

Cause: a load in progress was waited for whatever its version. Since an old version may no longer be used when its load ends late, nothing came of it.

--- a/features/support/versions.py
+++ b/features/support/versions.py
@@ -30,6 +30,8 @@
 VERSION_BOUND_S = 5.0
 # Time of a request on its way to an engine.
 TRANSFER_S = 0.005
+# How long requests may be placed on an old version.
+OLD_VERSION_S = _placer.OLD_VERSION_S
 QUEUE_STEP_S = 0.01
 # Patience of one call for a placement, and the pause after a refused one.
 PLACE_PATIENCE_S = 3.0
@@ -240,6 +242,23 @@
         return harness.check() + _unserved(harness)
 
 
+async def load_of_old_version_is_not_awaited() -> list[str]:
+    """A slow load of an old version does not hold up the newest one."""
+    async with VersionHarness(1, ledger.FaultRates()) as harness:
+        await asyncio.sleep(SETTLE_S)
+        for engine in harness.engine_by_id.values():
+            engine.load_s_by_version[1] = VERSION_BOUND_S
+        harness.name_version(ADAPTER, 1)
+        waiting = asyncio.create_task(harness.call(ADAPTER, 0.1))
+        await asyncio.sleep(0.1)
+        harness.name_version(ADAPTER, 2)
+        await waiting
+        took_s = max(harness.took_s)
+        if took_s > OLD_VERSION_S + ledger.STORE_LOAD_S + 0.2:
+            harness.faults.append(f"the call took {took_s:.2f} s")
+        return harness.check() + _unserved(harness)
+
+
 async def versions_in_series(interval_s: float) -> list[str]:
     """Further versions don't extend the use of a copy that stays busy."""
     async with VersionHarness(1, ledger.FaultRates(), engines=1) as harness:
@@ -430,7 +449,10 @@
         for after_s in PHASES_S
     }
 )
-SCENARIOS = BOUNDED | {"busy_copy_is_replaced": busy_copy_is_replaced}
+SCENARIOS = BOUNDED | {
+    "busy_copy_is_replaced": busy_copy_is_replaced,
+    "load_of_old_version_is_not_awaited": load_of_old_version_is_not_awaited,
+}
 
 
 def run_scenario(name: str) -> list[str]:
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -11,6 +11,10 @@
     When the version scenario busy_copy_is_replaced runs
     Then no guarantee is violated
 
+  Scenario: Requests don't wait for a load of an old version
+    When the version scenario load_of_old_version_is_not_awaited runs
+    Then no guarantee is violated
+
   Scenario: Random histories keep the bound of versions
     When 40 random histories of versions, loads and elections are tried
     Then no guarantee is violated
--- a/libs/placement/src/bergamotsail/placement/_decisions.py
+++ b/libs/placement/src/bergamotsail/placement/_decisions.py
@@ -120,7 +120,11 @@
             default=None,
         )
         if best is None:
-            if any(s.state is not State.READY for _, s in resident):
+            if any(
+                slot.state is not State.READY
+                and self._is_current(demand.name, slot, now)
+                for _, slot in resident
+            ):
                 return Wait(True)
             if not may_load:
                 return Wait(False)
@@ -169,6 +173,7 @@
             for record, slot in resident
             if slot.state is State.LOADING
             and now <= slot.ready_at + MAX_LOAD_OVERDUE_S
+            and self._is_current(demand.name, slot, now)
         ]
         for record, slot in loading:
             left_s = max(0.0, slot.ready_at - now)
