Placement: a replacement that waits for runs holds up nobody

Callers of an adapter whose copy was being replaced while a long run went on waited for that run to end, though other engines were idle; and replacements of many busy copies of one engine kept every other adapter from being loaded there.

Cause: a replacement that waits for runs was taken for a load that is about to end. So requests waited for it, it was confirmed again and again once the state of the engine became unknown, and nothing limited how many of them took the four places that an engine has for loads.

Now only a load on a slot without runs is waited for; a confirmation ends when the reconciliation has taken over; a busy copy is replaced only while a place is left for another load, an idle one only while there is a place at all. The price: with many busy copies of one engine, the queues of some are rejected later.

The fake engine now refuses a fifth load in transit, and tells a request that meets another version from one that a replacement rejects. Five mutants were noticed before, eight are now.

--- a/features/support/versions.py
+++ b/features/support/versions.py
@@ -19,6 +19,7 @@
 from bergamotsail import placement
 from bergamotsail.placement import _engine_record
 from bergamotsail.placement import _placer
+from bergamotsail import targets
 from bergamotsail import wire
 from features.support import ledger
 
@@ -28,32 +29,49 @@
 # How long after a newer version is set a request may still begin on an older
 # one.
 VERSION_BOUND_S = 5.0
+# Objective for the start of a call that needs a load.
+LATE_S = 1.0
 # Time of a request on its way to an engine.
 TRANSFER_S = 0.005
 # How long requests may be placed on an old version.
 OLD_VERSION_S = _placer.OLD_VERSION_S
 QUEUE_STEP_S = 0.01
+# Number of adapters that may be in transit to an engine.
+MAX_IN_TRANSIT = 4
 # Patience of one call for a placement, and the pause after a refused one.
 PLACE_PATIENCE_S = 3.0
 RETRY_PAUSE_S = 0.3
 USES_INTERVAL_S = 0.5
 SETTLE_S = 2.0
+Outcome = targets.OrderOutcome
 
 
 class VersionEngine(ledger.FakeEngine):
     """Queues requests and replaces versions once their runs have ended.
 
+    It refuses a load while MAX_IN_TRANSIT others are in transit.
+
     Attributes:
         queue_s: how long each request waits before it begins.
         load_s_by_version: duration of the loads of some versions.
+        loads: number of load orders received.
     """
 
     def __init__(self, *args: object) -> None:
         self.queue_s = 0.0
         self.load_s_by_version: dict[int, float] = {}
         self._replacement_by_name: dict[str, int] = {}
+        self.loads = 0
         super().__init__(*args)
 
+    def _load(self, order: targets.EngineOrder) -> Outcome:
+        self.loads += 1
+        is_new = order.adapter not in self.pending
+        holds = self.ready.get(order.adapter) == (order.version or 1)
+        if is_new and not holds and len(self.pending) >= MAX_IN_TRANSIT:
+            return self._check_order(order) or Outcome.OTHERWISE
+        return super()._load(order)
+
     def load_time_s(self, name: str, version: int) -> float:
         usual_s = super().load_time_s(name, version)
         return self.load_s_by_version.get(version, usual_s)
@@ -76,15 +94,20 @@
             return False
         return name in self.ready and version in (None, self.ready[name])
 
-    async def wait_for_turn(self, name: str, version: int | None) -> bool:
-        """Wait in the queue; return False if the request is rejected."""
+    async def wait_for_turn(
+        self, name: str, version: int | None
+    ) -> placement.UseOutcome:
+        """Wait in the queue and begin; return how the request fared."""
         steps = round(self.queue_s / QUEUE_STEP_S)
         while self.takes(name, version):
             if steps == 0:
-                return self.begin(name)
+                self.begin(name)
+                return placement.UseOutcome.DONE
             steps -= 1
             await asyncio.sleep(QUEUE_STEP_S)
-        return False
+        if name in self.pending and name in self.ready:
+            return placement.UseOutcome.REFUSED
+        return placement.UseOutcome.ABSENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,10 +196,9 @@
             request.request, place.target, MODEL, request.adapter, 120
         )
         await asyncio.sleep(TRANSFER_S)
-        ran = await engine.wait_for_turn(request.adapter, place.version)
-        outcome = placement.UseOutcome.REFUSED
+        outcome = await engine.wait_for_turn(request.adapter, place.version)
+        ran = outcome is placement.UseOutcome.DONE
         if ran:
-            outcome = placement.UseOutcome.DONE
             self._check_version(request.adapter, engine)
             begun = placement.BegunUse(
                 request.request, place.target, TRANSFER_S + engine.queue_s
@@ -344,6 +366,92 @@
         return harness.check() + _unserved(harness)
 
 
+async def replacement_after_election_holds_up_nobody() -> list[str]:
+    """Calls go elsewhere while a new leader replaces a copy in long use."""
+    async with VersionHarness(1, ledger.FaultRates(), engines=4) as harness:
+        await asyncio.sleep(SETTLE_S)
+        harness.name_version(ADAPTER, 1)
+        busy = asyncio.create_task(harness.call(ADAPTER, 20.0))
+        await asyncio.sleep(1.0)
+        harness.name_version(ADAPTER, 2)
+        await asyncio.sleep(0.5)
+        await harness.elect(initial_delay_s=3.0)
+        await asyncio.sleep(4.0)
+        harness.took_s.clear()
+        await harness.start_calls(1.0, 0.1, 10.0)
+        await busy
+        return harness.check() + _unserved(harness) + _late(harness)
+
+
+async def replacement_of_queue_holds_up_nobody() -> list[str]:
+    """Calls go elsewhere while a copy with a queue is replaced."""
+    async with VersionHarness(
+        1, ledger.FaultRates(), engines=2, slots=1
+    ) as harness:
+        await asyncio.sleep(SETTLE_S)
+        harness.name_version(ADAPTER, 1)
+        busy = asyncio.create_task(harness.call(ADAPTER, 20.0))
+        await asyncio.sleep(0.6)
+        other = asyncio.create_task(harness.call("a2", 5.4))
+        await asyncio.sleep(0.4)
+        (engine,) = (
+            engine
+            for engine in harness.engine_by_id.values()
+            if engine.running.get(ADAPTER)
+        )
+        engine.queue_s = 30.0
+        queued = asyncio.create_task(harness.call(ADAPTER, 0.1, 3.2))
+        await asyncio.sleep(0.1)
+        harness.name_version(ADAPTER, 2)
+        await asyncio.sleep(6.0)
+        harness.refused = 0
+        harness.took_s.clear()
+        await harness.start_calls(1.0, 0.1, 8.0)
+        await asyncio.gather(busy, other, queued)
+        return harness.check() + _unserved(harness) + _late(harness)
+
+
+async def replacements_leave_room() -> list[str]:
+    """Replacements of many busy copies don't stop loads of other adapters."""
+    async with VersionHarness(
+        1, ledger.FaultRates(), engines=1, slots=8
+    ) as harness:
+        (engine,) = harness.engine_by_id.values()
+        await asyncio.sleep(SETTLE_S)
+        names = [f"b{number}" for number in range(6)]
+        for name in names:
+            harness.name_version(name, 1)
+            await harness.call(name, 0.05)
+        busy = [asyncio.create_task(harness.call(n, 15.0)) for n in names]
+        await asyncio.sleep(1.0)
+        engine.queue_s = 30.0
+        busy += [asyncio.create_task(harness.call(n, 0.1, 4.0)) for n in names]
+        await asyncio.sleep(0.2)
+        for name in names:
+            harness.name_version(name, 2)
+        await asyncio.sleep(3.2)
+        engine.queue_s, engine.loads = 0.0, 0
+        harness.refused = 0
+        harness.took_s.clear()
+        await harness.call("a7", 0.05)
+        faults = _unserved(harness) + _late(harness)
+        await asyncio.sleep(6.0)
+        # Each load is sent and confirmed by some more orders.
+        if engine.loads > 10 * len(names):
+            faults.append(f"{engine.loads} load orders were sent")
+        for call in busy:
+            call.cancel()
+        return faults
+
+
+def _late(harness: VersionHarness) -> list[str]:
+    """Return a fault if a call waited much longer than for a load."""
+    took_s = max(harness.took_s, default=0.0)
+    if took_s > LATE_S:
+        return [f"a call began after {took_s:.2f} s"]
+    return []
+
+
 def _unserved(harness: VersionHarness) -> list[str]:
     """Return a fault if any call was refused."""
     if harness.refused:
@@ -451,6 +559,13 @@
 )
 SCENARIOS = BOUNDED | {
     "busy_copy_is_replaced": busy_copy_is_replaced,
+    "replacement_after_election_holds_up_nobody": (
+        replacement_after_election_holds_up_nobody
+    ),
+    "replacement_of_queue_holds_up_nobody": (
+        replacement_of_queue_holds_up_nobody
+    ),
+    "replacements_leave_room": replacements_leave_room,
     "load_of_old_version_is_not_awaited": load_of_old_version_is_not_awaited,
 }
 
@@ -472,6 +587,9 @@
 
 
 _NEWER_VERSION = _placer.Placer._newer_version
+_NOT_READY = property(
+    lambda slot: slot.state is not _engine_record.SlotState.READY
+)
 
 # Mutants, each of which disables a guard: name, scenario that must then
 # fail, patched attribute.
@@ -499,7 +617,22 @@
     (
         "blame an engine for requests that a replacement rejected",
         "queue_outlasts_bound",
-        (_engine_record.EngineRecord, "is_loading", lambda *_: False),
+        (_engine_record.EngineRecord, "is_being_replaced", lambda *_: False),
+    ),
+    (
+        "wait for a replacement that waits for runs, after an election",
+        "replacement_after_election_holds_up_nobody",
+        (_engine_record.Slot, "is_loading", _NOT_READY),
+    ),
+    (
+        "wait for a replacement that waits for runs, after a queue",
+        "replacement_of_queue_holds_up_nobody",
+        (_engine_record.Slot, "is_loading", _NOT_READY),
+    ),
+    (
+        "take all places in transit for replacements",
+        "replacements_leave_room",
+        (_placer, "MAX_LOADS_TO_REPLACE_BUSY", 100),
     ),
 )
 
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -7,13 +7,17 @@
     When each version scenario runs
     Then no guarantee is violated
 
-  Scenario: Calls for a busy adapter are served while its copies are replaced
-    When the version scenario busy_copy_is_replaced runs
+  Scenario Outline: Callers are served while versions are replaced: <scenario>
+    When the version scenario <scenario> runs
     Then no guarantee is violated
 
-  Scenario: Requests don't wait for a load of an old version
-    When the version scenario load_of_old_version_is_not_awaited runs
-    Then no guarantee is violated
+    Examples:
+      | scenario                                   |
+      | busy_copy_is_replaced                      |
+      | load_of_old_version_is_not_awaited         |
+      | replacement_after_election_holds_up_nobody |
+      | replacement_of_queue_holds_up_nobody       |
+      | replacements_leave_room                    |
 
   Scenario: Random histories keep the bound of versions
     When 40 random histories of versions, loads and elections are tried
--- a/libs/placement/src/bergamotsail/placement/_decisions.py
+++ b/libs/placement/src/bergamotsail/placement/_decisions.py
@@ -121,8 +121,7 @@
         )
         if best is None:
             if any(
-                slot.state is not State.READY
-                and self._is_current(demand.name, slot, now)
+                slot.is_loading and self._is_current(demand.name, slot, now)
                 for _, slot in resident
             ):
                 return Wait(True)
@@ -172,6 +171,7 @@
             (record, slot)
             for record, slot in resident
             if slot.state is State.LOADING
+            and slot.is_loading
             and now <= slot.ready_at + MAX_LOAD_OVERDUE_S
             and self._is_current(demand.name, slot, now)
         ]
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -364,11 +364,15 @@
     ) -> None:
         """Repeat a load order until the engine answers that it is loaded.
 
-        A load that replaces another version first waits for its runs.
+        The engine completes the runs of a replaced version first, so nothing
+        is sent until they have ended. If the state becomes unknown meanwhile,
+        the reconciliation confirms the load.
         """
         await self._clock.sleep(max(0.0, slot.ready_at - self._clock.now()))
         while slot.uses > 0 and self._still_planned(name, slot):
             await self._clock.sleep(RUNS_POLL_S)
+        if not self._still_planned(name, slot):
+            return
         lost = 0
         for _ in range(MAX_CONFIRM_ATTEMPTS):
             if self.record.slot_by_name.get(name) is not slot:
--- a/libs/placement/src/bergamotsail/placement/_engine_record.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_record.py
@@ -48,7 +48,8 @@
         version: None if the load order named no version.
         uses: number of requests that run on it.
         used_at: when a request was last granted or released on it.
-        ready_at: when its load is expected to finish.
+        ready_at: when its load is expected to finish, unless it replaces a
+            version that is in use.
         reported: found in a report rather than loaded by this process, so
             that requests granted by an earlier leader may run on it.
         newest_at: when its version was last known to be the newest one set.
@@ -62,6 +63,11 @@
     reported: bool = False
     newest_at: float = float("-inf")
 
+    @property
+    def is_loading(self) -> bool:
+        """Whether a load is in progress that doesn't wait for runs to end."""
+        return self.state is not SlotState.READY and self.uses == 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
@@ -131,8 +137,12 @@
             tuple[AdapterName, str], None
         ] = collections.OrderedDict()
         self._faults = _counter.DecayingCounter(FAULT_HALF_LIFE_S)
-        # Requests whose answer has started, as far as daemons reported it.
+        # Requests whose answer has started, as far as daemons reported it,
+        # and the number of the others for each adapter.
         self._begun: set[tuple[str, str]] = set()
+        self._waiting_count_by_name: collections.Counter[AdapterName] = (
+            collections.Counter()
+        )
 
     @property
     def may_load(self) -> bool:
@@ -222,10 +232,10 @@
             return False
         return not (slot.reported and self.may_have_unreported_runs(now))
 
-    def is_loading(self, name: AdapterName) -> bool:
-        """Whether an adapter is being loaded or replaced."""
+    def is_being_replaced(self, name: AdapterName) -> bool:
+        """Whether the engine rejects requests because of a replacement."""
         slot = self.slot_by_name.get(name)
-        return slot is not None and slot.state is not SlotState.READY
+        return slot is not None and slot.state is SlotState.LOADING
 
     def may_have_unreported_runs(self, now: float) -> bool:
         """Whether requests may run here that daemons have not reported."""
@@ -303,6 +313,7 @@
         """
         self._remove_grant(grant.boot, grant.request, grant.granted_at)
         self.grant_by_request[(grant.boot, grant.request)] = grant
+        self._waiting_count_by_name[grant.name] += 1
         self.tokens += grant.tokens
         slot = self.slot_by_name.get(grant.name)
         if slot is not None:
@@ -312,18 +323,17 @@
     def begin(self, key: tuple[str, str], first_s: float, now: float) -> None:
         """Record that an answer started *first_s* after its grant."""
         self.reading.begun(key, first_s, now)
-        if key in self.grant_by_request:
+        grant = self.grant_by_request.get(key)
+        if grant is not None and key not in self._begun:
             self._begun.add(key)
+            self._waiting_count_by_name[grant.name] -= 1
 
     def may_have_queued(self, name: AdapterName) -> bool:
         """Whether requests for an adapter may wait here to begin.
 
         Requests that an earlier leader granted count as waiting.
         """
-        return any(
-            grant.name == name and key not in self._begun
-            for key, grant in self.grant_by_request.items()
-        )
+        return self._waiting_count_by_name[name] > 0
 
     def release(self, boot: str, request: str, now: float) -> Grant | None:
         """Remove a request and return its grant, if there was one."""
@@ -336,7 +346,11 @@
         grant = self.grant_by_request.pop((boot, request), None)
         if grant is None:
             return None
+        if (boot, request) not in self._begun:
+            self._waiting_count_by_name[grant.name] -= 1
         self._begun.discard((boot, request))
+        if self._waiting_count_by_name[grant.name] <= 0:
+            del self._waiting_count_by_name[grant.name]
         self.tokens -= grant.tokens
         slot = self.slot_by_name.get(grant.name)
         if slot is not None:
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -63,6 +63,10 @@
 # Requests that have not begun on an old version this long after a newer one
 # was set are placed again.
 OLD_VERSION_QUEUE_S = 3.0
+# Number of loads in transit to an engine up to which versions in use are
+# replaced there. Such a load stays in transit until the runs have ended, so
+# one place is left for other adapters.
+MAX_LOADS_TO_REPLACE_BUSY = _decisions.MAX_CONCURRENT_LOADS - 1
 RETRY_AFTER_S = 0.5
 
 State = _engine_record.SlotState
@@ -356,7 +360,7 @@
         grant = self._release(boot, ended.request, ended.target, now)
         if ended.outcome is Outcome.FAILED:
             orders.record.add_fault(now)
-        elif grant is not None and orders.record.is_loading(grant.name):
+        elif grant is not None and orders.record.is_being_replaced(grant.name):
             # The engine rejected the request because its adapter is being
             # replaced, which is no fault.
             return
@@ -822,11 +826,6 @@
     def _refresh_versions(self, now: float) -> None:
         """Replace older versions in slots by the newest one.
 
-        A slot is replaced when it is idle. If requests may still wait there
-        after OLD_VERSION_QUEUE_S, it is replaced while it is busy: the engine
-        completes its runs first, but rejects the waiting requests as not
-        run, which no other message achieves.
-
         All slots are looked at, whatever their state and whether or not
         orders are allowed, so that each records until when it was the newest.
         """
@@ -835,25 +834,44 @@
             record = orders.record
             for name, slot in list(record.slot_by_name.items()):
                 wanted = self._newer_version(name, slot, now)
-                if wanted is None or not (may_order and record.may_load):
+                if wanted is None or not may_order:
                     continue
-                if record.is_idle(slot, now) or _must_reject_queue(
+                if _may_replace_idle(record, slot, now) or _must_reject_queue(
                     record, name, slot, now
                 ):
                     orders.start_load(name, wanted, None, now)
 
 
+def _may_replace_idle(
+    record: _engine_record.EngineRecord,
+    slot: _engine_record.Slot,
+    now: float,
+) -> bool:
+    """Whether an old version that is not in use can be replaced now."""
+    return (
+        record.may_load
+        and record.is_idle(slot, now)
+        and record.unconfirmed_loads() < _decisions.MAX_CONCURRENT_LOADS
+    )
+
+
 def _must_reject_queue(
     record: _engine_record.EngineRecord,
     name: _engine_record.AdapterName,
     slot: _engine_record.Slot,
     now: float,
 ) -> bool:
-    """Whether requests that wait for an old version must begin elsewhere."""
+    """Whether requests that wait for an old version must begin elsewhere.
+
+    Replacing the version achieves this: the engine completes its runs, but
+    rejects the waiting requests as not run.
+    """
     return (
         slot.state is State.READY
         and now - slot.newest_at > OLD_VERSION_QUEUE_S
         and record.may_have_queued(name)
+        and record.may_load
+        and record.unconfirmed_loads() < MAX_LOADS_TO_REPLACE_BUSY
     )
 
 
