Placement: requests that wait at a leaving engine are placed again too

Cause: a copy is replaced, which rejects its queue, only at engines that may load, and one that is leaving may not. Now the rejection needs only that the state of the engine is known and that it has not refused our fencing number.

queue_of_leaving_engine failed before.

--- a/features/support/versions.py
+++ b/features/support/versions.py
@@ -444,6 +444,30 @@
         return faults
 
 
+async def queue_of_leaving_engine() -> list[str]:
+    """Requests that wait at an engine that is leaving begin in time too."""
+    async with VersionHarness(1, ledger.FaultRates()) as harness:
+        await asyncio.sleep(SETTLE_S)
+        harness.name_version(ADAPTER, 1)
+        await harness.call(ADAPTER, 0.1)
+        (engine,) = (
+            engine for engine in harness.engine_by_id.values() if engine.ready
+        )
+        engine.queue_s = VERSION_BOUND_S + 1.0
+        queued = asyncio.create_task(harness.call(ADAPTER, 0.1))
+        await asyncio.sleep(0.2)
+        harness.name_version(ADAPTER, 2)
+        infos = tuple(
+            dataclasses.replace(
+                info, leaving=harness.engine_by_id[info.id] is engine
+            )
+            for info in harness.infos
+        )
+        harness.placer.targets_changed(infos)
+        await queued
+        return harness.check() + _unserved(harness)
+
+
 def _late(harness: VersionHarness) -> list[str]:
     """Return a fault if a call waited much longer than for a load."""
     took_s = max(harness.took_s, default=0.0)
@@ -543,6 +567,7 @@
         "load_ends_after_next_version": load_ends_after_next_version,
         "queue_outlasts_bound": queue_outlasts_bound,
         "order_executed_late": order_executed_late,
+        "queue_of_leaving_engine": queue_of_leaving_engine,
     }
     | {
         f"versions_in_series each {interval_s} s": functools.partial(
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -864,13 +864,15 @@
     """Whether requests that wait for an old version must begin elsewhere.
 
     Replacing the version achieves this: the engine completes its runs, but
-    rejects the waiting requests as not run.
+    rejects the waiting requests as not run. This applies to an engine that
+    is leaving too.
     """
     return (
         slot.state is State.READY
         and now - slot.newest_at > OLD_VERSION_QUEUE_S
         and record.may_have_queued(name)
-        and record.may_load
+        and record.known
+        and not record.fenced
         and record.unconfirmed_loads() < MAX_LOADS_TO_REPLACE_BUSY
     )
 
