Routing: without a leader, use no older version than an engine reports

Cause: an entry without a leader compared versions with its own view only, which ends at its last lease. A survey may show that an engine holds a newer version; requests still went to the less loaded engine with the older one, or to a remembered placement of it.

Evidence, features/support/leaderless_versions.py, virtual time, a real session, placement client and survey with a scripted leader and two engines: engine_reports_newer_version sent all 9 requests to the older version once the reports had come. Now it sends none there, and refuses none.

The other four scenarios passed before too: place calls that are shed while heartbeats go on, an entry that comes back after 20 s, a survey that ends after its return, and replies that come late. Four mutants, each noticed.

--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -326,10 +326,25 @@
         return self._survey.choose(
             request,
             known,
-            self._session.view.named_version(request.model, request.adapter),
+            self._min_version(request),
             self._daemon_count(),
         )
 
+    def _min_version(self, request: placement.PlaceRequest) -> int | None:
+        """Return the newest version of an adapter that is known here.
+
+        Engines may report a version that was named after the last contact
+        with a leader.
+        """
+        versions = [
+            self._session.view.named_version(request.model, request.adapter)
+        ]
+        if self._survey is not None:
+            versions.append(
+                self._survey.newest_version(request.model, request.adapter)
+            )
+        return max((v for v in versions if v is not None), default=None)
+
     async def _run_survey(self, unasked: list[control.TargetInfo]) -> None:
         """Collect reports from engines and wake the waiting requests."""
         assert self._survey is not None
@@ -422,10 +437,10 @@
             return None
         if not self._session.takes_work(info):
             return None
-        named = self._session.view.named_version(
-            request.model, request.adapter
-        )
-        if named is not None and (found.reply.version or 0) < named:
+        min_version = self._min_version(request)
+        if min_version is not None and (
+            (found.reply.version or 0) < min_version
+        ):
             return None
         observe.log_event(
             "route",
@@ -433,7 +448,7 @@
             request=request.request,
             target=found.reply.target,
             version=found.reply.version,
-            newest=named,
+            newest=min_version,
             age_s=round(age_s, 3),
             leader_silent_s=round(self._session.silent_s(), 3),
         )
--- a/libs/routing/src/bergamotsail/routing/_survey.py
+++ b/libs/routing/src/bergamotsail/routing/_survey.py
@@ -100,6 +100,19 @@
         if info.id in self._asked:
             self._report_by_target[info.id] = report
 
+    def newest_version(self, model: str, adapter: str) -> int | None:
+        """Return the newest version of an adapter in any report."""
+        return max(
+            (
+                held.version
+                for report in self._report_by_target.values()
+                for held in report.adapters
+                if (held.model, held.adapter) == (model, adapter)
+                and held.version is not None
+            ),
+            default=None,
+        )
+
     def choose(
         self,
         request: placement.PlaceRequest,
