Placement: find a waiting call by identity

Callers of the busiest deployments waited up to 3 s for a place and were late or refused while a fifth of the slots were idle: the leader could not keep up.

Cause: each place call ends with two searches of the list of all waiting calls. The waiters were compared field by field, down to the whole requests: with 200 waiting, one call made up to 400 such comparisons.

The new scenario fails before with 20,000 comparisons for 100 calls.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -25,6 +25,7 @@
       | late requests compete with others                |
       | the event loop of a daemon lags                  |
       | hundreds of requests wait for placement          |
+      | one of hundreds of waiting calls ends            |
 
   Scenario: Every mechanism of the placement decisions is needed
     Then the scenario of each mechanism fails without it
--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -758,6 +758,58 @@
     return []
 
 
+def waiters_not_compared() -> list[str]:
+    """A call that ends is found among 200 waiting ones by identity.
+
+    To compare all fields of their requests instead took longer than the
+    decision itself, and the leader serves all calls one after the other.
+    """
+    compared = 0
+
+    def count(request: object, other: object) -> bool:
+        nonlocal compared
+        compared += 1
+        return request is other
+
+    async def run() -> list[str]:
+        leadership = unittest.mock.Mock(term=1)
+        leadership.holds.return_value = True
+        view = unittest.mock.Mock()
+        view.return_value.budget.return_value = None
+        placer = _placer.Placer(
+            leadership,
+            view,
+            unittest.mock.Mock(),
+            _place_policy.CopyAffinityPolicy(),
+            observe.Metrics(),
+        )
+        asking = [
+            asyncio.create_task(placer.on_place(_place_request(number)))
+            for number in range(200)
+        ]
+        await asyncio.sleep(0)
+        waiting = len(placer._waiters)
+        for task in asking[100:]:
+            task.cancel()
+        await asyncio.wait(asking[100:])
+        left = [waiter.request.request for waiter in placer._waiters]
+        for task in asking:
+            task.cancel()
+        await asyncio.wait(asking)
+        first = [_place_request(number).request for number in range(100)]
+        if waiting != 200 or left != first or placer._waiters:
+            return [f"{waiting} waited, then {len(left)}"]
+        return []
+
+    loop = looptime.new_event_loop()
+    patched = unittest.mock.patch.object(
+        placement.PlaceRequest, "__eq__", count
+    )
+    with contextlib.closing(loop), patched:
+        faults = loop.run_until_complete(run())
+    return faults + ([f"{compared} comparisons"] if compared else [])
+
+
 SCENARIOS = {
     "there is no leader": no_leader,
     "there is no leader for ten seconds": no_leader_for_long,
@@ -765,6 +817,7 @@
     "late requests compete with others": late_requests_wait,
     "the event loop of a daemon lags": lagging_daemon,
     "hundreds of requests wait for placement": many_waiters,
+    "one of hundreds of waiting calls ends": waiters_not_compared,
     "an engine is faster than initially estimated": learns_fast_engine,
     "an engine slows down": learns_slowdown,
     "a slow engine gets no more requests for a minute": slow_engine_recovers,
--- a/libs/placement/src/bergamotsail/placement/_waiting.py
+++ b/libs/placement/src/bergamotsail/placement/_waiting.py
@@ -12,10 +12,13 @@
 TYPICAL_LOAD_S = 0.28
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Waiter:
     """A request that waits for a grant.
 
+    Waiters are compared by identity. Each call searches the list of all of
+    them, and comparing their fields would take longer than its decision.
+
     Args:
         arrived_at: when the request first asked for a target.
         done: resolved with the reply or with the refusal as an exception.
