Routing: a request that is not asked for takes no token

Cause: AskRateLimiter.reserve took a token before the caller looked whether the wait is longer than the request can wait. A request that was refused for it left its token taken, so each one made the wait of the next one longer. From about 20 tokens of debt an entry with more requests than its share of the asks (600 a second over all daemons, about 7) refused every model request at once, and as each of them added to the debt, for as long as more came.

Before, the new scenario: 0 calls in 4 s where the budget permits 28.9. After: within 2 of it. The scenarios of decisions, heard, ledger and holders pass (21, 14, 16, 9); the other features were not run.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -23,6 +23,7 @@
       | there is no leader for ten seconds               |
       | there is no leader but engines hold the adapter  |
       | late requests compete with others                |
+      | a daemon gets more requests than it may ask for  |
       | the event loop of a daemon lags                  |
       | hundreds of requests wait for placement          |
       | one of hundreds of waiting calls ends            |
--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -677,6 +677,52 @@
     return [] if last_on_time <= 6 else [f"asked in the order {order}"]
 
 
+class _TimedTransport(_GrantingTransport):
+    """A transport that grants all placements and records their times."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.times: list[float] = []
+
+    async def call(self, address, call, message, timeout_s):
+        """Grant a placement."""
+        self.times.append(asyncio.get_running_loop().time())
+        return await super().call(address, call, message, timeout_s)
+
+
+def more_requests_than_asks() -> list[str]:
+    """A daemon with too many requests makes all the calls that it may make.
+
+    Each of 83 daemons may make 7.2 calls a second. One gets 15 requests a
+    second for 8 s. Each waits for 2 s at most, and those that would wait for
+    longer are refused. Those use up no calls: from 4 to 8 s the daemon makes
+    7.2 a second. If each refused request used one up, it would make none.
+    """
+
+    async def run() -> list[float]:
+        transport = _TimedTransport()
+        placements = _placements.PlacementClient(_session(83), transport)
+        started_at = asyncio.get_running_loop().time()
+        asking = []
+        for number in range(120):
+            request = _place_request(number)
+            asking.append(asyncio.create_task(placements.acquire(request)))
+            await asyncio.sleep(1 / 15)
+        await asyncio.gather(*asking, return_exceptions=True)
+        return [at - started_at for at in transport.times]
+
+    loop = looptime.new_event_loop()
+    with contextlib.closing(loop):
+        times = loop.run_until_complete(run())
+    made = sum(4.0 <= at < 8.0 for at in times)
+    allowed = 4.0 * _placements.MAX_ASKS_PER_S / 83
+    return (
+        []
+        if allowed - 2 <= made <= allowed + 2
+        else [f"{made} calls in 4 s, the budget permits {allowed:.1f}"]
+    )
+
+
 def lagging_daemon() -> list[str]:
     """A daemon whose event loop lags sheds only calls that can wait."""
     server = wire.PeerServer()
@@ -815,6 +861,9 @@
     "there is no leader for ten seconds": no_leader_for_long,
     "there is no leader but engines hold the adapter": placed_by_survey,
     "late requests compete with others": late_requests_wait,
+    "a daemon gets more requests than it may ask for": (
+        more_requests_than_asks
+    ),
     "the event loop of a daemon lags": lagging_daemon,
     "hundreds of requests wait for placement": many_waiters,
     "one of hundreds of waiting calls ends": waiters_not_compared,
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -79,9 +79,14 @@
         since_s = self._clock.now() - self._refilled_at
         return self._tokens + since_s * self._per_s() >= 1.0
 
-    def reserve(self) -> float:
+    def reserve(self, max_wait_s: float) -> float | None:
         """Take a token and return how long to wait before using it.
 
+        No token is taken if the wait would not be under *max_wait_s*; the
+        result is then None. Otherwise each request that gives up would
+        lengthen the wait of the next one, and a daemon with more requests
+        than its rate admits would soon refuse all of them.
+
         Example: at 10 tokens a second, of 4 simultaneous calls two return 0
         and the others about 0.1 and 0.2.
         """
@@ -90,8 +95,12 @@
         capacity = max(MIN_BURST, per_s * BURST_S)
         refilled = self._tokens + (now - self._refilled_at) * per_s
         self._refilled_at = now
-        self._tokens = min(refilled, capacity) - 1.0
-        return max(0.0, -self._tokens / per_s)
+        self._tokens = min(refilled, capacity)
+        wait_s = max(0.0, (1.0 - self._tokens) / per_s)
+        if wait_s >= max_wait_s:
+            return None
+        self._tokens -= 1.0
+        return wait_s
 
 
 class PlacementClient:
@@ -189,8 +198,8 @@
                 # Requests that can still meet their objective go first.
                 await self._clock.sleep(min(LATE_POLL_S, left_s))
                 continue
-            delay_s = self._limiter.reserve()
-            if delay_s >= left_s:
+            delay_s = self._limiter.reserve(left_s)
+            if delay_s is None:
                 break
             if delay_s > 0.0:
                 await self._clock.sleep(delay_s)
