--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -365,13 +365,10 @@
         """Repeat a load order until the engine answers that it is loaded.
 
         The engine completes the runs of a replaced version first, so nothing
-        is sent until they have ended. If the state becomes unknown meanwhile,
-        the reconciliation confirms the load.
+        is sent until they have ended.
         """
         await self._clock.sleep(max(0.0, slot.ready_at - self._clock.now()))
-        while slot.uses > 0 and self._still_planned(name, slot):
-            await self._clock.sleep(RUNS_POLL_S)
-        if not self._still_planned(name, slot):
+        if slot.uses > 0 and not await self._wait_for_runs(name, slot):
             return
         lost = 0
         for _ in range(MAX_CONFIRM_ATTEMPTS):
@@ -404,6 +401,18 @@
             await self._clock.sleep(CONFIRM_INTERVAL_S)
         self.reconcile()
 
+    async def _wait_for_runs(
+        self, name: _engine_record.AdapterName, slot: _engine_record.Slot
+    ) -> bool:
+        """Wait until no run uses a replaced version.
+
+        Returns False if the state of the engine became unknown meanwhile; the
+        reconciliation then confirms the load.
+        """
+        while slot.uses > 0 and self._still_planned(name, slot):
+            await self._clock.sleep(RUNS_POLL_S)
+        return self._still_planned(name, slot)
+
     def _order(
         self,
         name: _engine_record.AdapterName,
