--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -1,20 +1,32 @@
 """Steps that test on which version of its adapter a request begins."""
 
+import collections.abc
+
 import behave
 import hypothesis
 
 from features.support import versions
 
 
-@behave.when("each version scenario runs")
-def run_scenarios(context) -> None:
-    context.faults = [
+def _first_faults(names: collections.abc.Iterable[str]) -> list[str]:
+    """Run scenarios and return the first fault of each."""
+    return [
         f"{name}: {fault}"
-        for name in versions.BOUNDED
+        for name in names
         for fault in versions.run_scenario(name)[:1]
     ]
 
 
+@behave.when("each version scenario runs")
+def run_scenarios(context) -> None:
+    context.faults = _first_faults(versions.BOUNDED)
+
+
+@behave.when("each scenario of a queue that is not rejected runs")
+def run_queues(context) -> None:
+    context.faults = _first_faults(versions.QUEUES_NOT_REJECTED)
+
+
 @behave.when("the version scenario {name} runs")
 def run_scenario(context, name: str) -> None:
     context.faults = versions.run_scenario(name)
--- a/features/support/versions.py
+++ b/features/support/versions.py
@@ -264,7 +264,7 @@
         return harness.check() + _unserved(harness)
 
 
-async def load_of_old_version_is_not_awaited() -> list[str]:
+async def load_of_old_version_not_awaited() -> list[str]:
     """A slow load of an old version does not hold up the newest one."""
     async with VersionHarness(1, ledger.FaultRates()) as harness:
         await asyncio.sleep(SETTLE_S)
@@ -468,6 +468,78 @@
         return harness.check() + _unserved(harness)
 
 
+async def _queued_with(
+    harness: VersionHarness,
+    disturb: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+) -> list[str]:
+    """Set a version while a request waits in a long queue, then disturb."""
+    await asyncio.sleep(SETTLE_S)
+    harness.name_version(ADAPTER, 1)
+    await harness.call(ADAPTER, 0.1)
+    for engine in harness.engine_by_id.values():
+        engine.queue_s = VERSION_BOUND_S + 0.5
+    queued = asyncio.create_task(harness.call(ADAPTER, 0.1, 20.0))
+    await asyncio.sleep(0.1)
+    harness.name_version(ADAPTER, 2)
+    await disturb()
+    await asyncio.sleep(9.0)
+    queued.cancel()
+    return harness.check()
+
+
+async def queue_of_unknown_engine() -> list[str]:
+    """A request waits at engines that give no report."""
+    async with VersionHarness(1, ledger.FaultRates()) as harness:
+
+        async def fail_report() -> targets.AdapterReport:
+            raise wire.PeerLostError("No report.")
+
+        async def disturb() -> None:
+            for engine in harness.engine_by_id.values():
+                engine.report = fail_report
+            for orders in harness.placer._orders_by_target.values():
+                orders.reconcile()
+
+        return await _queued_with(harness, disturb)
+
+
+async def queue_without_orders() -> list[str]:
+    """A request waits while a new leader may not give orders yet."""
+    async with VersionHarness(1, ledger.FaultRates()) as harness:
+
+        async def disturb() -> None:
+            await asyncio.sleep(2.6)
+            await harness.elect(initial_delay_s=3.0)
+
+        return await _queued_with(harness, disturb)
+
+
+async def queue_without_leader() -> list[str]:
+    """A request waits while the leader is not confirmed for 3 s."""
+    async with VersionHarness(1, ledger.FaultRates()) as harness:
+
+        async def disturb() -> None:
+            await asyncio.sleep(2.5)
+            harness.leader.leads = False
+            await asyncio.sleep(3.0)
+            harness.leader.leads = True
+
+        return await _queued_with(harness, disturb)
+
+
+async def queue_with_lost_orders() -> list[str]:
+    """A request waits while no order is answered or executed in time."""
+    async with VersionHarness(1, ledger.FaultRates()) as harness:
+
+        async def disturb() -> None:
+            for engine in harness.engine_by_id.values():
+                engine.fault_rates = ledger.FaultRates(
+                    late=1.0, max_delay_s=8.0
+                )
+
+        return await _queued_with(harness, disturb)
+
+
 def _late(harness: VersionHarness) -> list[str]:
     """Return a fault if a call waited much longer than for a load."""
     took_s = max(harness.took_s, default=0.0)
@@ -561,8 +633,10 @@
 INTERVALS_S = (0.3, 0.9, 2.0, 5.2)
 PHASES_S = (0.1, 0.9, 2.0, 3.5, 4.5)
 
+Scenario = collections.abc.Callable[[], collections.abc.Coroutine]
+
 # Scenarios in which no request may begin on an old version beyond the bound.
-BOUNDED: dict[str, collections.abc.Callable[[], collections.abc.Coroutine]] = (
+BOUNDED: dict[str, Scenario] = (
     {
         "load_ends_after_next_version": load_ends_after_next_version,
         "queue_outlasts_bound": queue_outlasts_bound,
@@ -582,17 +656,28 @@
         for after_s in PHASES_S
     }
 )
-SCENARIOS = BOUNDED | {
-    "busy_copy_is_replaced": busy_copy_is_replaced,
-    "replacement_after_election_holds_up_nobody": (
-        replacement_after_election_holds_up_nobody
-    ),
-    "replacement_of_queue_holds_up_nobody": (
-        replacement_of_queue_holds_up_nobody
-    ),
-    "replacements_leave_room": replacements_leave_room,
-    "load_of_old_version_is_not_awaited": load_of_old_version_is_not_awaited,
+# Scenarios in which the queue of an engine can't be rejected in time.
+QUEUES_NOT_REJECTED = {
+    "queue_of_unknown_engine": queue_of_unknown_engine,
+    "queue_without_orders": queue_without_orders,
+    "queue_without_leader": queue_without_leader,
+    "queue_with_lost_orders": queue_with_lost_orders,
 }
+SCENARIOS = (
+    BOUNDED
+    | QUEUES_NOT_REJECTED
+    | {
+        "busy_copy_is_replaced": busy_copy_is_replaced,
+        "replacement_after_election_holds_up_nobody": (
+            replacement_after_election_holds_up_nobody
+        ),
+        "replacement_of_queue_holds_up_nobody": (
+            replacement_of_queue_holds_up_nobody
+        ),
+        "replacements_leave_room": replacements_leave_room,
+        "load_of_old_version_not_awaited": load_of_old_version_not_awaited,
+    }
+)
 
 
 def run_scenario(name: str) -> list[str]:
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -7,6 +7,10 @@
     When each version scenario runs
     Then no guarantee is violated
 
+  Scenario: Requests begin in time though their queue can't be rejected
+    When each scenario of a queue that is not rejected runs
+    Then no guarantee is violated
+
   Scenario Outline: Callers are served while versions are replaced: <scenario>
     When the version scenario <scenario> runs
     Then no guarantee is violated
@@ -14,7 +18,7 @@
     Examples:
       | scenario                                   |
       | busy_copy_is_replaced                      |
-      | load_of_old_version_is_not_awaited         |
+      | load_of_old_version_not_awaited         |
       | replacement_after_election_holds_up_nobody |
       | replacement_of_queue_holds_up_nobody       |
       | replacements_leave_room                    |
