Routing: log how an answer is framed and whether it ends inside an event

The log could not tell an answer whose connection closed normally inside an event from one whose connection was reset: both read `done`, and nothing said whether the answer had a length or chunks. The line of an answer now names its framing, the line of the end the bytes of an unfinished event. No decision depends on either.

--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -7,6 +7,7 @@
 from bergamotsail import placement
 from bergamotsail.routing import _authentication
 from bergamotsail.routing import _budget_admission
+from bergamotsail.routing import _events
 from bergamotsail.routing import _fatal
 from bergamotsail.routing import _forward_types
 from bergamotsail import wire
@@ -45,6 +46,7 @@
         sends: how often it was sent to a target.
         runs: how many of the sends may have run.
         partial_event: the received start of an incomplete event.
+        events: boundaries of the events in the current target's answer.
         longest_pause_s: the longest gap between two pieces of the answer.
     """
 
@@ -62,6 +64,9 @@
     runs: int = 0
     last_event: str | None = None
     partial_event: bytes = b""
+    events: _events.EventSplitter = dataclasses.field(
+        default_factory=_events.EventSplitter
+    )
     target: str = ""
     aborted: bool = False
     on_first_piece: collections.abc.Callable[[], None] | None = None
@@ -145,6 +150,13 @@
     return round(attempt.longest_pause_s, 4)
 
 
+def unfinished_bytes(attempt: Attempt | None) -> int | None:
+    """Return how much of an unfinished event was received, for the log."""
+    if attempt is None or not attempt.events.inside_event:
+        return None
+    return len(attempt.events.rest)
+
+
 def adapter_of(request: _forward_types.CallerRequest) -> str | None:
     if request.model is None:
         return None
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -20,6 +20,7 @@
 from bergamotsail.routing import _attempt
 from bergamotsail.routing import _authentication
 from bergamotsail.routing import _budget_admission
+from bergamotsail.routing import _events
 from bergamotsail.routing import _fatal
 from bergamotsail.routing import _forward_types
 from bergamotsail.routing import _placements
@@ -217,6 +218,7 @@
             target=attempt.target if attempt is not None else None,
             took_s=round(took_s, 4),
             longest_pause_s=_attempt.longest_pause_s(attempt),
+            unfinished_bytes=_attempt.unfinished_bytes(attempt),
         )
 
     async def _serve_in_time(self, attempt: _attempt.Attempt) -> None:
@@ -606,6 +608,7 @@
             request=attempt.request.id,
             target=attempt.target,
             status=head.status,
+            framing=head.framing,
             own=parsed.own,
             not_run=parsed.not_run,
             since_arrival_s=round(
@@ -629,6 +632,7 @@
                 error = wire.EngineError("The target failed the request.")
                 raise _attempt.retryable(error, wire.RunStatus.FAILED)
         attempt.partial_event = b""
+        attempt.events = _events.EventSplitter()
         if not attempt.answer.started:
             attempt.answer.start(head.status, self._dialect.returning(head))
         elif head.status >= 300:
@@ -641,6 +645,8 @@
             attempt.record_piece(self._clock.now())
             if attempt.on_first_piece is not None:
                 attempt.on_first_piece()
+            if is_stream:
+                attempt.events.feed(piece)
             if whole_events_only:
                 piece = _attempt.complete_events(attempt, piece)
             if piece:
--- a/libs/wire/src/bergamotsail/wire/_curl.py
+++ b/libs/wire/src/bergamotsail/wire/_curl.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import collections.abc
+import enum
 import socket
 import typing
 
@@ -29,6 +30,18 @@
 Header = tuple[str, str]
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of a reply's body.
+
+    LENGTH, CHUNKED: a header, so a shorter body is known to be incomplete.
+    CLOSE: the end of the connection; any body looks complete.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 class ReplyHead(typing.NamedTuple):
     """Status and headers of a reply, in the order received."""
 
@@ -45,6 +58,15 @@
             value for key, value in self.headers if key.lower() == name.lower()
         )
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body."""
+        if self.get("Transfer-Encoding") is not None:
+            return Framing.CHUNKED
+        if self.get("Content-Length") is not None:
+            return Framing.LENGTH
+        return Framing.CLOSE
+
 
 class Exchange:
     """One request and its reply; an async context manager.
