Test: a stream that ends inside an event looks complete

A target answers without a length or chunks and closes its connection inside an event. Whole streams of that kind, and those that may be resumed, pass.

--- /dev/null
+++ b/features/streams.feature
@@ -0,0 +1,18 @@
+Feature: Event streams that end with their connection
+  The answer of a target may have neither a length nor chunks. Its connection
+  then ends the same way whether the answer is whole or not; a stream that
+  ends inside an event is not.
+
+  Scenario Outline: <scenario>
+    When a stream is relayed in <scenario>
+    Then no guarantee is violated
+
+    Examples:
+      | scenario              |
+      | whole_stream          |
+      | resumed_elsewhere     |
+      | resumed_and_cut_again |
+
+  Scenario: A stream that ends inside an event never looks complete
+    When a stream is relayed in cut_inside_an_event
+    Then no guarantee is violated
--- /dev/null
+++ b/features/support/streams.py
@@ -0,0 +1,229 @@
+"""Event streams whose connections end anywhere, relayed by a real forwarder.
+
+Targets are fakes: each sends a scripted body, and its connection then closes
+normally or fails. The answers have neither a length nor chunks.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from bergamotsail import catalogue
+from bergamotsail import routing
+from bergamotsail import wire
+from features.support import fatal_world
+from features.support import ledger
+
+EVENT_STREAM = (("Content-Type", "text/event-stream"),)
+EVENTS = tuple(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
+WHOLE = b"".join(EVENTS)
+INSIDE_EVENT_3 = len(EVENTS[0] + EVENTS[1]) + 7
+PIECE_BYTES = 11
+ATTEMPTS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Body:
+    """What a target sends, and how its connection ends.
+
+    Args:
+        cut: the number of bytes sent, None for all.
+        fails: whether the connection is reset in place of closed.
+        follows: whether the target sends only what comes after the event
+            that it is asked to resume after.
+    """
+
+    events: tuple[bytes, ...] = EVENTS
+    cut: int | None = None
+    fails: bool = False
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = EVENT_STREAM
+    piece_bytes: int = PIECE_BYTES
+    follows: bool = True
+
+    def sent(self, resume_after: str | None) -> bytes:
+        """Return the bytes that are sent for a request."""
+        start = int(resume_after) if resume_after and self.follows else 0
+        return b"".join(self.events[start:])[: self.cut]
+
+
+class Exchange(fatal_world.Exchange):
+    """An exchange with a target that sends a scripted body."""
+
+    def __init__(self, body: Body, resume_after: str | None) -> None:
+        self._script = body
+        self._resume_after = resume_after
+        self.sent = False
+
+    async def head(self) -> wire.ReplyHead:
+        self.sent = True
+        return wire.ReplyHead(self._script.status, self._script.headers)
+
+    async def pieces(self) -> collections.abc.AsyncIterator[bytes]:
+        left = self._script.sent(self._resume_after)
+        while left:
+            piece = left[: self._script.piece_bytes]
+            left = left[self._script.piece_bytes :]
+            yield piece
+        if self._script.fails:
+            raise wire.PeerLostError("The connection was reset.")
+
+
+class Http(fatal_world.Http):
+    """A client whose exchanges follow the script, one body a send."""
+
+    def open(self, request, target, headers) -> Exchange:
+        resume_after = dict(headers).get("resume")
+        self._world.resumed_after.append(resume_after)
+        return Exchange(self._world.script.pop(0), resume_after)
+
+
+class Dialect(fatal_world.Dialect):
+    """Sends the id of the event to resume after."""
+
+    def outgoing(self, request, destination) -> routing.Headers:
+        if destination.resume_after is None:
+            return ()
+        return (("resume", destination.resume_after),)
+
+
+class Answer(fatal_world._Answer):
+    """Records what the caller gets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.body = b""
+        self.aborted = False
+
+    async def write(self, piece: bytes) -> None:
+        self.body += piece
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """What a caller got: a complete, a broken-off or no answer."""
+
+    body: bytes
+    complete: bool
+    broken_off: bool
+    error: wire.ServingError | None
+    sends: int
+    resumed_after: tuple[str | None, ...]
+
+    def broken_off_faults(self) -> list[str]:
+        """Return a fault if the answer doesn't look broken off."""
+        visible = self.broken_off or self.error is not None
+        if self.complete or not visible:
+            return [f"the answer looks complete: {self.body!r}"]
+        return []
+
+    def whole_faults(self, body: bytes) -> list[str]:
+        """Return a fault if the answer isn't complete with this body."""
+        if not self.complete or self.broken_off or self.body != body:
+            return [f"the answer is not the whole one: {self}"]
+        return []
+
+
+class World(fatal_world.World):
+    """One entry and three targets that follow a script."""
+
+    def __init__(self) -> None:
+        super().__init__(entries=1, count=3, attempts=ATTEMPTS)
+        self.script: list[Body] = []
+        self.resumed_after: list[str | None] = []
+        self.dialect = Dialect()
+
+    def make_http(self, entry: int) -> Http:
+        return Http(self, entry)
+
+
+async def relay(
+    *script: Body,
+    resumable: bool = False,
+    method: str = "POST",
+    resume_after: str | None = None,
+) -> Received:
+    """Send a request on a stream route to targets that follow a script."""
+    async with World() as world:
+        table = world.entries[0].session.view.routes.table
+        route = dataclasses.replace(
+            table.routes[0],
+            kind=catalogue.RouteKind.STREAM,
+            resumable=resumable,
+        )
+        table = catalogue.RouteTable(2, (route,), table.pools)
+        await fatal_world.growth._replace_table(world, table)
+        await asyncio.sleep(1.0)
+        world.script = list(script)
+        answer, error = Answer(), None
+        now = asyncio.get_running_loop().time()
+        request = routing.CallerRequest(
+            "q", method, fatal_world.HOST, "/", "/", (), b"", 9.0, now,
+            resume_after=resume_after,
+        )  # fmt: skip
+        try:
+            await world.entries[0].forwarder.serve(request, answer)
+        except wire.ServingError as refused:
+            error = refused
+        return Received(
+            answer.body,
+            answer.finished,
+            answer.aborted,
+            error,
+            len(world.resumed_after),
+            tuple(world.resumed_after),
+        )
+
+
+async def cut_inside_an_event() -> list[str]:
+    """A stream that ends inside an event is broken off for the caller."""
+    received = await relay(Body(cut=INSIDE_EVENT_3))
+    faults = received.broken_off_faults()
+    if received.sends != 1:
+        faults.append(f"{received.sends} sends of a request that may run once")
+    return faults
+
+
+async def whole_stream() -> list[str]:
+    """A stream that ends with an event is complete."""
+    received = await relay(Body())
+    return received.whole_faults(WHOLE)
+
+
+async def resumed_elsewhere() -> list[str]:
+    """A resumable stream goes on elsewhere after its last whole event."""
+    received = await relay(Body(cut=INSIDE_EVENT_3), Body(), resumable=True)
+    faults = received.whole_faults(WHOLE)
+    if received.resumed_after != (None, "2"):
+        faults.append(f"resumed after {received.resumed_after}")
+    return faults
+
+
+async def resumed_and_cut_again() -> list[str]:
+    """A resumed stream that ends inside an event is broken off."""
+    received = await relay(
+        Body(cut=INSIDE_EVENT_3), Body(cut=7), resumable=True
+    )
+    faults = received.broken_off_faults()
+    if received.body != EVENTS[0] + EVENTS[1]:
+        faults.append(f"the caller got {received.body!r}")
+    return faults
+
+
+SCENARIOS = {
+    scenario.__name__: scenario
+    for scenario in (
+        cut_inside_an_event,
+        whole_stream,
+        resumed_elsewhere,
+        resumed_and_cut_again,
+    )
+}
+
+
+def run_scenario(name: str) -> list[str]:
+    """Run a scenario in virtual time; return its faults."""
+    return ledger.run(SCENARIOS[name]())
