Routing: relay an answer that is no event stream as it is

On a route with streams that may be resumed any body was read as events: a 400 with a text, or JSON, ended without an empty line and so counted as a broken stream. The request ran again and its events were sent under the first answer's status and headers.

Only a success of the type text/event-stream, or without a type, has events. failure_is_no_stream and other_type_is_no_stream failed before (the caller got four events under the head of the failure, two sends), pass now.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -8,10 +8,12 @@
     Then no guarantee is violated
 
     Examples:
-      | scenario              |
-      | whole_stream          |
-      | resumed_elsewhere     |
-      | resumed_and_cut_again |
+      | scenario                |
+      | whole_stream            |
+      | resumed_elsewhere       |
+      | resumed_and_cut_again   |
+      | failure_is_no_stream    |
+      | other_type_is_no_stream |
 
   Scenario: A stream that ends inside an event never looks complete
     When a stream is relayed in cut_inside_an_event
--- a/features/support/streams.py
+++ b/features/support/streams.py
@@ -213,6 +213,28 @@
     return faults
 
 
+async def failure_is_no_stream() -> list[str]:
+    """The body of a failure on a stream route is relayed as it is."""
+    text = (("Content-Type", "text/plain"),)
+    faults = []
+    for resumable in (False, True):
+        failure = Body((b"failed",), status=400, headers=text)
+        received = await relay(failure, Body(), resumable=resumable)
+        faults += received.whole_faults(b"failed")
+    return faults
+
+
+async def other_type_is_no_stream() -> list[str]:
+    """A success of another type on a stream route is relayed as it is."""
+    json = (("Content-Type", "application/json"),)
+    faults = []
+    for resumable in (False, True):
+        body = Body((b'{"text": "x"}',), headers=json)
+        received = await relay(body, Body(), resumable=resumable)
+        faults += received.whole_faults(b'{"text": "x"}')
+    return faults
+
+
 SCENARIOS = {
     scenario.__name__: scenario
     for scenario in (
@@ -220,6 +242,8 @@
         whole_stream,
         resumed_elsewhere,
         resumed_and_cut_again,
+        failure_is_no_stream,
+        other_type_is_no_stream,
     )
 }
 
--- a/libs/routing/src/bergamotsail/routing/_events.py
+++ b/libs/routing/src/bergamotsail/routing/_events.py
@@ -2,11 +2,25 @@
 
 import re
 
+from bergamotsail import wire
+
+EVENT_STREAM_TYPE = "text/event-stream"
 # An event ends with an empty line; a line ends with CRLF, LF or CR.
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 LINE_ENDS = b"\r\n"
 
 
+def is_event_stream(head: wire.ReplyHead) -> bool:
+    """Whether the reply to a request for a stream has events as its body.
+
+    A failure has none, nor has a success that states another type.
+    """
+    if not 200 <= head.status < 300:
+        return False
+    media_type = (head.get("Content-Type") or "").partition(";")[0].strip()
+    return media_type.lower() in ("", EVENT_STREAM_TYPE)
+
+
 class EventSplitter:
     """Splits the pieces of an event stream after whole events.
 
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -640,12 +640,13 @@
                 "The target could not resume the stream."
             )
         is_stream = attempt.route.kind is catalogue.RouteKind.STREAM
-        whole_events_only = is_stream and attempt.route.resumable
+        has_events = is_stream and _events.is_event_stream(head)
+        whole_events_only = has_events and attempt.route.resumable
         async for piece in exchange.pieces():
             attempt.record_piece(self._clock.now())
             if attempt.on_first_piece is not None:
                 attempt.on_first_piece()
-            if is_stream:
+            if has_events:
                 attempt.events.feed(piece)
             if whole_events_only:
                 piece = _attempt.complete_events(attempt, piece)
