Routing: break off a stream that ends inside an event

What callers saw: a 200 with the target's seal, framed as complete, whose body was short, as its run had crashed (twice in the users' record, 2 ms after the crash).

Cause: an answer without a length or chunks ends with its connection, and HTTP then calls any body whole. Only the events can tell, and the forwarder looked at them only on routes whose streams may be resumed, where it needs the id of the last one. All others were passed on as they came and finished.

Change: the end of an event is looked for in every event stream; one that ends elsewhere counts as a lost answer. Each piece is still passed on at once.

--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -652,7 +652,7 @@
                 piece = _attempt.complete_events(attempt, piece)
             if piece:
                 await attempt.answer.write(piece)
-        if attempt.partial_event:
+        if attempt.partial_event or attempt.events.inside_event:
             raise _attempt.InvalidAnswerError(
                 "The stream ended in the middle of an event."
             )
