Routing: find whole events whatever ends their lines

On routes whose streams may be resumed only two line feeds counted as the end of an event. A stream with CRLF or CR was held back as one unfinished event, then taken for broken, run again elsewhere and at last broken off: the caller got nothing. Empty lines after the last event had the same effect.

The forwarder now uses for both kinds of route the splitter that finds the end of an event. lines_end_in_crlf failed before with an empty, broken-off answer after two sends; a random test compares the splitter with the lines of the whole stream.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -12,9 +12,16 @@
       | whole_stream            |
       | resumed_elsewhere       |
       | resumed_and_cut_again   |
+      | resumed_twice           |
+      | empty_lines_at_the_end  |
       | failure_is_no_stream    |
       | other_type_is_no_stream |
+      | lines_end_in_crlf       |
 
   Scenario: A stream that ends inside an event never looks complete
     When a stream is relayed in cut_inside_an_event
     Then no guarantee is violated
+
+  Scenario: Whole events are found whatever ends their lines and pieces
+    When 400 random streams are split after whole events
+    Then no guarantee is violated
--- a/features/support/streams.py
+++ b/features/support/streams.py
@@ -7,9 +7,13 @@
 import asyncio
 import collections.abc
 import dataclasses
+import itertools
+
+from hypothesis import strategies
 
 from bergamotsail import catalogue
 from bergamotsail import routing
+from bergamotsail.routing import _events
 from bergamotsail import wire
 from features.support import fatal_world
 from features.support import ledger
@@ -19,7 +23,7 @@
 WHOLE = b"".join(EVENTS)
 INSIDE_EVENT_3 = len(EVENTS[0] + EVENTS[1]) + 7
 PIECE_BYTES = 11
-ATTEMPTS = 2
+ATTEMPTS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,7 +79,9 @@
     def open(self, request, target, headers) -> Exchange:
         resume_after = dict(headers).get("resume")
         self._world.resumed_after.append(resume_after)
-        return Exchange(self._world.script.pop(0), resume_after)
+        script = self._world.script
+        body = script.pop(0) if script else Body((), fails=True)
+        return Exchange(body, resume_after)
 
 
 class Dialect(fatal_world.Dialect):
@@ -205,7 +211,10 @@
 async def resumed_and_cut_again() -> list[str]:
     """A resumed stream that ends inside an event is broken off."""
     received = await relay(
-        Body(cut=INSIDE_EVENT_3), Body(cut=7), resumable=True
+        Body(cut=INSIDE_EVENT_3),
+        Body(cut=7),
+        Body(cut=7),
+        resumable=True,
     )
     faults = received.broken_off_faults()
     if received.body != EVENTS[0] + EVENTS[1]:
@@ -213,6 +222,27 @@
     return faults
 
 
+async def resumed_twice() -> list[str]:
+    """A target that sends no whole event doesn't lose the caller's place."""
+    received = await relay(
+        Body(cut=INSIDE_EVENT_3), Body(cut=7), Body(), resumable=True
+    )
+    faults = received.whole_faults(WHOLE)
+    if received.resumed_after != (None, "2", "2"):
+        faults.append(f"resumed after {received.resumed_after}")
+    return faults
+
+
+async def empty_lines_at_the_end() -> list[str]:
+    """Empty lines after the last event are passed on."""
+    faults = []
+    for resumable in (False, True):
+        body = Body((*EVENTS, b"\n"))
+        received = await relay(body, resumable=resumable)
+        faults += received.whole_faults(WHOLE + b"\n")
+    return faults
+
+
 async def failure_is_no_stream() -> list[str]:
     """The body of a failure on a stream route is relayed as it is."""
     text = (("Content-Type", "text/plain"),)
@@ -235,6 +265,67 @@
     return faults
 
 
+async def lines_end_in_crlf() -> list[str]:
+    """Each whole event is passed on when it comes, whatever ends its lines."""
+    faults = []
+    for line_end in (b"\r\n", b"\r"):
+        events = tuple(event.replace(b"\n", line_end) for event in EVENTS)
+        whole = b"".join(events)
+        for resumable in (False, True):
+            received = await relay(Body(events), resumable=resumable)
+            faults += received.whole_faults(whole)
+        bytewise = Body(events, piece_bytes=1)
+        received = await relay(bytewise, resumable=True)
+        faults += received.whole_faults(whole)
+        cut = Body(events, cut=len(events[0] + events[1]) + 7)
+        received = await relay(cut, Body(events), resumable=True)
+        faults += received.whole_faults(whole)
+    return faults
+
+
+# Line ends are drawn for each line.
+EVENT_STREAMS = strategies.tuples(
+    strategies.lists(
+        strategies.lists(
+            strategies.sampled_from(
+                (b"id: 1", b"data: x", b"data:", b": comment", b"retry")
+            ),
+            min_size=1,
+            max_size=3,
+        ),
+        max_size=4,
+    ),
+    strategies.lists(
+        strategies.sampled_from((b"\n", b"\r\n", b"\r")),
+        min_size=1,
+        max_size=3,
+    ),
+    strategies.floats(0.0, 1.0),
+    strategies.integers(1, 12),
+)
+
+
+def splitter_agrees_with_lines(
+    stream: tuple[list[list[bytes]], list[bytes], float, int],
+) -> None:
+    """The splitter finds the same end as the lines of the whole stream."""
+    events, line_ends, share, piece_bytes = stream
+    ends = itertools.cycle(line_ends)
+    whole = b"".join(
+        line + next(ends) for event in events for line in (*event, b"")
+    )
+    sent = whole[: round(len(whole) * share)]
+    splitter = _events.EventSplitter()
+    passed = b"".join(
+        splitter.feed(sent[start : start + piece_bytes])
+        for start in range(0, len(sent), piece_bytes)
+    )
+    lines = sent.splitlines(keepends=True)
+    inside = bool(lines) and bool(lines[-1].strip(b"\r\n"))
+    assert passed + splitter.rest == sent
+    assert splitter.inside_event == inside, (sent, splitter.rest)
+
+
 SCENARIOS = {
     scenario.__name__: scenario
     for scenario in (
@@ -242,8 +333,11 @@
         whole_stream,
         resumed_elsewhere,
         resumed_and_cut_again,
+        resumed_twice,
+        empty_lines_at_the_end,
         failure_is_no_stream,
         other_type_is_no_stream,
+        lines_end_in_crlf,
     )
 }
 
--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -13,8 +13,6 @@
 from bergamotsail import wire
 
 RETRY_AFTER_S = 0.5
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
 
 
 class RetryableError(wire.ServingError):
@@ -45,7 +43,6 @@
         age_s: estimate of how long the caller had been trying before.
         sends: how often it was sent to a target.
         runs: how many of the sends may have run.
-        partial_event: the received start of an incomplete event.
         events: boundaries of the events in the current target's answer.
         longest_pause_s: the longest gap between two pieces of the answer.
     """
@@ -63,7 +60,6 @@
     placements: int = 0
     runs: int = 0
     last_event: str | None = None
-    partial_event: bytes = b""
     events: _events.EventSplitter = dataclasses.field(
         default_factory=_events.EventSplitter
     )
@@ -187,21 +183,3 @@
     if error.code == NotAcceptingError.code:
         return placement.UseOutcome.LEFT
     return placement.UseOutcome.FAILED
-
-
-def complete_events(attempt: Attempt, piece: bytes) -> bytes:
-    """Return the events that a piece completes and record the last event id.
-
-    The rest of the piece is kept as the start of the next event.
-    """
-    data = attempt.partial_event + piece
-    end = data.rfind(EVENT_END)
-    if end < 0:
-        attempt.partial_event = data
-        return b""
-    complete = data[: end + len(EVENT_END)]
-    attempt.partial_event = data[end + len(EVENT_END) :]
-    for line in complete.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            attempt.last_event = line[len(ID_FIELD) :].strip().decode()
-    return complete
--- a/libs/routing/src/bergamotsail/routing/_events.py
+++ b/libs/routing/src/bergamotsail/routing/_events.py
@@ -8,6 +8,7 @@
 # An event ends with an empty line; a line ends with CRLF, LF or CR.
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 LINE_ENDS = b"\r\n"
+ID_FIELD = b"id:"
 
 
 def is_event_stream(head: wire.ReplyHead) -> bool:
@@ -34,10 +35,12 @@
 
     Attributes:
         rest: what was fed after the last whole event.
+        last_id: id of the last whole event that has one.
     """
 
     def __init__(self) -> None:
         self.rest = b""
+        self.last_id: str | None = None
 
     @property
     def inside_event(self) -> bool:
@@ -51,4 +54,8 @@
         for match in EVENT_END.finditer(data):
             end = match.end()
         self.rest = data[end:]
-        return data[:end]
+        whole = data[:end]
+        for line in whole.splitlines():
+            if line.startswith(ID_FIELD):
+                self.last_id = line[len(ID_FIELD) :].strip().decode()
+        return whole
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -631,7 +631,6 @@
                 attempt.runs += 1
                 error = wire.EngineError("The target failed the request.")
                 raise _attempt.retryable(error, wire.RunStatus.FAILED)
-        attempt.partial_event = b""
         attempt.events = _events.EventSplitter()
         if not attempt.answer.started:
             attempt.answer.start(head.status, self._dialect.returning(head))
@@ -646,16 +645,20 @@
             attempt.record_piece(self._clock.now())
             if attempt.on_first_piece is not None:
                 attempt.on_first_piece()
-            if has_events:
-                attempt.events.feed(piece)
+            whole_events = attempt.events.feed(piece) if has_events else b""
             if whole_events_only:
-                piece = _attempt.complete_events(attempt, piece)
+                piece = whole_events
+                attempt.last_event = (
+                    attempt.events.last_id or attempt.last_event
+                )
             if piece:
                 await attempt.answer.write(piece)
-        if attempt.partial_event or attempt.events.inside_event:
+        if attempt.events.inside_event:
             raise _attempt.InvalidAnswerError(
                 "The stream ended in the middle of an event."
             )
+        if whole_events_only and attempt.events.rest:
+            await attempt.answer.write(attempt.events.rest)
         attempt.runs += 1
         await attempt.answer.finish()
 
