Routing: a stream without framing and without an event is not complete

A target that crashes before its first event may end its connection right after the head. Without a length or chunks that looked like a whole, empty stream: the caller got a complete 200 without an event (ends_before_the_first_event, failed before). Nothing tells it from a whole one, so it counts as lost; where the framing ends it, an empty stream stays complete, as do answers to HEAD and those with status 204. Relaying of events is a method of its own now.

--- a/features/support/streams.py
+++ b/features/support/streams.py
@@ -233,6 +233,16 @@
     return faults
 
 
+async def resumed_with_another_type() -> list[str]:
+    """A body without events is not appended to an event stream."""
+    json = (("Content-Type", "application/json"),)
+    other = Body((b"{}",), headers=json, follows=False)
+    received = await relay(
+        Body(cut=INSIDE_EVENT_3), other, Body(), resumable=True
+    )
+    return received.whole_faults(WHOLE)
+
+
 async def empty_lines_at_the_end() -> list[str]:
     """Empty lines after the last event are passed on."""
     faults = []
@@ -243,6 +253,23 @@
     return faults
 
 
+async def ends_before_the_first_event() -> list[str]:
+    """A stream without framing that has no event is not complete."""
+    received = await relay(Body(()))
+    faults = received.broken_off_faults()
+    received = await relay(Body(()), Body(), resumable=True)
+    faults += received.whole_faults(WHOLE)
+    chunked = (*EVENT_STREAM, ("Transfer-Encoding", "chunked"))
+    received = await relay(Body((), headers=chunked))
+    return faults + received.whole_faults(b"")
+
+
+async def head_has_no_events() -> list[str]:
+    """The answer to a HEAD request is complete without a body."""
+    received = await relay(Body(()), method="HEAD")
+    return received.whole_faults(b"")
+
+
 async def failure_is_no_stream() -> list[str]:
     """The body of a failure on a stream route is relayed as it is."""
     text = (("Content-Type", "text/plain"),)
@@ -334,7 +361,10 @@
         resumed_elsewhere,
         resumed_and_cut_again,
         resumed_twice,
+        resumed_with_another_type,
         empty_lines_at_the_end,
+        ends_before_the_first_event,
+        head_has_no_events,
         failure_is_no_stream,
         other_type_is_no_stream,
         lines_end_in_crlf,
--- a/libs/routing/src/bergamotsail/routing/_events.py
+++ b/libs/routing/src/bergamotsail/routing/_events.py
@@ -1,5 +1,6 @@
 """Boundaries of server-sent events in the body of an answer."""
 
+import http
 import re
 
 from bergamotsail import wire
@@ -16,7 +17,8 @@
 
     A failure has none, nor has a success that states another type.
     """
-    if not 200 <= head.status < 300:
+    is_success = 200 <= head.status < 300
+    if not is_success or head.status == http.HTTPStatus.NO_CONTENT:
         return False
     media_type = (head.get("Content-Type") or "").partition(";")[0].strip()
     return media_type.lower() in ("", EVENT_STREAM_TYPE)
@@ -35,11 +37,13 @@
 
     Attributes:
         rest: what was fed after the last whole event.
+        has_event: whether a whole event was fed.
         last_id: id of the last whole event that has one.
     """
 
     def __init__(self) -> None:
         self.rest = b""
+        self.has_event = False
         self.last_id: str | None = None
 
     @property
@@ -47,6 +51,15 @@
         """Whether the stream ends inside an event if nothing follows."""
         return bool(self.rest.strip(LINE_ENDS))
 
+    def is_complete(self, framing: wire.Framing) -> bool:
+        """Whether the stream may be complete if nothing follows.
+
+        Without framing, a stream without an event can't be told from one
+        that broke off before its first event.
+        """
+        unframed = framing is wire.Framing.CLOSE
+        return not self.inside_event and (self.has_event or not unframed)
+
     def feed(self, piece: bytes) -> bytes:
         """Return the events that a piece completes, with their ends."""
         data = self.rest + piece
@@ -55,6 +68,7 @@
             end = match.end()
         self.rest = data[end:]
         whole = data[:end]
+        self.has_event = self.has_event or bool(whole.strip(LINE_ENDS))
         for line in whole.splitlines():
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip().decode()
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -638,29 +638,49 @@
             raise _attempt.InvalidAnswerError(
                 "The target could not resume the stream."
             )
-        is_stream = attempt.route.kind is catalogue.RouteKind.STREAM
-        has_events = is_stream and _events.is_event_stream(head)
-        whole_events_only = has_events and attempt.route.resumable
-        async for piece in exchange.pieces():
-            attempt.record_piece(self._clock.now())
-            if attempt.on_first_piece is not None:
-                attempt.on_first_piece()
-            whole_events = attempt.events.feed(piece) if has_events else b""
-            if whole_events_only:
+        if _has_events(attempt, head):
+            await self._relay_events(attempt, exchange, head)
+        else:
+            async for piece in self._pieces(attempt, exchange):
+                await attempt.answer.write(piece)
+        attempt.runs += 1
+        await attempt.answer.finish()
+
+    async def _relay_events(
+        self,
+        attempt: _attempt.Attempt,
+        exchange: wire.Exchange,
+        head: wire.ReplyHead,
+    ) -> None:
+        """Relay an event stream; only whole events if it may be resumed.
+
+        Raises:
+            InvalidAnswerError: the stream did not end with an event.
+        """
+        events = attempt.events
+        async for piece in self._pieces(attempt, exchange):
+            whole_events = events.feed(piece)
+            if attempt.route.resumable:
                 piece = whole_events
-                attempt.last_event = (
-                    attempt.events.last_id or attempt.last_event
-                )
+                attempt.last_event = events.last_id or attempt.last_event
             if piece:
                 await attempt.answer.write(piece)
-        if attempt.events.inside_event:
+        if not events.is_complete(head.framing):
             raise _attempt.InvalidAnswerError(
-                "The stream ended in the middle of an event."
+                "The stream ended in the middle of an event or without one."
             )
-        if whole_events_only and attempt.events.rest:
-            await attempt.answer.write(attempt.events.rest)
-        attempt.runs += 1
-        await attempt.answer.finish()
+        if attempt.route.resumable and events.rest:
+            await attempt.answer.write(events.rest)
+
+    async def _pieces(
+        self, attempt: _attempt.Attempt, exchange: wire.Exchange
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the pieces of an answer and record when they arrive."""
+        async for piece in exchange.pieces():
+            attempt.record_piece(self._clock.now())
+            if attempt.on_first_piece is not None:
+                attempt.on_first_piece()
+            yield piece
 
     def _record_announcements(
         self, attempt: _attempt.Attempt, parsed: _forward_types.ParsedHead
@@ -705,3 +725,10 @@
             attempt.pool.name, self._session.open_targets(), attempt.avoid
         )
         return attempt.sends < MAX_SENDS and any(others)
+
+
+def _has_events(attempt: _attempt.Attempt, head: wire.ReplyHead) -> bool:
+    """Whether the body of an answer is an event stream."""
+    is_stream = attempt.route.kind is catalogue.RouteKind.STREAM
+    has_body = attempt.request.method != "HEAD"
+    return is_stream and has_body and _events.is_event_stream(head)
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -55,6 +55,7 @@
 
 CurlClient = _curl.CurlClient
 Exchange = _curl.Exchange
+Framing = _curl.Framing
 ReplyHead = _curl.ReplyHead
 HttpClient = _http.HttpClient
 HttpReply = _http.HttpReply
