Routing: don't append an answer of another type to a resumed stream

The second target of a resumed stream was only asked for a status below 300; a JSON body was appended to the events and the answer finished (resumed_with_another_type, failed before). It counts as a lost answer now, and the stream is resumed at the next target.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -13,6 +13,7 @@
       | resumed_elsewhere           |
       | resumed_and_cut_again       |
       | resumed_twice               |
+      | resumed_with_another_type   |
       | empty_lines_at_the_end      |
       | ends_before_the_first_event |
       | head_has_no_events          |
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -634,7 +634,7 @@
         attempt.events = _events.EventSplitter()
         if not attempt.answer.started:
             attempt.answer.start(head.status, self._dialect.returning(head))
-        elif head.status >= 300:
+        elif not _has_events(attempt, head):
             raise _attempt.InvalidAnswerError(
                 "The target could not resume the stream."
             )
