Routing: a run that ends inside an event counts as lost for the quarantine

A target that crashes while it streams without a length or chunks closes its connection like one that is done. It counts like a reset now.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -17,6 +17,7 @@
       | empty_lines_at_the_end      |
       | ends_before_the_first_event |
       | head_has_no_events          |
+      | counts_as_a_lost_run        |
       | failure_is_no_stream        |
       | other_type_is_no_stream     |
       | lines_end_in_crlf           |
--- a/features/support/streams.py
+++ b/features/support/streams.py
@@ -8,12 +8,14 @@
 import collections.abc
 import dataclasses
 import itertools
+import unittest.mock
 
 from hypothesis import strategies
 
 from bergamotsail import catalogue
 from bergamotsail import routing
 from bergamotsail.routing import _events
+from bergamotsail.routing import _fatal
 from bergamotsail import wire
 from features.support import fatal_world
 from features.support import ledger
@@ -270,6 +272,18 @@
     return received.whole_faults(b"")
 
 
+async def counts_as_a_lost_run() -> list[str]:
+    """A stream that ends inside an event may have ended its target."""
+    with unittest.mock.patch.object(
+        _fatal.QuarantineGuard, "lost", autospec=True
+    ) as lost:
+        await relay(Body(cut=INSIDE_EVENT_3))
+        await relay(Body(cut=INSIDE_EVENT_3, fails=True))
+    if lost.call_count != 2:
+        return [f"{lost.call_count} of 2 lost runs were noted"]
+    return []
+
+
 async def failure_is_no_stream() -> list[str]:
     """The body of a failure on a stream route is relayed as it is."""
     text = (("Content-Type", "text/plain"),)
@@ -365,6 +379,7 @@
         empty_lines_at_the_end,
         ends_before_the_first_event,
         head_has_no_events,
+        counts_as_a_lost_run,
         failure_is_no_stream,
         other_type_is_no_stream,
         lines_end_in_crlf,
--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -32,7 +32,11 @@
 
 
 class InvalidAnswerError(wire.PeerLostError):
-    """The received answer is incomplete or belongs to another request."""
+    """The received answer belongs to another request or can't be used."""
+
+
+class BrokenStreamError(wire.PeerLostError):
+    """The received event stream did not end with an event."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -655,7 +655,7 @@
         """Relay an event stream; only whole events if it may be resumed.
 
         Raises:
-            InvalidAnswerError: the stream did not end with an event.
+            BrokenStreamError: the stream did not end with an event.
         """
         events = attempt.events
         async for piece in self._pieces(attempt, exchange):
@@ -666,7 +666,7 @@
             if piece:
                 await attempt.answer.write(piece)
         if not events.is_complete(head.framing):
-            raise _attempt.InvalidAnswerError(
+            raise _attempt.BrokenStreamError(
                 "The stream ended in the middle of an event or without one."
             )
         if attempt.route.resumable and events.rest:
