Targets: an event that an engine cuts off is a lost reply

On the project's own interface an engine's stream that ended inside an event was reported as bad_message, status 400: the caller's request looked invalid, and the stream was not resumed although its chunks are numbered. It looked broken off all the same, so no answer was wrongly complete there.

An event that can't be read counts as a lost reply now, so the run is resumed or ends as truncated. completion_cut_inside_an_event failed before (400 bad_message) and passes.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -8,19 +8,20 @@
     Then no guarantee is violated
 
     Examples:
-      | scenario                    |
-      | whole_stream                |
-      | resumed_elsewhere           |
-      | resumed_and_cut_again       |
-      | resumed_twice               |
-      | resumed_with_another_type   |
-      | empty_lines_at_the_end      |
-      | ends_before_the_first_event |
-      | head_has_no_events          |
-      | counts_as_a_lost_run        |
-      | failure_is_no_stream        |
-      | other_type_is_no_stream     |
-      | lines_end_in_crlf           |
+      | scenario                       |
+      | whole_stream                   |
+      | resumed_elsewhere              |
+      | resumed_and_cut_again          |
+      | resumed_twice                  |
+      | resumed_with_another_type      |
+      | empty_lines_at_the_end         |
+      | ends_before_the_first_event    |
+      | head_has_no_events             |
+      | counts_as_a_lost_run           |
+      | completion_cut_inside_an_event |
+      | failure_is_no_stream           |
+      | other_type_is_no_stream        |
+      | lines_end_in_crlf              |
 
   Scenario: A stream that ends inside an event never looks complete
     When a stream is relayed in cut_inside_an_event
--- a/features/support/streams.py
+++ b/features/support/streams.py
@@ -16,6 +16,8 @@
 from bergamotsail import routing
 from bergamotsail.routing import _events
 from bergamotsail.routing import _fatal
+from bergamotsail import targets
+from bergamotsail.targets import _http_engine
 from bergamotsail import wire
 from features.support import fatal_world
 from features.support import ledger
@@ -284,6 +286,35 @@
     return []
 
 
+class _CutEngineHttp:
+    """An HTTP client for an engine whose second event is cut off."""
+
+    async def stream(
+        self, request: wire.HttpRequest
+    ) -> collections.abc.AsyncIterator[bytes]:
+        choice = _http_engine.Choice("x")
+        event = _http_engine.CompletionEvent("s", "a@1", "e1", 0, (choice,))
+        line = b"data: " + wire.encode(event)
+        yield line
+        yield line[:-7]
+
+
+async def completion_cut_inside_an_event() -> list[str]:
+    """A completion that an engine cuts off may be resumed."""
+    engine = targets.HttpEngine(_CutEngineHttp(), "10.9.0.1:1")
+    order = targets.Order(1, lambda: True)
+    run = targets.Run("s", "e1", "a@1", targets.Prompt("x"))
+    chunks = []
+    try:
+        async for chunk in engine.run(order, run):
+            chunks.append(chunk.number)
+    except wire.PeerLostError:
+        return [] if chunks == [0] else [f"chunks {chunks}"]
+    except wire.ServingError as error:
+        return [f"the caller would get {error.status} {error.code}"]
+    return ["the answer looks complete"]
+
+
 async def failure_is_no_stream() -> list[str]:
     """The body of a failure on a stream route is relayed as it is."""
     text = (("Content-Type", "text/plain"),)
@@ -380,6 +411,7 @@
         ends_before_the_first_event,
         head_has_no_events,
         counts_as_a_lost_run,
+        completion_cut_inside_an_event,
         failure_is_no_stream,
         other_type_is_no_stream,
         lines_end_in_crlf,
--- a/libs/targets/src/bergamotsail/targets/_http_engine.py
+++ b/libs/targets/src/bergamotsail/targets/_http_engine.py
@@ -135,7 +135,7 @@
                 data = line[len(DATA_PREFIX) :].strip()
                 if data == DONE:
                     return
-                yield _to_chunk(wire.decode(data, CompletionEvent))
+                yield _to_chunk(_decode_event(data))
         finally:
             await lines.aclose()
 
@@ -169,6 +169,20 @@
         )
 
 
+def _decode_event(data: bytes) -> CompletionEvent:
+    """Decode an event; one that was cut off is a lost reply.
+
+    Raises:
+        PeerLostError: the event is not complete or not valid.
+    """
+    try:
+        return wire.decode(data, CompletionEvent)
+    except wire.BadMessageError as error:
+        raise wire.PeerLostError(
+            "The engine's stream broke off inside an event. Resume it."
+        ) from error
+
+
 def _to_chunk(event: CompletionEvent) -> _engine.Chunk:
     text = "".join(choice.text for choice in event.choices)
     end = any(choice.finish_reason for choice in event.choices)
