Daemon: reset the connection of a broken-off answer without chunks

An HTTP/1.0 caller gets no chunks, so a closed connection is the end of a whole answer for it, also where the answer was broken off. old_caller_sees_the_break read a normal end before, a reset now; a whole answer still ends normally. With chunks the missing last one shows the break, and a close loses no bytes that were sent before.

--- a/libs/daemon/src/bergamotsail/daemon/_relay_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_relay_handler.py
@@ -1,10 +1,15 @@
 """Handlers that relay a target's answer to a caller."""
 
 import asyncio
+import socket
+import struct
 
 from bergamotsail.daemon import _bounded_body
 from bergamotsail import routing
 
+# SO_LINGER is on with 0 s: closing the socket resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class RelayHandler(_bounded_body.BoundedBodyHandler):
     """Base class of handlers that relay answers unchanged.
@@ -31,8 +36,14 @@
         """Close the connection so that the response can't look complete."""
         self._finished = True
         stream = getattr(self.request.connection, "stream", None)
-        if stream is not None:
-            stream.close()
+        if stream is None:
+            return
+        if self.request.version == "HTTP/1.0" and not stream.closed():
+            # Without chunks a normal close would end the response.
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        stream.close()
 
 
 class RelayedAnswer(routing.AnswerWriter):
