Routing: log why a target was not reached and why a request not sent again

A refusal after one send looked the same whether the budget of resends was used up, its attempts were, or its route forbids a repeat, and a send whose connection failed left no line. Both are needed to tell an entry without a path from one that gives up too early. No decision depends on either.

--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -48,6 +48,7 @@
         sends: how often it was sent to a target.
         runs: how many of the sends may have run.
         events: boundaries of the events in the current target's answer.
+        not_repeated: why it was not sent again, for the log.
         longest_pause_s: the longest gap between two pieces of the answer.
     """
 
@@ -69,6 +70,7 @@
     )
     target: str = ""
     aborted: bool = False
+    not_repeated: str | None = None
     on_first_piece: collections.abc.Callable[[], None] | None = None
     sent_at: float = 0.0
     last_piece_at: float | None = None
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -219,6 +219,7 @@
             took_s=round(took_s, 4),
             longest_pause_s=_attempt.longest_pause_s(attempt),
             unfinished_bytes=_attempt.unfinished_bytes(attempt),
+            not_repeated=attempt.not_repeated if attempt is not None else None,
         )
 
     async def _serve_in_time(self, attempt: _attempt.Attempt) -> None:
@@ -267,13 +268,19 @@
         The route, the number of lost targets and the budget limit this. If
         it may, one resend is taken from the budget.
         """
+        attempt.not_repeated = self._why_not_repeated(attempt)
+        return attempt.not_repeated is None
+
+    def _why_not_repeated(self, attempt: _attempt.Attempt) -> str | None:
         if attempt.runs >= attempt.route.attempts:
-            return False
+            return "attempts"
         if attempt.runs > 0 and not attempt.route.repeatable:
-            return False
+            return "not_repeatable"
         if not attempt.tracked.may_retry:
-            return False
-        return self._budgets.take(attempt.pool.name)
+            return "targets_lost"
+        if not self._budgets.take(attempt.pool.name):
+            return "budget"
+        return None
 
     def _abort_or_refuse(
         self, attempt: _attempt.Attempt, last: wire.ServingError | None
@@ -547,6 +554,7 @@
                 await self._relay_answer(attempt, exchange, head)
             self._guard.served(attempt.tracked, destination.target)
         except wire.NotSentError as error:
+            self._log_not_sent(attempt, error)
             raise _attempt.retryable(error, wire.RunStatus.NOT_RUN) from error
         except _attempt.InvalidAnswerError as error:
             attempt.runs += 1
@@ -562,6 +570,18 @@
         finally:
             self._count_send_ended(destination.target)
 
+    def _log_not_sent(
+        self, attempt: _attempt.Attempt, error: wire.ServingError
+    ) -> None:
+        observe.log_event(
+            "route",
+            "not_sent",
+            request=attempt.request.id,
+            target=attempt.target,
+            since_send_s=round(self._clock.now() - attempt.sent_at, 4),
+            error=error.message,
+        )
+
     def _count_send_ended(self, target: str) -> None:
         self._running_by_target[target] -= 1
         if self._running_by_target[target] <= 0:
