Routing: reach targets through another entry when links are cut

Cause: an entry had one way to a target, its own connection. It stayed ready and listed, as both look at the leader, whom it still reached; callers keep an address for seconds, so leaving the list alone would not have helped either.

Change: an entry that failed to connect to two targets and opened no connection since the first of these was started, or failed twice in a row at one target, has a neighbour send the request. The neighbour carries bytes only: admission, placement, headers, deadline, budgets and resends stay with the entry that has the caller. It writes the request once (the call between the two is never repeated by the HTTP client either), says whether it was sent, ends with the caller, passes pieces on as they come, heeds and notes what the target announces, and never passes it to a third entry. One request a second tries the direct way first with a short time-out, which ends the detour. A refusal because of the cut is no evidence against an engine.

--- a/features/support/fatal_world.py
+++ b/features/support/fatal_world.py
@@ -107,6 +107,8 @@
 class Exchange:
     """A fake of the HTTP client's exchange with a target."""
 
+    gate: collections.abc.Callable[[], bool] | None = None
+
     def __init__(self, target: Target, expected: str, body: bytes) -> None:
         self._target = target
         self._expected = expected
@@ -119,10 +121,20 @@
     async def __aexit__(self, *_: object) -> None:
         return None
 
-    async def head(self) -> wire.ReplyHead:
+    def connect(self) -> None:
+        """Open the connection and ask the gate of the request, if any.
+
+        Raises:
+            NotSentError: the target is down, or the gate is closed.
+        """
         if not self._target.up:
             raise wire.NotSentError("The target is down.")
+        if self.gate is not None and not self.gate():
+            raise wire.NotSentError("The gate is closed.")
         self.sent = True
+
+    async def head(self) -> wire.ReplyHead:
+        self.connect()
         if self._target.id != self._expected:
             return wire.ReplyHead(421, ())
         if not await self._target.run(self._body):
@@ -147,7 +159,10 @@
     ) -> Exchange:
         address = request.url.removeprefix("http://").strip("/")
         found = next(t for t in self._world.targets if t.address == address)
-        return self.exchange(found, dict(headers)["expect"], request.body)
+        expected = dict(headers)["expect"]
+        exchange = self.exchange(found, expected, request.body)
+        exchange.gate = request.gate
+        return exchange
 
     def exchange(self, target: Target, expected: str, body: bytes) -> Exchange:
         """Return an exchange with a target."""
@@ -200,21 +215,34 @@
         self.start = start
         address = f"10.1.0.{number}:7000"
         transport = standins.MemoryTransport(world.network, address)
-        world.network.join(address, wire.PeerServer())
+        server = wire.PeerServer()
+        world.network.join(address, server)
         datacentre = "abc"[number % 3]
         info = control.DaemonInfo(
-            address, f"{address}#{start}", address, datacentre
+            address,
+            f"{address}#{start}",
+            address,
+            datacentre,
+            peer_address=address,
         )
         leader = control.LeaderClient(transport, world.addresses[:3])
         self.session = control.Session(info, leader, transport, LEASE)
         self.session.attach(self)
         self.placements = unittest.mock.Mock()
+        http, reach = world.make_http(number), routing.Reach()
+        self.relay = routing.RelayService(
+            self.session, http, reach, world.dialect
+        )
+        self.relay.serve(server)
+        client = routing.TargetClient(
+            self.session, http, transport, reach, random.Random(number)
+        )
         self.forwarder = routing.Forwarder(
             self.session,
             self.placements,
             routing.ServiceBalancer(datacentre, random.Random(number)),
             routing.ResendBudgets(10.0, 1e6, lambda: 3),
-            world.make_http(number),
+            client,
             world.dialect,
             observe.Metrics(),
             datacentre,
--- a/features/support/heard.py
+++ b/features/support/heard.py
@@ -64,6 +64,7 @@
         target, world = self._target, self._world
         if not target.up or target.id != self._expected:
             return await super().head()
+        self.connect()
         leaving = target.id in world.leaving
         pause_s = world.pause_by_target.get(target.id, 0.0)
         now = asyncio.get_running_loop().time()
@@ -74,7 +75,6 @@
             headers.append((LEAVING, "1"))
         if pause_s:
             headers.append((PAUSE, str(pause_s)))
-            self.sent = True
             return wire.ReplyHead(503, tuple(headers))
         head = await super().head()
         return wire.ReplyHead(head.status, tuple(headers))
--- a/features/support/reach.py
+++ b/features/support/reach.py
@@ -11,6 +11,8 @@
 import contextlib
 import dataclasses
 
+from hypothesis import strategies
+
 from bergamotsail import catalogue
 from bergamotsail import wire
 from features.support import fatal_world
@@ -61,21 +63,24 @@
         entry: int,
         target: fatal_world.Target,
         expected: str,
-        body: bytes,
-        connect_timeout_s: float,
+        request: wire.HttpRequest,
     ) -> None:
-        super().__init__(target, expected, body)
+        super().__init__(target, expected, request.body)
+        self.gate = request.gate
         self._world = world
         self._entry = entry
-        self._connect_timeout_s = connect_timeout_s
+        self._request = request
 
     async def head(self) -> wire.ReplyHead:
         how = self._world.how_cut(self._entry, self._target)
         if how == HANG or self._target.id in self._world.dark:
-            await asyncio.sleep(self._connect_timeout_s)
+            await asyncio.sleep(self._request.connect_timeout_s)
             raise wire.NotSentError("The connection timed out.")
         if how == RESET:
             raise wire.NotSentError("The connection was refused.")
+        if not self._target.up or self._target.id != self._expected:
+            return await super().head()
+        self.connect()
         self._world.reached.append(
             Arrival(
                 asyncio.get_running_loop().time(),
@@ -98,8 +103,7 @@
             self._entry,
             found,
             dict(headers)["expect"],
-            request.body,
-            request.connect_timeout_s,
+            request,
         )
 
 
@@ -214,6 +218,30 @@
         twice = [body for body, count in counts.items() if count > 1]
         return [f"{len(twice)} requests ran twice"] if twice else []
 
+    def relayed(self, since: float) -> int:
+        """Return how many requests arrived over another entry's connection.
+
+        Args:
+            since: only requests sent from then on count.
+        """
+        entry_by_body = {
+            sent.body: sent.entry for sent in self.sent if sent.at >= since
+        }
+        return sum(
+            arrival.entry != entry_by_body[arrival.body]
+            for arrival in self.reached
+            if arrival.body in entry_by_body
+        )
+
+    def unserved(self, since: float, allowed: int = 0) -> list[str]:
+        """Return the codes of requests that were not served, if too many."""
+        codes = collections.Counter(
+            sent.outcome
+            for sent in self.sent
+            if sent.at >= since and sent.outcome != "served"
+        )
+        return [f"not served: {dict(codes)}"] * (codes.total() > allowed)
+
 
 @contextlib.asynccontextmanager
 async def _cut_world(
@@ -264,7 +292,189 @@
     ]
 
 
-SCENARIOS = {scenario.__name__: scenario for scenario in (served_past_a_cut,)}
+async def goes_directly_again() -> list[str]:
+    """Requests go directly again soon after the links are back."""
+    faults = []
+    for how in (RESET, HANG):
+        async with _cut_world(SIX_OF_NINE, how) as (world, _):
+            world.heal()
+            await world.send_requests(BACK_S)
+            since = asyncio.get_running_loop().time()
+            await world.send_requests(5.0)
+            count = world.relayed(since)
+            faults += [f"{how}: {count} relayed after it"] * (count > 0)
+            faults += world.unserved(since)
+    return faults
+
+
+async def lost_for_everybody() -> list[str]:
+    """Targets that nobody reaches are no cut: others get the requests."""
+    async with World() as world:
+        await world.send_requests(2.0)
+        for target in world.targets[:2]:
+            world.dark.add(target.id)
+        since = asyncio.get_running_loop().time()
+        await world.send_requests(6.0)
+        return world.unserved(since)
+
+
+async def silent_for_a_second() -> list[str]:
+    """A target that is silent for a second is used again, and directly."""
+    async with World() as world:
+        await world.send_requests(2.0)
+        target = world.targets[0].id
+        world.dark.add(target)
+        since = asyncio.get_running_loop().time()
+        await world.send_requests(1.0)
+        world.dark.clear()
+        await world.send_requests(1.0)
+        settled_at = asyncio.get_running_loop().time()
+        await world.send_requests(3.0)
+        faults = world.unserved(since)
+        used = [
+            a
+            for a in world.reached
+            if a.target == target and a.at >= settled_at
+        ]
+        if not used:
+            faults.append("the target got no requests again")
+        count = world.relayed(settled_at)
+        return faults + [f"{count} relayed after it"] * (count > 0)
+
+
+async def some_links() -> list[str]:
+    """An entry that lost half of the targets serves all requests."""
+    async with World() as world:
+        await world.send_requests(2.0)
+        world.cut(SIX_OF_NINE, HANG, targets=(0, 1, 2))
+        since = asyncio.get_running_loop().time()
+        await world.send_requests(8.0)
+        return world.unserved(since)
+
+
+async def all_entries_cut() -> list[str]:
+    """A request that no entry can send is refused soon, as not run."""
+    everyone = range(9)
+    async with _cut_world(everyone, RESET) as (world, since):
+        await world.send_requests(4.0)
+        late = [s for s in world.sent if s.at >= since and s.took_s > 0.3]
+        faults = [f"{len(late)} were refused late"] * bool(late)
+        codes = {s.outcome for s in world.sent if s.at >= since}
+        return faults + [f"codes {codes}"] * (codes != {"overloaded"})
+
+
+async def caller_leaves() -> list[str]:
+    """The target's connection is closed when a relayed caller leaves."""
+    async with _cut_world(SIX_OF_NINE, RESET) as (world, _):
+        body = b"leaves"
+        asking = asyncio.create_task(world.ask(body, 0))
+        await asyncio.sleep(fatal_world.RUN_S / 2)
+        arrived = [a for a in world.reached if a.body == body]
+        if len(arrived) != 1:
+            return [f"the request arrived {len(arrived)} times"]
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        relaying = [e.number for e in world.entries if e.relay.active]
+        return [f"entries {relaying} still relay it"] * bool(relaying)
+
+
+async def neighbour_stops() -> list[str]:
+    """Neighbours that stop take no more calls, and finish those they have."""
+    async with _cut_world(ONE_DATACENTRE, RESET) as (world, since):
+        asking = asyncio.create_task(world.send_requests(5.0))
+        await asyncio.sleep(1.0)
+        for entry in world.entries[1:3]:
+            entry.relay._accepts = lambda: False
+        stopped_at = asyncio.get_running_loop().time()
+        await asking
+        late = [
+            a
+            for a in world.reached
+            if a.entry in (1, 2)
+            and a.at > stopped_at + fatal_world.RUN_S
+            and int(a.body[1:]) % 9 in ONE_DATACENTRE
+        ]
+        faults = [f"{len(late)} relayed after it stopped"] * bool(late)
+        return faults + world.unserved(since)
+
+
+async def load_of_neighbours() -> list[str]:
+    """No neighbour relays for all entries of a data centre."""
+    async with _cut_world(ONE_DATACENTRE, RESET) as (world, since):
+        await world.send_requests(10.0)
+        counts = collections.Counter(
+            a.entry
+            for a in world.reached
+            if a.at >= since and int(a.body[1:]) % 9 in ONE_DATACENTRE
+        )
+        most, total = max(counts.values()), counts.total()
+        if most > 0.75 * total:
+            return [f"one neighbour relayed {most} of {total}"]
+        return []
+
+
+Step = tuple[float, str, int, int]
+# Pause, fault, entry and target of each step.
+HISTORIES = strategies.lists(
+    strategies.tuples(
+        strategies.floats(0.05, 1.5),
+        strategies.sampled_from((HANG, RESET, "heal", "dark", "crash")),
+        strategies.integers(0, 8),
+        strategies.integers(0, 5),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+async def _history(steps: list[Step]) -> list[str]:
+    kind = catalogue.RouteKind.ONCE
+    async with World(kind=kind, attempts=1, seed=len(steps)) as world:
+        asking = asyncio.create_task(world.send_requests(10.0))
+        for pause_s, fault, entry, target in steps:
+            await asyncio.sleep(pause_s)
+            if fault == "heal":
+                world.heal()
+                world.dark.clear()
+            elif fault == "dark":
+                world.dark.add(world.targets[target].id)
+            elif fault == "crash":
+                world.targets[target].crash()
+            else:
+                world.cut(range(entry + 1), fault)
+        await asking
+        arrived = collections.Counter(a.body for a in world.reached)
+        served = [s for s in world.sent if s.outcome == "served"]
+        refused = [s for s in world.sent if s.outcome == "overloaded"]
+        faults = world.repeat_faults()
+        if any(arrived[sent.body] != 1 for sent in served):
+            faults.append("a served request did not run once")
+        if any(arrived[sent.body] for sent in refused):
+            faults.append("a request refused as not run has run")
+        return faults
+
+
+def history_runs_nothing_twice(steps: list[Step]) -> None:
+    """A request runs at most once, and one that is refused never."""
+    faults = ledger.run(_history(steps))
+    assert not faults, f"{faults} after {steps}"
+
+
+SCENARIOS = {
+    scenario.__name__: scenario
+    for scenario in (
+        served_past_a_cut,
+        goes_directly_again,
+        lost_for_everybody,
+        silent_for_a_second,
+        some_links,
+        all_entries_cut,
+        caller_leaves,
+        neighbour_stops,
+        load_of_neighbours,
+    )
+}
 
 
 def run_scenario(name: str) -> list[str]:
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -463,6 +463,24 @@
         )
         self.session.attach(_EntryParticipant(self._placements, on_change))
         self._address = caller_address
+        reach = routing.Reach(clock)
+        self._relay = routing.RelayService(
+            self.session,
+            http,
+            reach,
+            dialect,
+            lambda: self.accepting,
+            clock,
+        )
+        self._relay.serve(self.server)
+        client = routing.TargetClient(
+            self.session,
+            http,
+            transport,
+            reach,
+            wire.make_rng(settings.name),
+            clock,
+        )
         self.forwarder = routing.Forwarder(
             self.session,
             self._placements,
@@ -475,7 +493,7 @@
                 lambda: len(self.session.daemon_by_boot),
                 clock,
             ),
-            http,
+            client,
             dialect,
             self.metrics,
             settings.datacentre,
@@ -493,6 +511,11 @@
     async def __aexit__(self, *_: object) -> None:
         await self._stack.aclose()
 
+    @property
+    def active(self) -> int:
+        """Requests in progress, also those relayed for other entries."""
+        return self.forwarder.active + self._relay.active
+
     @property
     def ready(self) -> bool:
         """Whether load balancers should route callers to this instance."""
@@ -544,10 +567,10 @@
         await asyncio.sleep(lookup_ttl_s)
         self.accepting = False
         while loop.time() < started_at + timeout_s:
-            if self.forwarder.active == 0:
+            if self.active == 0:
                 break
             await asyncio.sleep(STOP_POLL_S)
         logging.info(
             "stop: Finished draining; %d requests are still active.",
-            self.forwarder.active,
+            self.active,
         )
--- a/libs/routing/src/bergamotsail/routing/__init__.py
+++ b/libs/routing/src/bergamotsail/routing/__init__.py
@@ -8,8 +8,11 @@
 from bergamotsail.routing import _forward
 from bergamotsail.routing import _forward_types
 from bergamotsail.routing import _placements
+from bergamotsail.routing import _reach
+from bergamotsail.routing import _relayed
 from bergamotsail.routing import _service_choice
 from bergamotsail.routing import _survey
+from bergamotsail.routing import _target_client
 from bergamotsail import wire
 
 AnswerWriter = _forward_types.AnswerWriter
@@ -21,9 +24,12 @@
 ModelPart = _forward_types.ModelPart
 PlacementClient = _placements.PlacementClient
 ParsedHead = _forward_types.ParsedHead
+Reach = _reach.Reach
+RelayService = _relayed.RelayService
 ResendBudgets = _service_choice.ResendBudgets
 ServiceBalancer = _service_choice.ServiceBalancer
 Survey = _survey.Survey
+TargetClient = _target_client.TargetClient
 
 __getattr__ = wire.lazy_names(
     __name__,
--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -10,6 +10,7 @@
 from bergamotsail.routing import _events
 from bergamotsail.routing import _fatal
 from bergamotsail.routing import _forward_types
+from bergamotsail.routing import _relayed
 from bergamotsail import wire
 
 RETRY_AFTER_S = 0.5
@@ -186,6 +187,6 @@
         return placement.UseOutcome.ABSENT
     if error.code == "refused":
         return placement.UseOutcome.REFUSED
-    if error.code == NotAcceptingError.code:
+    if error.code in (NotAcceptingError.code, _relayed.NoPathError.code):
         return placement.UseOutcome.LEFT
     return placement.UseOutcome.FAILED
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import collections.abc
+import dataclasses
 import random
 
 from absl import logging
@@ -25,10 +26,10 @@
 from bergamotsail.routing import _forward_types
 from bergamotsail.routing import _placements
 from bergamotsail.routing import _service_choice
+from bergamotsail.routing import _target_client
 from bergamotsail import wire
 
 MAX_SENDS = 6
-CONNECT_TIMEOUT_S = 0.5
 # A starting instance receives its routes from the leader 0.2 to 0.8 s after
 # it begins to serve, also after a power loss of all instances. A request that
 # arrives before that waits at most this long, and at most this share of its
@@ -64,6 +65,7 @@
     Args:
         session: its view and digest are used even if they are stale.
         placements: grants placements on engines.
+        client: sends requests to targets.
     """
 
     def __init__(
@@ -72,7 +74,7 @@
         placements: _placements.PlacementClient,
         services: _service_choice.ServiceBalancer,
         budgets: _service_choice.ResendBudgets,
-        http: wire.CurlClient,
+        client: _target_client.TargetClient,
         dialect: _forward_types.Dialect,
         metrics: observe.Metrics,
         datacentre: str,
@@ -86,7 +88,7 @@
         self._placements = placements
         self._services = services
         self._budgets = budgets
-        self._http = http
+        self._client = client
         self._dialect = dialect
         self._metrics = metrics
         self._datacentre = datacentre
@@ -537,20 +539,10 @@
             send=attempt.sends,
             resume=destination.resume_after,
         )
-        outgoing = wire.HttpRequest(
-            f"http://{destination.address}/",
-            method=request.method,
-            body=request.body,
-            timeout_s=0,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-            once=True,
-        )
-        headers = self._dialect.outgoing(request, destination)
-        exchange = self._http.open(outgoing, request.target, headers)
+        sending = self._sending(attempt, destination)
         self._running_by_target[destination.target] += 1
         try:
-            async with exchange:
-                head = await exchange.head()
+            async with self._client.open(sending) as (exchange, head):
                 await self._relay_answer(attempt, exchange, head)
             self._guard.served(attempt.tracked, destination.target)
         except wire.NotSentError as error:
@@ -564,12 +556,30 @@
             self._guard.lost(attempt.tracked, destination.target)
             self._handle_lost_answer(attempt, error)
         except asyncio.CancelledError:
-            if exchange.sent:
+            if sending.sent:
                 attempt.runs += 1
             raise
         finally:
             self._count_send_ended(destination.target)
 
+    def _sending(
+        self, attempt: _attempt.Attempt, destination: Destination
+    ) -> _target_client.Sending:
+        def left_s() -> float:
+            return attempt.deadline - self._clock.now()
+
+        def make_headers() -> _forward_types.Headers:
+            current = dataclasses.replace(destination, left_s=left_s())
+            return self._dialect.outgoing(attempt.request, current)
+
+        return _target_client.Sending(
+            attempt.request,
+            destination.target,
+            destination.address,
+            make_headers,
+            left_s,
+        )
+
     def _log_not_sent(
         self, attempt: _attempt.Attempt, error: wire.ServingError
     ) -> None:
@@ -617,7 +627,7 @@
     async def _relay_answer(
         self,
         attempt: _attempt.Attempt,
-        exchange: wire.Exchange,
+        exchange: _target_client.Exchange,
         head: wire.ReplyHead,
     ) -> None:
         parsed = self._dialect.read(attempt.request, head)
@@ -669,7 +679,7 @@
     async def _relay_events(
         self,
         attempt: _attempt.Attempt,
-        exchange: wire.Exchange,
+        exchange: _target_client.Exchange,
         head: wire.ReplyHead,
     ) -> None:
         """Relay an event stream; only whole events if it may be resumed.
@@ -693,7 +703,7 @@
             await attempt.answer.write(events.rest)
 
     async def _pieces(
-        self, attempt: _attempt.Attempt, exchange: wire.Exchange
+        self, attempt: _attempt.Attempt, exchange: _target_client.Exchange
     ) -> collections.abc.AsyncIterator[bytes]:
         """Yield the pieces of an answer and record when they arrive."""
         async for piece in exchange.pieces():
--- a/libs/wire/src/bergamotsail/wire/_peers.py
+++ b/libs/wire/src/bergamotsail/wire/_peers.py
@@ -21,12 +21,18 @@
     """A remote call: its name and its request and reply types.
 
     A call with ``streams=True`` returns a stream of replies.
+
+    Args:
+        once: never write the request twice.
+        connect_timeout_s: time to connect to the peer.
     """
 
     name: str
     request: type[Request]
     reply: type[Reply]
     streams: bool = False
+    once: bool = False
+    connect_timeout_s: float = _http.CONNECT_TIMEOUT_S
 
 
 Handler = collections.abc.Callable[
@@ -188,6 +194,8 @@
                 "Content-Type": "application/json",
             },
             timeout_s=timeout_s,
+            connect_timeout_s=call.connect_timeout_s,
+            once=call.once,
         )
 
 
