--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -112,6 +112,8 @@
         has_seal: the head has the header that marks answers of targets.
         leaving: whether the target announces that it is leaving.
         pause: how long the target asks for no new work.
+        bears_rejections: how many rejections in a second the target bears;
+            None if it doesn't say that it is brittle.
     """
 
     own: bool
@@ -120,6 +122,7 @@
     has_seal: bool
     leaving: targets.Flag = targets.Flag()
     pause: targets.Seconds = targets.Seconds()
+    bears_rejections: int | None = None
 
 
 class Dialect(abc.ABC):
