Routing: share the rejections that a brittle target bears

What callers saw with brittle targets under pressure: each target that fell over sent its load to the others, which fell too, and next to nothing was served.

Cause: each entry sent to a target as often as its balance said, and learned of a full one only by its rejection, at each send anew. Nothing bounded the rejections over all entries.

Change: half of what a target says it bears is shared equally by the daemons. That bounds how many requests of an entry a target may have that it has neither accepted nor rejected (one at least), and after a rejection the entry sends it nothing for as long as its share asks for, 2 s at most. A request waits for a quarter of its time, then tries elsewhere or is refused as not run. A target that no longer says so is used as before.

Not bounded: more entries than rejections, all of which send at the same moment.

--- a/features/support/brittle.py
+++ b/features/support/brittle.py
@@ -25,6 +25,7 @@
 ALLOWED_FALLS = 2
 USUAL_GAP_S = 0.05
 PRESS_GAP_S = 0.006
+PRESS_S = 6.0
 # How often a caller that is refused repeats at once.
 REPEATS = 4
 
@@ -161,10 +162,10 @@
         await world.press(1.0, USUAL_GAP_S)
         world.announce()
         await world.press(CONTACT_S, USUAL_GAP_S)
-        outcomes = await world.press(10.0, PRESS_GAP_S, repeats)
+        outcomes = await world.press(PRESS_S, PRESS_GAP_S, repeats)
         faults = world.fall_faults()
         # Three targets with two slots each and 0.2 s for a request.
-        possible = len(world.targets) * SLOTS * 10.0 / fatal_world.RUN_S
+        possible = len(world.targets) * SLOTS * PRESS_S / fatal_world.RUN_S
         served = outcomes.count("served")
         if served < 0.5 * possible:
             faults.append(f"{served} of {possible:.0f} possible were served")
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -20,6 +20,7 @@
 from bergamotsail import placement
 from bergamotsail.routing import _attempt
 from bergamotsail.routing import _authentication
+from bergamotsail.routing import _brittle
 from bergamotsail.routing import _budget_admission
 from bergamotsail.routing import _events
 from bergamotsail.routing import _fatal
@@ -51,6 +52,8 @@
 # fraction of it, to avoid a thundering herd.
 PAUSE_JITTER = 0.25
 MAX_TRACKED_ROUTES = 10_000
+# Share of the time that is left that a request waits at a brittle target.
+SLOT_WAIT_SHARE = 0.25
 ABORTED = "broken_off"
 
 AnswerWriter = _forward_types.AnswerWriter
@@ -89,6 +92,9 @@
         self._services = services
         self._budgets = budgets
         self._client = client
+        self._brittle = _brittle.BrittleTargets(
+            lambda: len(session.daemon_by_boot), clock
+        )
         self._dialect = dialect
         self._metrics = metrics
         self._datacentre = datacentre
@@ -518,10 +524,25 @@
         self, attempt: _attempt.Attempt, destination: Destination
     ) -> None:
         """Send to one target and relay its answer."""
-        # The request may have been quarantined, or the target may have
-        # announced a pause, while this attempt waited for its placement.
-        self._guard.check(attempt.tracked)
-        self._check_accepting(attempt, destination.target)
+        wait_s = (attempt.deadline - self._clock.now()) * SLOT_WAIT_SHARE
+        async with self._brittle.slot(destination.target, wait_s) as slot:
+            if slot is None:
+                raise _attempt.NotAcceptingError(
+                    "The target may not have to reject more requests.",
+                    ran=wire.RunStatus.NOT_RUN,
+                )
+            # The request may have been quarantined, or the target may have
+            # announced a pause, while this attempt waited.
+            self._guard.check(attempt.tracked)
+            self._check_accepting(attempt, destination.target)
+            await self._send_now(attempt, destination, slot)
+
+    async def _send_now(
+        self,
+        attempt: _attempt.Attempt,
+        destination: Destination,
+        slot: _brittle.Slot,
+    ) -> None:
         request = attempt.request
         attempt.sends += 1
         attempt.sent_at = self._clock.now()
@@ -543,6 +564,7 @@
         self._running_by_target[destination.target] += 1
         try:
             async with self._client.open(sending) as (exchange, head):
+                slot.release()
                 await self._relay_answer(attempt, exchange, head)
             self._guard.served(attempt.tracked, destination.target)
         except wire.NotSentError as error:
@@ -726,6 +748,7 @@
                 )
         if not parsed.own:
             return
+        self._note_brittle(attempt, parsed)
         notices, now = self._session.notices, self._clock.now()
         if parsed.leaving.is_set and notices.note_leaving(attempt.target):
             self._metrics.count("targets_heard_leaving")
@@ -737,6 +760,20 @@
             self._metrics.count("targets_heard_pausing")
             self._log_announcement(attempt, "pause", until - now)
 
+    def _note_brittle(
+        self, attempt: _attempt.Attempt, parsed: _forward_types.ParsedHead
+    ) -> None:
+        """Note whether a target is brittle; pause it if it rejected."""
+        target = attempt.target
+        self._brittle.note(target, parsed.bears_rejections)
+        rejected = parsed.not_run and not parsed.absent
+        pause_s = self._brittle.pause_s(target) if rejected else 0.0
+        if pause_s > 0.0:
+            now = self._clock.now()
+            self._session.notices.note_pause(target, pause_s, now)
+            self._metrics.count("brittle_targets_paused")
+            self._log_announcement(attempt, "brittle", pause_s)
+
     def _log_announcement(
         self, attempt: _attempt.Attempt, what: str, left_s: float | None
     ) -> None:
