Wire: a stream that a peer refuses raises the peer's typed error

A call that streams and is refused before its first line, for a wrong token or a peer of another release without the call, was decoded as an empty line; the relay of requests failed with an AttributeError and its caller got 502, as if it might have run (refusals_sent_nothing, failed before). The error is decoded as what it is, and a refusal of a neighbour counts as not sent, so the next one is tried.

With it three scenarios over real sockets: events pass one by one, the run ends when the caller's entry leaves, a refusal sent nothing.

--- a/features/reach.feature
+++ b/features/reach.feature
@@ -24,3 +24,13 @@
   Scenario: Whatever is cut, a request runs at most once
     When 12 random histories of cuts are tried
     Then no guarantee is violated
+
+  Scenario Outline: <scenario>
+    When a request is relayed over HTTP in <scenario>
+    Then no guarantee is violated
+
+    Examples:
+      | scenario                 |
+      | pieces_pass_as_they_come |
+      | leaving_ends_the_run     |
+      | refusals_sent_nothing    |
--- a/features/steps/reach.py
+++ b/features/steps/reach.py
@@ -4,6 +4,7 @@
 import hypothesis
 
 from features.support import reach
+from features.support import relay_http
 
 
 @behave.when("links to targets are cut in {name}")
@@ -25,3 +26,8 @@
         check()
     except AssertionError as error:
         context.faults = [str(error)]
+
+
+@behave.when("a request is relayed over HTTP in {name}")
+def relay_scenario(context, name: str) -> None:
+    context.faults = relay_http.run_scenario(name)
--- a/libs/routing/src/bergamotsail/routing/_relayed.py
+++ b/libs/routing/src/bergamotsail/routing/_relayed.py
@@ -305,6 +305,13 @@
         except wire.NotSentError:
             self.sent = False
             raise
+        except wire.ServingError as error:
+            if error.ran is not wire.RunStatus.NOT_RUN:
+                raise
+            self.sent = False
+            raise wire.NotSentError(
+                f"The neighbour refused the call. {error.message}"
+            ) from error
         return wire.ReplyHead(first.status or 0, first.headers)
 
     async def pieces(self) -> collections.abc.AsyncIterator[bytes]:
--- a/libs/wire/src/bergamotsail/wire/_peers.py
+++ b/libs/wire/src/bergamotsail/wire/_peers.py
@@ -171,6 +171,10 @@
         try:
             async for line in lines:
                 frame = _codec.decode(line, frame_type)
+                if frame == frame_type():
+                    # The peer refused the call before the stream began.
+                    body = _codec.decode(line, _errors.ErrorBody)
+                    raise _errors.error_from_body(body)
                 if frame.error is not None:
                     raise _errors.error_from_body(frame.error)
                 if frame.end:
