Routing: a send that reached no target takes no resend from the budget

A request behind one dark target was refused though others were reached (sends_that_never_left, with an empty budget: refused before, served now).

--- a/features/reach.feature
+++ b/features/reach.feature
@@ -11,15 +11,16 @@
     Then no guarantee is violated
 
     Examples:
-      | scenario            |
-      | goes_directly_again |
-      | lost_for_everybody  |
-      | silent_for_a_second |
-      | some_links          |
-      | all_entries_cut     |
-      | caller_leaves       |
-      | neighbour_stops     |
-      | load_of_neighbours  |
+      | scenario              |
+      | goes_directly_again   |
+      | lost_for_everybody    |
+      | silent_for_a_second   |
+      | some_links            |
+      | all_entries_cut       |
+      | caller_leaves         |
+      | neighbour_stops       |
+      | load_of_neighbours    |
+      | sends_that_never_left |
 
   Scenario: Whatever is cut, a request runs at most once
     When 12 random histories of cuts are tried
--- a/features/support/reach.py
+++ b/features/support/reach.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies
 
 from bergamotsail import catalogue
+from bergamotsail import routing
 from bergamotsail import wire
 from features.support import fatal_world
 from features.support import ledger
@@ -414,6 +415,20 @@
         return []
 
 
+async def sends_that_never_left() -> list[str]:
+    """Connections that fail use up no budget of resends."""
+    async with World(entries=3) as world:
+        for entry in world.entries:
+            entry.forwarder._budgets = routing.ResendBudgets(
+                0.0, 0.0, lambda: 3
+            )
+        await world.send_requests(1.0)
+        world.dark.add(world.targets[0].id)
+        since = asyncio.get_running_loop().time()
+        await world.send_requests(3.0, 0.2)
+        return world.unserved(since)
+
+
 Step = tuple[float, str, int, int]
 # Pause, fault, entry and target of each step.
 HISTORIES = strategies.lists(
@@ -473,6 +488,7 @@
         caller_leaves,
         neighbour_stops,
         load_of_neighbours,
+        sends_that_never_left,
     )
 }
 
--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -47,6 +47,7 @@
     Args:
         age_s: estimate of how long the caller had been trying before.
         sends: how often it was sent to a target.
+        arrived: whether the last send may have reached its target.
         runs: how many of the sends may have run.
         events: boundaries of the events in the current target's answer.
         not_repeated: why it was not sent again, for the log.
@@ -63,6 +64,7 @@
     debit: _budget_admission.Debit
     avoid: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
+    arrived: bool = False
     placements: int = 0
     runs: int = 0
     last_event: str | None = None
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -274,7 +274,8 @@
         """Whether the attempt may be sent again.
 
         The route, the number of lost targets and the budget limit this. If
-        it may, one resend is taken from the budget.
+        it may, one resend is taken from the budget, unless the last send
+        reached no target.
         """
         attempt.not_repeated = self._why_not_repeated(attempt)
         return attempt.not_repeated is None
@@ -286,6 +287,9 @@
             return "not_repeatable"
         if not attempt.tracked.may_retry:
             return "targets_lost"
+        # A send that failed to connect reached no target.
+        if not attempt.arrived:
+            return None
         if not self._budgets.take(attempt.pool.name):
             return "budget"
         return None
@@ -545,6 +549,7 @@
     ) -> None:
         request = attempt.request
         attempt.sends += 1
+        attempt.arrived = True
         attempt.sent_at = self._clock.now()
         attempt.target = destination.target
         attempt.avoid.add(destination.target)
@@ -568,6 +573,7 @@
                 await self._relay_answer(attempt, exchange, head)
             self._guard.served(attempt.tracked, destination.target)
         except wire.NotSentError as error:
+            attempt.arrived = False
             self._log_not_sent(attempt, error)
             raise _attempt.retryable(error, wire.RunStatus.NOT_RUN) from error
         except _attempt.InvalidAnswerError as error:
