Routing: the neighbour bounds a relayed run by the HTTP client's time-out

The bound was a timeout around an asynchronous generator; when it ended while the relay waited for its own caller, the task was cancelled from outside the generator and the connection was left without an end.

--- a/features/reach.feature
+++ b/features/reach.feature
@@ -31,7 +31,8 @@
     Then no guarantee is violated
 
     Examples:
-      | scenario                 |
-      | pieces_pass_as_they_come |
-      | leaving_ends_the_run     |
-      | refusals_sent_nothing    |
+      | scenario                   |
+      | pieces_pass_as_they_come   |
+      | leaving_ends_the_run       |
+      | neighbour_gives_up_in_time |
+      | refusals_sent_nothing      |
--- a/features/support/relay_http.py
+++ b/features/support/relay_http.py
@@ -99,12 +99,12 @@
         await self.stack.aclose()
 
     def exchange(
-        self, target: str = "t1", token: str = TOKEN
+        self, target: str = "t1", token: str = TOKEN, left_s: float = 5.0
     ) -> _relayed.RelayedExchange:
         """Return an exchange with a target through the neighbour."""
         transport = wire.HttpPeerTransport(self.http, token)
         request = _relayed.RelayRequest(
-            "q", target, "GET", "/x", (("X-A", "1"),), b"", 5.0
+            "q", target, "GET", "/x", (("X-A", "1"),), b"", left_s
         )
         return _relayed.RelayedExchange(transport, self.address, request)
 
@@ -147,6 +147,23 @@
         return [] if world.relay.active == 0 else ["it is still relayed"]
 
 
+async def neighbour_gives_up_in_time() -> list[str]:
+    """The neighbour ends a run when the time that it was given is over."""
+    async with World() as world, world.exchange(left_s=0.3) as exchange:
+        world.target.endless = True
+        try:
+            await exchange.head()
+            async for _ in exchange.pieces():
+                pass
+        except wire.PeerLostError:
+            pass
+        else:
+            return ["the answer looks complete"]
+        if not await _until(lambda: world.target.disconnects == 1):
+            return ["the target still runs it"]
+        return []
+
+
 async def refusals_sent_nothing() -> list[str]:
     """A refusal of the neighbour says that nothing was sent."""
     faults = []
@@ -177,6 +194,7 @@
     for scenario in (
         pieces_pass_as_they_come,
         leaving_ends_the_run,
+        neighbour_gives_up_in_time,
         refusals_sent_nothing,
     )
 }
--- a/libs/routing/src/bergamotsail/routing/_relayed.py
+++ b/libs/routing/src/bergamotsail/routing/_relayed.py
@@ -92,10 +92,14 @@
     method: str,
     body: bytes,
     connect_timeout_s: float,
+    timeout_s: float = 0.0,
 ) -> wire.HttpRequest:
     """Return a request that is written once, on a connection of its own.
 
     That the connection was opened is noted in *reach*.
+
+    Args:
+        timeout_s: time for the whole exchange; 0 means no limit.
     """
 
     def connected() -> bool:
@@ -106,7 +110,7 @@
         f"http://{address}/",
         method=method,
         body=body,
-        timeout_s=0,
+        timeout_s=timeout_s,
         connect_timeout_s=connect_timeout_s,
         gate=connected,
         once=True,
@@ -156,6 +160,7 @@
             request.method,
             request.body,
             CONNECT_TIMEOUT_S,
+            request.left_s,
         )
         exchange = self._http.open(
             outgoing, request.request_target, request.headers
@@ -163,17 +168,12 @@
         self.active += 1
         outcome = "done"
         try:
-            async with asyncio.timeout(request.left_s), exchange:
+            async with exchange:
                 head = await self._head(exchange, request.target)
                 self._note_announcements(request, head)
                 yield ReplyPart(head.status, head.headers)
                 async for piece in exchange.pieces():
                     yield ReplyPart(data=piece)
-        except TimeoutError as error:
-            outcome = "deadline"
-            raise wire.PeerTimeoutError(
-                "The target did not answer in time.",
-            ) from error
         except wire.ServingError as error:
             outcome = error.code
             raise
--- a/libs/routing/src/bergamotsail/routing/_target_client.py
+++ b/libs/routing/src/bergamotsail/routing/_target_client.py
@@ -30,7 +30,6 @@
             they state the time that is left.
         left_s: returns the time that is left.
         sent: whether the target may have received the request.
-        neighbour: id of the neighbour that it went through, if any.
     """
 
     request: _forward_types.CallerRequest
@@ -39,7 +38,6 @@
     make_headers: collections.abc.Callable[[], _forward_types.Headers]
     left_s: collections.abc.Callable[[], float]
     sent: bool = False
-    neighbour: str | None = None
 
 
 class TargetClient:
@@ -139,7 +137,6 @@
                 votes += self._count_votes(sending, neighbour, error)
                 continue
             self._neighbours.worked(neighbour.boot)
-            sending.neighbour = neighbour.id
             return opened
         if votes >= (VOTES_FOR_DOWN if is_cut else 1):
             self._reach.down(sending.target)
