Routing: read an event id in the encoding of headers

An event id that is no UTF-8 raised UnicodeDecodeError in the forwarder: its caller's connection was closed in the middle of the stream. That was known on routes whose streams may be resumed; since the end of events is looked for in all streams it would have reached the others too (found when this change was read once more; id_in_another_encoding failed before on both). The id is read as header values are written, so a target gets back the bytes that it sent.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -17,6 +17,7 @@
       | empty_lines_at_the_end         |
       | ends_before_the_first_event    |
       | head_has_no_events             |
+      | id_in_another_encoding         |
       | counts_as_a_lost_run           |
       | completion_cut_inside_an_event |
       | failure_is_no_stream           |
--- a/features/support/streams.py
+++ b/features/support/streams.py
@@ -274,6 +274,22 @@
     return received.whole_faults(b"")
 
 
+async def id_in_another_encoding() -> list[str]:
+    """An event id that is no UTF-8 is sent back as it came."""
+    events = (b"id: \xe9\ndata: x\n\n", *EVENTS[1:])
+    received = await relay(Body(events))
+    faults = received.whole_faults(b"".join(events))
+    received = await relay(
+        Body(events, cut=len(events[0]) + 3),
+        Body(EVENTS[1:], follows=False),
+        resumable=True,
+    )
+    faults += received.whole_faults(b"".join(events))
+    if received.resumed_after != (None, "\xe9"):
+        faults.append(f"resumed after {received.resumed_after}")
+    return faults
+
+
 async def counts_as_a_lost_run() -> list[str]:
     """A stream that ends inside an event may have ended its target."""
     with unittest.mock.patch.object(
@@ -410,6 +426,7 @@
         empty_lines_at_the_end,
         ends_before_the_first_event,
         head_has_no_events,
+        id_in_another_encoding,
         counts_as_a_lost_run,
         completion_cut_inside_an_event,
         failure_is_no_stream,
--- a/libs/routing/src/bergamotsail/routing/_events.py
+++ b/libs/routing/src/bergamotsail/routing/_events.py
@@ -71,5 +71,7 @@
         self.has_event = self.has_event or bool(whole.strip(LINE_ENDS))
         for line in whole.splitlines():
             if line.startswith(ID_FIELD):
-                self.last_id = line[len(ID_FIELD) :].strip().decode()
+                raw_id = line[len(ID_FIELD) :].strip()
+                # As header values are encoded, so it is sent back as it came.
+                self.last_id = raw_id.decode("latin-1")
         return whole
