Wire: a typed error of a peer keeps its type

The first type with a code stands for it now; a target that the neighbour knows to be leaving has a code of its own, so that it is not taken for a neighbour that failed.

--- a/features/reach.feature
+++ b/features/reach.feature
@@ -36,3 +36,4 @@
       | leaving_ends_the_run       |
       | neighbour_gives_up_in_time |
       | refusals_sent_nothing      |
+      | errors_keep_their_types    |
--- a/features/support/relay_http.py
+++ b/features/support/relay_http.py
@@ -189,6 +189,24 @@
     return faults
 
 
+async def errors_keep_their_types() -> list[str]:
+    """A typed error of a peer arrives as the type that was raised."""
+    raised = (
+        wire.PeerLostError("x"),
+        wire.NotSentError("x"),
+        wire.InternalError("x"),
+        _relayed.NoPathError("x"),
+        _relayed.TargetClosedError("x"),
+        _relayed.TargetUnreachableError("x"),
+    )
+    rebuilt = [wire.error_from_body(error.body()) for error in raised]
+    return [
+        f"{type(error).__name__} became {type(other).__name__}"
+        for error, other in zip(raised, rebuilt, strict=True)
+        if type(error) is not type(other)
+    ]
+
+
 SCENARIOS = {
     scenario.__name__: scenario
     for scenario in (
@@ -196,6 +214,7 @@
         leaving_ends_the_run,
         neighbour_gives_up_in_time,
         refusals_sent_nothing,
+        errors_keep_their_types,
     )
 }
 
--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -40,6 +40,14 @@
     """The received event stream did not end with an event."""
 
 
+# Ends that say nothing against the target.
+NO_FAULT_CODES = (
+    NotAcceptingError.code,
+    _relayed.NoPathError.code,
+    _relayed.TargetClosedError.code,
+)
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """State of one attempt of a caller, across all its sends.
@@ -189,6 +197,6 @@
         return placement.UseOutcome.ABSENT
     if error.code == "refused":
         return placement.UseOutcome.REFUSED
-    if error.code in (NotAcceptingError.code, _relayed.NoPathError.code):
+    if error.code in NO_FAULT_CODES:
         return placement.UseOutcome.LEFT
     return placement.UseOutcome.FAILED
--- a/libs/routing/src/bergamotsail/routing/_relayed.py
+++ b/libs/routing/src/bergamotsail/routing/_relayed.py
@@ -33,7 +33,7 @@
 class TargetClosedError(wire.NotSentError):
     """The neighbour knows that the target is leaving or paused."""
 
-    code = "closed"
+    code = "target_closed"
 
 
 class TargetUnreachableError(wire.NotSentError):
@@ -199,7 +199,6 @@
             raise NoPathError(
                 "This instance may not reach the target. Ask another one."
             )
-
         notices = self._session.notices
         pause_s = notices.pause_left_s(request.target, self._clock.now())
         if pause_s > 0.0 or notices.is_leaving(request.target):
--- a/libs/routing/src/bergamotsail/routing/_target_client.py
+++ b/libs/routing/src/bergamotsail/routing/_target_client.py
@@ -76,10 +76,10 @@
         async with contextlib.AsyncExitStack() as stack:
             way = self._reach.way(sending.target)
             if way is not _reach.Way.NEIGHBOUR:
-                head = await self._open_directly(stack, sending, way)
+                opened = await self._open_directly(stack, sending, way)
             else:
-                head = await self._open_relayed(stack, sending)
-            yield head
+                opened = await self._open_relayed(stack, sending)
+            yield opened
 
     async def _open_directly(
         self,
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -325,7 +325,12 @@
 
 def error_from_body(body: ErrorBody) -> ServingError:
     """Rebuild the typed error that a peer sent."""
-    by_code = {kind.code: kind for kind in _all_types(ServingError)}
+    by_code: dict[str, type[ServingError]] = {
+        InternalError.code: InternalError
+    }
+    for kind in _all_types(ServingError):
+        # A subclass without a code of its own is local to its module.
+        by_code.setdefault(kind.code, kind)
     kind = by_code.get(body.code, InternalError)
     return kind(
         body.message,
