Docs: the bound for brittle targets does not hold with many entries

The module and the promises said that all entries share what a target bears; that holds only while there are no more entries than rejections. Docstrings and pages only.

--- a/libs/routing/src/bergamotsail/routing/_brittle.py
+++ b/libs/routing/src/bergamotsail/routing/_brittle.py
@@ -4,6 +4,10 @@
 a second, and says so in its answers. All entries share that number equally,
 without coordination: each bounds how many of its requests may be rejected at
 once, and stops sending for a while after a rejection.
+
+The shares add up to less than the number only while there are no more
+daemons than rejections: each may always have one request unanswered, and
+pauses for MAX_PAUSE_S at most.
 """
 
 import asyncio
@@ -38,8 +42,8 @@
     """Requests that brittle targets may still reject, by target.
 
     Example: a target that bears 9 rejections a second, with 9 daemons, has
-    one unanswered request of each at a time, and none for 2 s after a
-    rejection.
+    one unanswered request of each at a time, and none from a daemon for 2 s
+    after it rejected one of its requests.
 
     Args:
         daemons: returns the number of daemons that share the rejections.
