Log the software version of targets and the resumed attempt

The kept logs of the incident say at which target a stream was resumed, but neither which version of its software that target runs nor which attempt began the stream, so the hypotheses can't be told apart.

The platform's list states the version; it was dropped when the list was read. It now goes with each target through the digest to the entries, and each send logs it, with the attempt that a caller names in Resumes. A version that is no text is unknown, a missing one is empty. Nothing is decided by it yet.

--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -570,6 +570,7 @@
                 source.datacentre,
                 leaving or reported_leaving,
                 status,
+                source.software,
             )
         )
 
@@ -877,7 +878,13 @@
 
 
 def _instance_of(info: _messages.TargetInfo) -> targets.Instance:
-    return targets.Instance(info.id, info.pool, info.address, info.datacentre)
+    return targets.Instance(
+        info.id,
+        info.pool,
+        info.address,
+        info.datacentre,
+        software=info.software,
+    )
 
 
 def _may_be_held(request: _messages.Heartbeat) -> bool:
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -101,7 +101,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetInfo:
-    """A target, as distributed by the leader."""
+    """A target, as distributed by the leader.
+
+    Args:
+        software: version of its software; empty if the instance list states
+            none, None if it is not known.
+    """
 
     id: str
     pool: str
@@ -109,6 +114,7 @@
     datacentre: str
     leaving: bool = False
     status: TargetStatus | None = None
+    software: str | None = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -564,6 +564,8 @@
             placed=destination.placed,
             send=attempt.sends,
             resume=destination.resume_after,
+            resumes=request.resumes,
+            software=self._software_of(destination.target),
         )
         sending = self._sending(attempt, destination)
         self._running_by_target[destination.target] += 1
@@ -590,6 +592,11 @@
         finally:
             self._count_send_ended(destination.target)
 
+    def _software_of(self, target: str) -> str | None:
+        """Return the version of a target's software, None if unknown."""
+        info = self._session.digest.target_by_id.get(target)
+        return info.software if info is not None else None
+
     def _sending(
         self, attempt: _attempt.Attempt, destination: Destination
     ) -> _target_client.Sending:
--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -42,6 +42,8 @@
         caller: the caller's credentials; empty without any.
         token: the caller's token, None if its credentials are not valid.
         size: declared number of tokens, None without a declaration.
+        resumes: id of the attempt that brought the first event of the stream
+            that this attempt resumes.
     """
 
     id: str
@@ -58,6 +60,7 @@
     caller: str = ""
     token: str | None = None
     size: int | None = None
+    resumes: str | None = None
 
     @property
     def member(self) -> str:
--- a/libs/targets/src/bergamotsail/targets/_instances.py
+++ b/libs/targets/src/bergamotsail/targets/_instances.py
@@ -76,6 +76,8 @@
         pool: the pool it belongs to.
         address: IP address and port.
         datacentre: the data centre it runs in.
+        software: version of its software; empty if the list states none,
+            None if it is not known.
     """
 
     id: str
@@ -83,6 +85,7 @@
     address: str
     datacentre: str
     state: InstanceState = InstanceState.LIVE
+    software: str | None = ""
 
     @property
     def name(self) -> str:
