--- a/features/support/fatal_world.py
+++ b/features/support/fatal_world.py
@@ -228,7 +228,7 @@
         leader = control.LeaderClient(transport, world.addresses[:3])
         self.session = control.Session(info, leader, transport, LEASE)
         self.session.attach(self)
-        self.placements = unittest.mock.Mock()
+        self.placements = world.make_placements(self.session, transport)
         http, reach = world.make_http(number), routing.Reach()
         self.relay = routing.RelayService(
             self.session, http, reach, world.dialect
@@ -284,6 +284,7 @@
         self.instances = _CurrentList(self)
         self.entries: list[_Entry] = []
         self.dialect: routing.Dialect = Dialect()
+        self.engine_spec: catalogue.EngineSpec | None = None
         self._entry_count = entries
         self._attempts = attempts
         self._number = 0
@@ -302,11 +303,11 @@
             self._attempts,
             1,
         )
-        pool = catalogue.RoutePool(POOL, "/health", 64)
+        pool = catalogue.RoutePool(POOL, "/health", 64, self.engine_spec)
         table = catalogue.RouteTable(1, (route,), (pool,))
         await growth._replace_table(self, table)
         for number in range(self._entry_count):
-            await self._enter(_Entry(self, number))
+            await self._enter(self.make_entry(number))
         await asyncio.sleep(SETTLE_S)
         return self
 
@@ -314,6 +315,16 @@
         """Return the HTTP client of an entry."""
         return Http(self, entry)
 
+    def make_entry(self, number: int, start: int = 1) -> _Entry:
+        """Return an entry; each start is another daemon."""
+        return _Entry(self, number, start)
+
+    def make_placements(
+        self, session: control.Session, transport: wire.PeerTransport
+    ) -> routing.PlacementClient:
+        """Return an entry's placement client; plain services need none."""
+        return unittest.mock.Mock()
+
     async def _enter(self, entry: _Entry) -> None:
         self.entries.append(entry)
         await self._stack.enter_async_context(entry)
@@ -326,7 +337,7 @@
         """Stop an entry and start it again as a new incarnation."""
         self.entries.remove(entry)
         await entry.__aexit__(None, None, None)
-        await self._enter(_Entry(self, entry.number, entry.start + 1))
+        await self._enter(self.make_entry(entry.number, entry.start + 1))
 
     async def restart_all(self) -> None:
         """Stop all replicas and entries; restart them with their disks."""
