Routing: a broken stream goes on only at the software version that began it

Cause: an entry sends a broken stream to any other target of the pool. The version in the platform's list was dropped when the list was read, so neither the leader, which grants engines, nor the entry, which chooses plain targets, could keep to it. Class: a fact about who did the first part, needed by who does the second, is known to nobody.

Change: an answer's origin is set when its first target's stream begins. A placement request names the version that it needs; the leader grants and loads only there, and refuses at once if no engine runs it. Such a request holds up no other one: it neither ends a pass over the waiters of its adapter nor marks the adapter as blocked. Placements without a leader and plain targets are chosen by the same test. Right before it sends, the entry compares the version with its own list; if the two differ the version counts as unknown, and a stream goes on at no unknown version.

Why it works: every way to a target passes the last check, whichever process chose it and however old its list is.

--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -83,6 +83,12 @@
         self._start = 0
         self._record_report()
 
+    def hold(self, adapter: str) -> None:
+        """Hold an adapter from the start."""
+        self.ready[adapter] = 1
+        self._history.clear()
+        self._record_report()
+
     def restart(self, start_time_ms: int | None) -> None:
         """Restart under the same name without adapters or a base model.
 
--- a/features/support/software.py
+++ b/features/support/software.py
@@ -45,7 +45,10 @@
         self.engine = self._make_engine()
 
     def _make_engine(self) -> ledger.FakeEngine:
-        return ledger.FakeEngine(SPEC, ledger.FaultRates(), random.Random(1))
+        engine = ledger.FakeEngine(SPEC, ledger.FaultRates(), random.Random(1))
+        if self._world.holds:
+            engine.hold(ADAPTER)
+        return engine
 
     def listed(self) -> targets.Instance:
         return targets.Instance(
@@ -118,7 +121,7 @@
         software = self._target.software
         for number in range(self._after + 1, EVENTS + 1):
             yield f"id: {number}\ndata: {software}\n\n".encode()
-            await self._wait(EVENT_S)
+            await self._wait(self._world.event_s)
 
 
 class Http(fatal_world.Http):
@@ -290,6 +293,7 @@
     Args:
         softwares: the version of each target.
         engines: whether the targets are engines, else plain services.
+        holds: whether the engines start with the adapter.
     """
 
     def __init__(
@@ -299,8 +303,10 @@
         entries: int = 3,
         seed: int = 1,
         attempts: int = 4,
+        holds: bool = False,
     ) -> None:
         super().__init__(entries, 0, seed, attempts)
+        self.holds = holds
         self.targets = [
             Target(number, self, software)
             for number, software in enumerate(softwares)
@@ -309,6 +315,7 @@
         self.dialect = Dialect()
         self.began: list[tuple[str, str]] = []
         self.cut_entries: set[int] = set()
+        self.event_s = EVENT_S
 
     def make_http(self, entry: int) -> Http:
         return Http(self, entry)
@@ -425,6 +432,84 @@
     return faults
 
 
+async def granted_without_a_leader() -> list[str]:
+    """Neither a lost leader nor a new one lets a stream change versions."""
+    faults = []
+    for seed in range(4):
+        softwares = ("v1", "v2", "v1", "v2", "v2", "v1")
+        # Without a leader no adapter is loaded, so each engine has it.
+        async with World(softwares, seed=seed, holds=True) as world:
+            world.event_s = 0.4
+            caller, asking = await world.begin("c")
+            await world.lose_leader()
+            await asyncio.sleep(0.2 * seed)
+            world.running_target(caller).crash()
+            await asking
+            faults += caller.faults() + caller.incomplete()
+    return faults
+
+
+async def relayed_by_a_neighbour() -> list[str]:
+    """A stream that is relayed by another entry keeps to its version."""
+    faults = []
+    for engines in (True, False):
+        softwares = ("v1", "v2", "v1", "v2", "v2", "v1")
+        async with World(softwares, engines) as world:
+            world.cut_entries = {0}
+            caller, found = await _broken_once(world)
+            faults += found + caller.incomplete()
+    return faults
+
+
+async def one_of_many_runs_the_version() -> list[str]:
+    """The adapter is loaded for a stream where its version runs."""
+    softwares = ("v2",) * 22 + ("v1",) * 2
+    async with World(softwares) as world:
+        world.event_s = 0.5
+        for target in world.targets[:-2]:
+            target.state = targets.InstanceState.LEAVING
+        await asyncio.sleep(2.0)
+        caller, asking = await world.begin("c")
+        for target in world.targets:
+            target.state = targets.InstanceState.LIVE
+        await asyncio.sleep(1.5)
+        world.running_target(caller).crash()
+        await asking
+        return caller.faults() + caller.incomplete()
+
+
+async def version_changes_under_its_id() -> list[str]:
+    """A target that comes back under its id counts with its new version."""
+    faults = []
+    for engines in (True, False):
+        async with World(("v1", "v1"), engines) as world:
+            world.event_s = 0.5
+            caller, asking = await world.begin("c")
+            running = world.running_target(caller)
+            for target in world.targets:
+                if target is not running:
+                    target.software = "v2"
+            await asyncio.sleep(2.0)
+            running.crash()
+            await asking
+            faults += caller.faults()
+    return faults
+
+
+async def no_version_is_stated() -> list[str]:
+    """Streams go on if no target states a version, not if it is unknown."""
+    faults = []
+    for engines in (True, False):
+        async with World(("", "", ""), engines) as world:
+            caller, _ = await _broken_once(world)
+            faults += caller.incomplete()
+        async with World((None, None, None), engines) as world:
+            caller, _ = await _broken_once(world)
+            if caller.outcomes != ["broken"]:
+                faults.append(f"unknown versions: {caller.outcomes}")
+    return faults
+
+
 # Over a caller's attempts.
 
 
@@ -459,6 +544,11 @@
     for scenario in (
         goes_on_at_the_same_version,
         none_left_of_the_version,
+        granted_without_a_leader,
+        relayed_by_a_neighbour,
+        one_of_many_runs_the_version,
+        version_changes_under_its_id,
+        no_version_is_stated,
         resumed_after_its_entry_was_killed,
     )
 }
--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -30,6 +30,7 @@
 
 DaemonInfo = _messages.DaemonInfo
 TargetInfo = _messages.TargetInfo
+StreamOrigin = _messages.StreamOrigin
 Use = _messages.Use
 TargetStatus = _messages.TargetStatus
 TurnEnd = _messages.TurnEnd
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -117,6 +117,22 @@
     software: str | None = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Where a stream began.
+
+    Args:
+        software: version of the target's software, None if it is not known.
+    """
+
+    pool: str
+    software: str | None
+
+    def allows(self, software: str | None) -> bool:
+        """Whether the stream may go on at a version of the software."""
+        return self.software is not None and software == self.software
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DigestDelta:
     """Changes of the soft state since a version.
--- a/libs/placement/src/bergamotsail/placement/_decisions.py
+++ b/libs/placement/src/bergamotsail/placement/_decisions.py
@@ -219,6 +219,12 @@
     ) -> collections.abc.Iterator[EngineRecord]:
         """Yield the least loaded engines and those with a copy."""
         ordered = self._least_loaded_first(demand, now)
+        if demand.software is not None:
+            ordered = [
+                record
+                for record in ordered
+                if record.info.software == demand.software
+            ]
         least_loaded = ordered[:MAX_LOAD_CANDIDATES]
         yield from least_loaded
         for record in ordered[MAX_LOAD_CANDIDATES:]:
--- a/libs/placement/src/bergamotsail/placement/_engine_record.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_record.py
@@ -158,6 +158,7 @@
             and self.info.pool == demand.pool
             and demand.name[0] in self.models
             and self.info.id not in demand.avoid
+            and demand.software in (None, self.info.software)
         )
 
     @property
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -70,6 +70,7 @@
         releases: pending releases of the daemon, sent along.
         member: the member that sent the request.
         cost: units of the member's budget to debit; 0 if that was done.
+        software: version that the engine's software must have, None for any.
     """
 
     boot: str
@@ -91,6 +92,7 @@
     releases: ReleaseRequest | None = None
     member: str = ""
     cost: float = 0.0
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +106,7 @@
         reason: ``resident`` if the request waited less than one tick of
             the scheduler, else ``loaded``. Without a leader, ``surveyed`` or
             ``remembered``, for a placement found by the daemon itself.
+        software: version of the target's software, None if unknown.
     """
 
     target: str
@@ -111,6 +114,7 @@
     version: int | None
     waited_s: float
     reason: str
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/placement/src/bergamotsail/placement/_place_policy.py
+++ b/libs/placement/src/bergamotsail/placement/_place_policy.py
@@ -26,6 +26,7 @@
         waited_s: how long the request has waited for an engine.
         uses: decayed count of recent uses of its adapter.
         priority: 0 is the most urgent.
+        software: version that the engine's software must have, None for any.
     """
 
     pool: str
@@ -38,6 +39,7 @@
     waited_s: float
     uses: float = 0.0
     priority: int = 0
+    software: str | None = None
 
 
 class PlacePolicy(abc.ABC):
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -11,6 +11,7 @@
 import collections
 import collections.abc
 import contextlib
+import dataclasses
 import functools
 
 from bergamotsail import catalogue
@@ -195,6 +196,7 @@
                 "Too many requests are waiting for an engine. Try again.",
                 retry_after_s=RETRY_AFTER_S,
             )
+        self._check_software(request)
         self._debit(request)
         done = asyncio.get_running_loop().create_future()
         arrived_at = self._clock.now() - request.waited_s
@@ -211,6 +213,35 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
+    def _check_software(self, request: _place_messages.PlaceRequest) -> None:
+        """Refuse a request at once if no engine has the software it needs.
+
+        Raises:
+            NoCapacityError: there is none that accepts work.
+        """
+        if request.software is None or any(
+            record.info.software == request.software
+            and record.info.pool == request.pool
+            and not record.leaving
+            and record.info.id not in request.avoid
+            for record in self._record_by_target.values()
+        ):
+            return
+        self._metrics.count("placements_refused", reason="no_software")
+        observe.log_event(
+            "place",
+            "no_software",
+            request=request.request,
+            needed=request.software,
+            avoid=request.avoid or None,
+            term=self._term,
+        )
+        raise wire.NoCapacityError(
+            "No engine runs the software version that began the stream. "
+            "Start a new stream.",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
     def _debit(self, request: _place_messages.PlaceRequest) -> None:
         """Debit a request from its member's budget.
 
@@ -449,7 +480,12 @@
             seen.add(info.id)
             if info.id not in self._orders_by_target:
                 self._add_target(info, pool.engine)
-            self._orders_by_target[info.id].record.leaving = info.leaving
+            record = self._orders_by_target[info.id].record
+            record.leaving = info.leaving
+            if record.info.software != info.software:
+                record.info = dataclasses.replace(
+                    record.info, software=info.software
+                )
         for target in set(self._orders_by_target) - seen:
             self._orders_by_target.pop(target).stop()
             del self._record_by_target[target]
@@ -469,7 +505,11 @@
         self, info: control.TargetInfo, spec: catalogue.EngineSpec
     ) -> None:
         instance = targets.Instance(
-            info.id, info.pool, info.address, info.datacentre
+            info.id,
+            info.pool,
+            info.address,
+            info.datacentre,
+            software=info.software,
         )
         name = targets.Incarnation.of(info.id).name
         orders = _engine_orders.EngineOrders(
@@ -670,12 +710,14 @@
     ) -> None:
         """Grant the requests waiting for one adapter, or start its load.
 
-        Stops at the first request that can't be granted.
+        Stops at the first request that can't be granted, unless that is
+        because of the software version that it needs.
         """
         for waiter in waiters:
             if not waiter.done.done():
                 if not self._decide_one(waiter, wanted, now, may_load):
-                    return
+                    if waiter.request.software is None:
+                        return
 
     def _try_grant(self, waiter: _waiting.Waiter, now: float) -> bool:
         """Grant a new request if it can run now; False if it has to wait.
@@ -692,7 +734,9 @@
             return True
         if isinstance(decision, _decisions.Load) and not self._blocked:
             self._start_load(decision, waiter.name, now)
-        if decision == _decisions.Wait(False):
+        if decision == _decisions.Wait(False) and (
+            waiter.request.software is None
+        ):
             self._blocked.add(waiter.name)
         return False
 
@@ -711,6 +755,8 @@
             return True
         if isinstance(decision, _decisions.Load):
             self._start_load(decision, waiter.name, now)
+        if waiter.request.software is not None:
+            return False
         if decision == _decisions.Wait(False):
             self._blocked.add(waiter.name)
         else:
@@ -762,6 +808,7 @@
                 slot.version if slot is not None else None,
                 waited_s,
                 reason,
+                record.info.software,
             )
         )
         observe.log_event(
@@ -772,6 +819,8 @@
             target=record.info.id,
             version=slot.version if slot is not None else None,
             newest=self._wanted_version(waiter.name),
+            software=record.info.software,
+            needed=request.software,
             reason=reason,
             waited_s=round(waited_s, 4),
             running=record.running,
--- a/libs/placement/src/bergamotsail/placement/_waiting.py
+++ b/libs/placement/src/bergamotsail/placement/_waiting.py
@@ -65,4 +65,5 @@
             now - self.arrived_at,
             uses,
             self.request.priority,
+            self.request.software,
         )
--- a/libs/routing/src/bergamotsail/routing/_answers.py
+++ b/libs/routing/src/bergamotsail/routing/_answers.py
@@ -87,6 +87,10 @@
                 raise _attempt.retryable(error, wire.RunStatus.FAILED)
         attempt.events = _events.EventSplitter()
         if not attempt.answer.started:
+            if attempt.origin is None and _has_events(attempt, head):
+                attempt.origin = control.StreamOrigin(
+                    attempt.pool.name, attempt.software
+                )
             attempt.answer.start(head.status, self._dialect.returning(head))
         elif not _has_events(attempt, head):
             raise _attempt.InvalidAnswerError(
--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from bergamotsail import catalogue
+from bergamotsail import control
 from bergamotsail import placement
 from bergamotsail.routing import _authentication
 from bergamotsail.routing import _budget_admission
@@ -32,6 +33,12 @@
     code = "closed"
 
 
+class OriginUnknownError(wire.OverloadError):
+    """A stream can't go on as it is not known where it began."""
+
+    code = "origin_unknown"
+
+
 class InvalidAnswerError(wire.PeerLostError):
     """The received answer belongs to another request or can't be used."""
 
@@ -58,6 +65,8 @@
         arrived: whether the last send may have reached its target.
         runs: how many of the sends may have run.
         events: boundaries of the events in the current target's answer.
+        software: version of the current target's software.
+        origin: where its stream began, None if it may begin anywhere.
         not_repeated: why it was not sent again, for the log.
         longest_pause_s: the longest gap between two pieces of the answer.
     """
@@ -80,6 +89,8 @@
         default_factory=_events.EventSplitter
     )
     target: str = ""
+    software: str | None = None
+    origin: control.StreamOrigin | None = None
     aborted: bool = False
     not_repeated: str | None = None
     on_first_piece: collections.abc.Callable[[], None] | None = None
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections.abc
 import random
 
 from bergamotsail import catalogue
@@ -23,6 +24,7 @@
 from bergamotsail.routing import _placements
 from bergamotsail.routing import _sending
 from bergamotsail.routing import _service_choice
+from bergamotsail.routing import _software
 from bergamotsail.routing import _target_client
 from bergamotsail import wire
 
@@ -303,14 +305,14 @@
 
     async def _try_service(self, attempt: _attempt.Attempt) -> None:
         info = self._services.choose(
-            attempt.pool.name,
-            self._session.open_targets(),
-            attempt.avoid,
+            attempt.pool.name, self._open_targets(attempt), attempt.avoid
         )
         if info is None:
             await self._wait_for_pool(attempt)
             return
-        destination = self._destination(attempt, info.id, info.address)
+        destination = self._destination(
+            attempt, info.id, info.address, info.software
+        )
         attempt.debit_send()
         failed = True
         self._services.started(info.id)
@@ -323,6 +325,12 @@
         finally:
             self._services.ended(info.id, failed)
 
+    def _open_targets(
+        self, attempt: _attempt.Attempt
+    ) -> collections.abc.Iterator[control.TargetInfo]:
+        """Yield the targets at which an attempt may run now."""
+        return _software.usable(attempt, self._session.open_targets())
+
     def _remaining_pauses_s(self, attempt: _attempt.Attempt) -> list[float]:
         """Return the remaining pause of each target that is not leaving."""
         now = self._clock.now()
@@ -332,6 +340,7 @@
             for info in self._session.digest.target_by_id.values()
             if info.pool == attempt.pool.name
             and not notices.is_marked_leaving(info)
+            and _software.may_run(attempt, info)
         ]
 
     def _all_paused(self, attempt: _attempt.Attempt) -> bool:
@@ -392,6 +401,7 @@
             *self._session.unreported_leaving(),
             *self._session.notices.paused(SHORT_PAUSE_S, self._clock.now()),
         )
+        software = _software.required(attempt)
         if attempt.runs > 0:
             attempt.debit.take_again()
         place = await self._placements.acquire(
@@ -412,19 +422,26 @@
                 attempt.route.objective_s,
                 attempt.route.objective_s * REFUSE_AFTER_OBJECTIVES,
                 attempt.age_s,
+                software=software,
             ),
             attempt.debit,
         )
         outcome = Outcome.LEFT
+        listed = self._session.digest.target_by_id.get(place.target)
+        destination = self._destination(
+            attempt,
+            place.target,
+            place.address,
+            _software.agreed(place.software, listed),
+            place,
+        )
         try:
+            _software.check(attempt, destination)
             self._sender.check_accepting(attempt, place.target)
         except _attempt.NotAcceptingError:
             self._placements.release(use_id, place.target, outcome)
             await self._wait_for_engine(attempt, place.target)
             raise
-        destination = self._destination(
-            attempt, place.target, place.address, place
-        )
         placed_at = self._clock.now()
 
         def report_first_piece() -> None:
@@ -468,6 +485,7 @@
         attempt: _attempt.Attempt,
         target: str,
         address: str,
+        software: str | None,
         place: placement.PlaceReply | None = None,
     ) -> Destination:
         resume = attempt.last_event or attempt.request.resume_after
@@ -481,12 +499,13 @@
             attempt.caller.name,
             not self._session.view.routes.needs_token,
             place.reason if place is not None else None,
+            software,
         )
 
     def _has_other_target(self, attempt: _attempt.Attempt) -> bool:
         if attempt.runs + 1 >= attempt.route.attempts:
             return False
         others = _service_choice.candidates(
-            attempt.pool.name, self._session.open_targets(), attempt.avoid
+            attempt.pool.name, self._open_targets(attempt), attempt.avoid
         )
         return attempt.sends < MAX_SENDS and any(others)
--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -90,6 +90,7 @@
         member: the member that sent the request, empty if unknown.
         keeps_credentials: whether to pass on the caller's credentials.
         placed: how the placement was found, None without a placement.
+        software: version of the target's software, None if unknown.
     """
 
     target: str
@@ -101,6 +102,7 @@
     member: str = ""
     keeps_credentials: bool = True
     placed: str | None = None
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -446,6 +446,8 @@
             return None
         if not self._session.takes_work(info):
             return None
+        if request.software not in (None, info.software):
+            return None
         min_version = self._min_version(request)
         if min_version is not None and (
             (found.reply.version or 0) < min_version
--- a/libs/routing/src/bergamotsail/routing/_sending.py
+++ b/libs/routing/src/bergamotsail/routing/_sending.py
@@ -111,6 +111,7 @@
         attempt.arrived = True
         attempt.sent_at = self._clock.now()
         attempt.target = destination.target
+        attempt.software = destination.software
         attempt.avoid.add(destination.target)
         observe.log_event(
             "route",
@@ -124,7 +125,8 @@
             send=attempt.sends,
             resume=destination.resume_after,
             resumes=request.resumes,
-            software=self._software_of(destination.target),
+            software=destination.software,
+            needed=attempt.origin.software if attempt.origin else None,
         )
         sending = self._sending(attempt, destination)
         self._running_by_target[destination.target] += 1
@@ -151,11 +153,6 @@
         finally:
             self._count_send_ended(destination.target)
 
-    def _software_of(self, target: str) -> str | None:
-        """Return the version of a target's software, None if unknown."""
-        info = self._session.digest.target_by_id.get(target)
-        return info.software if info is not None else None
-
     def _sending(
         self, attempt: _attempt.Attempt, destination: Destination
     ) -> _target_client.Sending:
--- a/libs/routing/src/bergamotsail/routing/_survey.py
+++ b/libs/routing/src/bergamotsail/routing/_survey.py
@@ -133,6 +133,8 @@
             info = known.get(target)
             if info is None or target in request.avoid:
                 continue
+            if request.software not in (None, info.software):
+                continue
             holds, version = _find_held(request, report, min_version)
             if not holds:
                 continue
@@ -149,7 +151,7 @@
         _, info, version = best
         self._placed_by_target[info.id] += 1
         return placement.PlaceReply(
-            info.id, info.address, version, 0.0, "surveyed"
+            info.id, info.address, version, 0.0, "surveyed", info.software
         )
 
 
