Routing: a resumed stream goes on only where it began, at any entry

Callers whose entry was lost came back at another one and got the rest of their stream from another version of the engine's software (ORDER).

Cause: an entry took such an attempt for a new request. It didn't read `Resumes`, and nobody kept where a stream began: the entry that knew is usually the one that is gone.

Change: the leader keeps where each stream began, from the placements that it grants, so before its first event and without another message. Entries keep their own ones and report them with heartbeats unless this term's leader granted them: so a new leader knows those of living entries, and streams of plain services are known too. A resumed attempt is looked up (own notes, then one call to the leader, through a neighbour if need be) and placed at that pool and version. If nobody knows, it is refused at once as not run, unless the leader has seen but one pool and version of the route for longer than such a stream can last.

Ways weighed: a note to two more daemons for each stream (twice the messages, also for the streams that nobody resumes); asking all entries at a resume (the one that knows is gone). An entry telling from its own list that there is one version: unsafe, the leader may have granted a target that this entry doesn't know yet. Keeping what an earlier term of the same replica knew: unsafe, another leader may have granted the stream anew.

Why it works: what is known outlives the entry, and everything else is refused, so no list's age and no lost process lets two versions meet.

Not known, and refused: streams whose entry and leader were both lost before the entry reported to the next leader; streams of plain services whose entry was lost within a heartbeat of their beginning.

--- a/features/software.feature
+++ b/features/software.feature
@@ -15,10 +15,33 @@
     Then no guarantee is violated
 
     Examples:
-      | scenario                     |
-      | none_left_of_the_version     |
-      | granted_without_a_leader     |
-      | relayed_by_a_neighbour       |
-      | one_of_many_runs_the_version |
-      | version_changes_under_its_id |
-      | no_version_is_stated         |
+      | scenario                        |
+      | none_left_of_the_version        |
+      | granted_without_a_leader        |
+      | relayed_by_a_neighbour          |
+      | one_of_many_runs_the_version    |
+      | version_changes_under_its_id    |
+      | lists_of_different_age          |
+      | no_version_is_stated            |
+      | resumed_a_third_time            |
+      | entry_of_the_stream_lives       |
+      | nobody_knows_the_stream         |
+      | first_entry_and_leader_are_lost |
+      | leader_leads_again              |
+      | version_is_gone                 |
+      | one_version_for_long            |
+      | cut_off_from_the_core           |
+      | other_pool_of_the_route         |
+      | new_streams_pass_resumed_ones   |
+
+  Scenario: Resumed streams go on at least half as often as new ones begin
+    When streams are broken in goes_on_as_often_as_others_begin
+    Then no guarantee is violated
+
+  Scenario: Whatever is lost, no stream holds events of two software versions
+    When 24 random histories of releases and losses are tried
+    Then no guarantee is violated
+
+  Scenario: Every disabled guard of software versions is noticed
+    When each guard of software versions is disabled
+    Then each disabled guard is detected
--- a/features/support/software.py
+++ b/features/support/software.py
@@ -9,16 +9,24 @@
 import collections.abc
 import dataclasses
 import random
+import unittest.mock
 
+from hypothesis import strategies
 
 from bergamotsail import catalogue
 from bergamotsail import control
+from bergamotsail.control import _software as _control_software
+from bergamotsail import placement
 from bergamotsail import routing
+from bergamotsail.routing import _origins
+from bergamotsail.routing import _software
+from bergamotsail import standins
 from bergamotsail import targets
 from bergamotsail import wire
 from features.support import fatal_world
 from features.support import ledger
 
+SoftwareHistory = _control_software.SoftwareHistory
 EVENTS = 8
 EVENT_S = 0.05
 FIRST_EVENT_S = 0.1
@@ -159,6 +167,14 @@
         super().__init__(world, number, start)
         self.address = self.session.daemon.peer_address
         self.serving: set[asyncio.Task] = set()
+        transport = standins.MemoryTransport(world.network, self.address)
+        control.Relay(self.session, transport).serve(
+            world.network.host_by_address[self.address].server,
+            control.HEARTBEAT,
+            placement.PLACE,
+            placement.RELEASE,
+            control.FIND_STREAM,
+        )
 
     def uses(self) -> tuple[control.Use, ...]:
         return self.placements.uses()
@@ -496,6 +512,24 @@
     return faults
 
 
+async def lists_of_different_age() -> list[str]:
+    """A target counts as unknown if entry and leader list other versions."""
+    async with World(("v1", "v1", "v1"), holds=True) as world:
+        caller, asking = await world.begin("c")
+        running = world.running_target(caller)
+        target_by_id = world.entries[0].session.digest.target_by_id
+        for target_id, info in target_by_id.items():
+            if target_id != running.id:
+                target_by_id[target_id] = dataclasses.replace(
+                    info, software="v2"
+                )
+        running.crash()
+        await asking
+        if caller.outcomes != ["broken"]:
+            return [f"ended as {caller.outcomes}"]
+        return []
+
+
 async def no_version_is_stated() -> list[str]:
     """Streams go on if no target states a version, not if it is unknown."""
     faults = []
@@ -539,6 +573,324 @@
     return faults
 
 
+async def resumed_a_third_time() -> list[str]:
+    """Each further attempt names the first one, wherever it comes to."""
+    faults = []
+    for engines in (True, False):
+        softwares = ("v1", "v2", "v1", "v2", "v2", "v1")
+        async with World(softwares, engines, entries=4) as world:
+            world.event_s = 0.5
+            caller, asking = await world.begin("c")
+            await asyncio.sleep(0.5)
+            await world.kill_entry(0)
+            await asking
+            asking = asyncio.create_task(caller.ask(world.entries[0]))
+            await asyncio.sleep(1.0)
+            await world.kill_entry(1)
+            await asking
+            await caller.ask(world.entries[-1])
+            faults += caller.faults() + caller.incomplete()
+    return faults
+
+
+async def entry_of_the_stream_lives() -> list[str]:
+    """A stream goes on after a change of leader, told by its first entry."""
+    faults = []
+    for engines in (True, False):
+        softwares = ("v1", "v2", "v1", "v2", "v2", "v1")
+        async with World(softwares, engines, holds=True) as world:
+            world.event_s = 0.5
+            caller, asking = await world.begin("c")
+            for serving in list(world.entries[0].serving):
+                serving.cancel()
+            await asking
+            await world.lose_leader()
+            await asyncio.sleep(2.0)
+            await caller.ask(world.entries[1])
+            faults += caller.faults() + caller.incomplete()
+    return faults
+
+
+async def nobody_knows_the_stream() -> list[str]:
+    """A stream of unknown origin is refused at once, as not run."""
+    faults = []
+    for engines in (True, False):
+        softwares = ("v1", "v2", "v1", "v2", "v2", "v1")
+        async with World(softwares, engines) as world:
+            for number, resumes in enumerate(("", "forged", "c0-0", None)):
+                caller = Caller(world, f"c{number}")
+                await caller.ask(world.entries[0], resumes, "3")
+                faults += caller.not_refused_at_once()
+    return faults
+
+
+async def first_entry_and_leader_are_lost() -> list[str]:
+    """A stream that only lost processes knew is refused, as not run."""
+    softwares = ("v1", "v2", "v1", "v2", "v2", "v1")
+    faults = []
+    for seed in range(4):
+        async with World(softwares, holds=True, seed=seed) as world:
+            caller, asking = await world.begin("c")
+            await asyncio.gather(world.kill_entry(0), world.lose_leader())
+            await asking
+            await asyncio.sleep(0.5 * seed)
+            await caller.ask(world.entries[0])
+            faults += caller.faults()
+            error = caller.error
+            if error is None or error.ran is not wire.RunStatus.NOT_RUN:
+                faults.append(f"ended as {caller.outcomes}")
+    return faults
+
+
+async def leader_leads_again() -> list[str]:
+    """What a replica noted in an earlier term of its own doesn't count."""
+    table = control.StreamTable()
+    first = control.StreamOrigin("p", "v1")
+    table.note(1, "m/a", first, 30.0)
+    faults = [] if table.find(1, "m/a") == first else ["it is not found"]
+    return faults + ["found later"] * (table.find(3, "m/a") is not None)
+
+
+async def version_is_gone() -> list[str]:
+    """A stream whose version no target runs any more is refused at once."""
+    faults = []
+    for engines in (True, False):
+        async with World(("v1", "v2", "v2"), engines) as world:
+            for target in world.targets[1:]:
+                target.state = targets.InstanceState.LEAVING
+            await asyncio.sleep(2.0)
+            world.event_s = 1.0
+            caller, asking = await world.begin("c")
+            for target in world.targets:
+                target.state = targets.InstanceState.LIVE
+            world.targets[0].state = targets.InstanceState.LEAVING
+            await asyncio.sleep(2.0)
+            await world.kill_entry(0)
+            await asking
+            await caller.ask(world.entries[0])
+            faults += caller.faults() + caller.not_refused_at_once()
+    return faults
+
+
+async def one_version_for_long() -> list[str]:
+    """Where one version has run for long, nobody needs to know the stream."""
+    faults = []
+    for engines in (True, False):
+        async with World(("v1", "v1", "v1"), engines) as world:
+            await asyncio.sleep(60.0)
+            caller = Caller(world, "c")
+            await caller.ask(world.entries[0], "forgotten", "3")
+            if caller.outcomes != ["complete"]:
+                faults.append(f"one version: {caller.outcomes}")
+            world.targets[0].upgrade("v2")
+            await asyncio.sleep(3.0)
+            caller = Caller(world, "d")
+            await caller.ask(world.entries[0], "unknown", "3")
+            faults += caller.not_refused_at_once()
+    return faults
+
+
+async def cut_off_from_the_core() -> list[str]:
+    """An entry that reaches no replica learns it through a neighbour."""
+    softwares = ("v1", "v2", "v1", "v2", "v2", "v1")
+    async with World(softwares, entries=4) as world:
+        for address in world.addresses:
+            world.network.cut(world.entries[1].address, address)
+        await asyncio.sleep(5.0)
+        caller, asking = await world.begin("c")
+        await world.kill_entry(0)
+        await asking
+        await caller.ask(world.entries[0])
+        return caller.faults() + caller.incomplete()
+
+
+async def other_pool_of_the_route() -> list[str]:
+    """A stream goes on in the pool that began it, or is refused at once."""
+    async with World(("v1", "v1", "v1"), engines=False) as world:
+        entry = world.entries[0]
+        table = entry.session.view.routes.table
+        (route,) = table.routes
+        splits = (
+            catalogue.Split(fatal_world.POOL, 1),
+            catalogue.Split("other", 99),
+        )
+        pools = (*table.pools, catalogue.RoutePool("other", "/health", 64))
+        caller, asking = await world.begin("c")
+        route = dataclasses.replace(route, splits=splits)
+        table = catalogue.RouteTable(3, (route,), pools)
+        await fatal_world.growth._replace_table(world, table)
+        await asyncio.sleep(0.1)
+        for serving in list(entry.serving):
+            serving.cancel()
+        await asking
+        await asyncio.sleep(1.0)
+        await caller.ask(world.entries[1])
+        faults = caller.faults() + caller.incomplete()
+        route = dataclasses.replace(route, splits=splits[1:])
+        table = catalogue.RouteTable(4, (route,), pools)
+        await fatal_world.growth._replace_table(world, table)
+        await asyncio.sleep(1.0)
+        await caller.ask(world.entries[1])
+        return faults + caller.not_refused_at_once()
+
+
+async def new_streams_pass_resumed_ones() -> list[str]:
+    """A resumed stream that waits for its version holds up no new stream."""
+    async with World(("v1", "v2")) as world:
+        world.event_s = 0.5
+        caller, asking = await world.begin("c")
+        began_at = world.running_target(caller)
+        began_at.crash()
+        await asking
+        leader = await world.leader()
+        placer = world.replica_by_address[leader.member.address].placer
+        request = placement.PlaceRequest(
+            "b", "r", fatal_world.POOL, ledger.MODEL, ADAPTER, 100, 20, (),
+            0, 5.0, "a", software=began_at.software,
+        )  # fmt: skip
+        await asyncio.sleep(fatal_world.DOWN_S + 1.0)
+        record = placer._record_by_target[began_at.id]
+        record.tokens = SPEC.memory_tokens
+        waiting = asyncio.create_task(placer.on_place(request))
+        await asyncio.sleep(0.1)
+        fresh = Caller(world, "d")
+        await fresh.ask(world.entries[0])
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        took_s = fresh.refused_after_s or 0.0
+        faults = [f"it took {took_s:.2f} s"] * (took_s > EVENTS * 0.5 + 1.0)
+        return faults + fresh.incomplete()
+
+
+Step = tuple[float, str, int]
+# Pause, event, and number of a target or an entry, of each step.
+HISTORIES = strategies.lists(
+    strategies.tuples(
+        strategies.floats(0.05, 0.8),
+        strategies.sampled_from(
+            ("crash", "upgrade", "leave", "kill", "start", "leader", "cut")
+        ),
+        strategies.integers(0, 5),
+    ),
+    min_size=3,
+    max_size=10,
+)
+HISTORY_S = 8.0
+STREAM_GAP_S = 0.2
+
+
+class _History:
+    """Streams under load while targets and entries come and go."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.callers: list[Caller] = []
+        self._stopped: list[str] = []
+        self._starts: collections.Counter[int] = collections.Counter()
+
+    async def follow(self, caller: Caller) -> None:
+        """Send attempts until the stream is complete, five at most."""
+        for _ in range(5):
+            entry = self.world.rng.choice(self.world.entries)
+            if await caller.ask(entry) == "complete":
+                return
+            await asyncio.sleep(0.2)
+
+    async def load(self, gap_s: float = STREAM_GAP_S) -> None:
+        """Start streams at regular intervals, and wait for their ends."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + HISTORY_S
+        async with asyncio.TaskGroup() as following:
+            while loop.time() < until:
+                caller = Caller(self.world, f"c{len(self.callers)}")
+                self.callers.append(caller)
+                following.create_task(self.follow(caller))
+                await asyncio.sleep(gap_s)
+
+    async def apply(self, event: str, number: int) -> None:
+        """Apply one event of the history."""
+        world = self.world
+        target = world.targets[number % len(world.targets)]
+        if event == "crash":
+            target.crash()
+        elif event == "upgrade":
+            target.upgrade("v2" if target.software == "v1" else "v1")
+        elif event == "leave":
+            leaving = target.state is targets.InstanceState.LEAVING
+            target.state = (
+                targets.InstanceState.LIVE
+                if leaving
+                else targets.InstanceState.LEAVING
+            )
+        elif event == "cut":
+            world.cut_entries ^= {number % 3}
+        elif event == "kill" and len(world.entries) > 2:
+            await world.kill_entry(world.entries[0].number)
+        elif event == "start" and len(world.entries) < 5:
+            self._starts[number] += 1
+            await world.start_entry(10 + number, self._starts[number])
+        elif event == "leader":
+            await self._change_leader()
+
+    async def _change_leader(self) -> None:
+        for address in self._stopped:
+            await self.world.start(address)
+        leader = (await self.world.leader()).member.address
+        self._stopped = [leader]
+        await self.world.stop(leader)
+
+
+async def _history(steps: list[Step], engines: bool) -> list[str]:
+    softwares = ("v1", "v2", "v1", "v2", "v1", "v2")
+    world = World(softwares, engines, seed=len(steps), holds=True)
+    async with world:
+        history = _History(world)
+        loading = asyncio.create_task(history.load())
+        for pause_s, event, number in steps:
+            await asyncio.sleep(pause_s)
+            await history.apply(event, number)
+        await loading
+        return [fault for c in history.callers for fault in c.faults()]
+
+
+def history_mixes_no_versions(case: tuple[list[Step], bool]) -> None:
+    """No stream holds events of two versions, whatever happens."""
+    faults = ledger.run(_history(*case))
+    assert not faults, f"{faults} after {case}"
+
+
+async def goes_on_as_often_as_others_begin() -> list[str]:
+    """Resumed streams go on at least half as often as new ones begin.
+
+    Entries are killed one after the other while two targets of each version
+    serve.
+    """
+    faults = []
+    for seed in range(3):
+        softwares = ("v1", "v2", "v1", "v2")
+        async with World(softwares, entries=8, seed=seed) as world:
+            world.event_s = 0.3
+            history = _History(world)
+            loading = asyncio.create_task(history.load(0.05))
+            for _ in range(5):
+                await asyncio.sleep(1.2)
+                await world.kill_entry(world.entries[0].number)
+            await loading
+            new = [c.outcomes[0] for c in history.callers]
+            began = [c for c in history.callers if c.events]
+            again = [c.outcomes[1] for c in began if len(c.outcomes) > 1]
+            if len(again) < 12:
+                faults.append(f"only {len(again)} streams were resumed")
+            refused = sum(code not in ("complete", "killed") for code in new)
+            went_on = sum(code in ("complete", "killed") for code in again)
+            begin_share = 1 - refused / len(new)
+            share = went_on / max(len(again), 1)
+            if share < LEAST_SHARE * begin_share:
+                faults.append(f"{share:.2f} went on, {begin_share:.2f} began")
+            faults += [f for c in history.callers for f in c.faults()]
+    return faults
+
+
 SCENARIOS = {
     scenario.__name__: scenario
     for scenario in (
@@ -548,8 +900,20 @@
         relayed_by_a_neighbour,
         one_of_many_runs_the_version,
         version_changes_under_its_id,
+        lists_of_different_age,
         no_version_is_stated,
         resumed_after_its_entry_was_killed,
+        resumed_a_third_time,
+        entry_of_the_stream_lives,
+        nobody_knows_the_stream,
+        first_entry_and_leader_are_lost,
+        leader_leads_again,
+        version_is_gone,
+        one_version_for_long,
+        cut_off_from_the_core,
+        other_pool_of_the_route,
+        new_streams_pass_resumed_ones,
+        goes_on_as_often_as_others_begin,
     )
 }
 
@@ -557,3 +921,93 @@
 def run_scenario(name: str) -> list[str]:
     """Run a scenario in virtual time; return its faults."""
     return ledger.run(SCENARIOS[name]())
+
+
+# Each mutant: name, the scenario that must fail, object, attribute and
+# replacement.
+MUTANTS: tuple[tuple[str, str, object, str, object], ...] = (
+    (
+        "a stream may go on at any version",
+        "goes_on_at_the_same_version",
+        control.StreamOrigin,
+        "allows",
+        lambda *_: True,
+    ),
+    (
+        "ask for no version",
+        "none_left_of_the_version",
+        _software,
+        "required",
+        lambda _: None,
+    ),
+    (
+        "trust one of two lists",
+        "lists_of_different_age",
+        _software,
+        "agreed",
+        lambda stated, listed: stated,
+    ),
+    (
+        "refuse late if no engine runs the version",
+        "version_is_gone",
+        placement.Placer,
+        "_check_software",
+        lambda *_: None,
+    ),
+    (
+        "take a resumed stream for a new one",
+        "resumed_after_its_entry_was_killed",
+        _origins,
+        "is_resumption",
+        lambda *_: False,
+    ),
+    (
+        "report no streams to a new leader",
+        "entry_of_the_stream_lives",
+        control.StreamNotes,
+        "pending",
+        lambda *_: (),
+    ),
+    (
+        "keep streams of earlier terms",
+        "leader_leads_again",
+        control.StreamTable,
+        "_follow",
+        lambda *_: None,
+    ),
+    (
+        "note no granted streams",
+        "resumed_after_its_entry_was_killed",
+        control.StreamTable,
+        "note",
+        lambda *_: None,
+    ),
+    (
+        "know nothing of pools with one version",
+        "one_version_for_long",
+        SoftwareHistory,
+        "sole",
+        lambda *_: None,
+    ),
+    (
+        "take any pool for one with one version",
+        "nobody_knows_the_stream",
+        SoftwareHistory,
+        "sole",
+        lambda *_: control.StreamOrigin(fatal_world.POOL, "v1"),
+    ),
+    (
+        "choose the pool anew",
+        "other_pool_of_the_route",
+        _origins,
+        "pool_of",
+        lambda routes, route, origin: routes.pool_by_name["other"],
+    ),
+)
+
+
+def run_mutant(number: int) -> list[str]:
+    """Run a mutant's scenario with its guard disabled."""
+    _, scenario, owner, name, replacement = MUTANTS[number]
+    with unittest.mock.patch.object(owner, name, replacement):
+        return run_scenario(scenario)
--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -14,6 +14,7 @@
 from bergamotsail.control import _messages
 from bergamotsail.control import _relay
 from bergamotsail.control import _session
+from bergamotsail.control import _streams
 from bergamotsail.control import _target_notices
 from bergamotsail.control import _turns
 
@@ -31,6 +32,10 @@
 DaemonInfo = _messages.DaemonInfo
 TargetInfo = _messages.TargetInfo
 StreamOrigin = _messages.StreamOrigin
+FIND_STREAM = _messages.FIND_STREAM
+FindStream = _messages.FindStream
+StreamNotes = _streams.StreamNotes
+StreamTable = _streams.StreamTable
 Use = _messages.Use
 TargetStatus = _messages.TargetStatus
 TurnEnd = _messages.TurnEnd
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -20,6 +20,8 @@
 from bergamotsail.control import _messages
 from bergamotsail.control import _quarantine
 from bergamotsail.control import _share_notes
+from bergamotsail.control import _software
+from bergamotsail.control import _streams
 from bergamotsail.control import _turns
 from bergamotsail import limits
 from bergamotsail import observe
@@ -46,6 +48,10 @@
 # 0.6 s for a reply, and an election takes 0.5 to 0.9 s.
 HEARTBEAT_HOLD_S = 0.45
 HEARTBEAT_HOLD_POLL_S = 0.02
+# Within about this time of a new term, connected daemons have reported the
+# streams that they began.
+STREAMS_REPORTED_S = 1.5
+STREAM_POLL_S = 0.05
 
 
 class UseTracker(abc.ABC):
@@ -118,6 +124,7 @@
         self.store_by_name: dict[str, _turns.StoreQueue] = {}
         self.hand_over_by_boot: dict[str, str] = {}
         self.status_by_target: dict[str, _messages.TargetStatus] = {}
+        self.softwares = _software.SoftwareHistory()
 
 
 class Coordinator:
@@ -127,6 +134,7 @@
         use_tracker: if given, the leader grants no ownership of targets but
             sends all orders itself, with its term as the fencing token.
         budgets: what members spend of their budgets.
+        streams: where streams began; *use_tracker* may note them too.
     """
 
     def __init__(
@@ -144,7 +152,9 @@
         use_tracker: UseTracker | None = None,
         metrics: observe.Metrics | None = None,
         budgets: limits.LeaderBudgets | None = None,
+        streams: _streams.StreamTable | None = None,
     ) -> None:
+        self._streams = streams or _streams.StreamTable(clock)
         self._budgets = budgets or limits.LeaderBudgets(
             limits.BudgetSettings(alone_after_s=timing.alone_after_s)
         )
@@ -189,6 +199,7 @@
         server.serve(_messages.TURN, self.on_turn)
         server.serve(_messages.TURN_END, self.on_turn_end)
         server.serve(_messages.ALONE, self.on_alone)
+        server.serve(_messages.FIND_STREAM, self.on_find_stream)
         server.serve(_messages.STATUS, self.on_status)
 
     # Calls from daemons.
@@ -231,6 +242,10 @@
         term.digest.put_daemon(daemon)
         self._record_statuses(term, request)
         self._record_leaving(term, request)
+        for note in request.streams:
+            self._streams.note(
+                term.term, note.stream, note.origin, note.keep_s
+            )
         if self._use_tracker is not None:
             self._use_tracker.take_uses(daemon.boot, request.uses)
         # The applied index covers every acknowledged change, since changes
@@ -338,6 +353,35 @@
         )
         return _messages.AloneReply(granted)
 
+    async def on_find_stream(
+        self, request: _messages.FindStream
+    ) -> _messages.FoundStream:
+        """Return where a stream began.
+
+        A new leader waits until daemons have reported their streams.
+        """
+        if not self._node.holds_lease():
+            timeout_s = request.wait_s + RELAY_TIMEOUT_S
+            return await self._relay(_messages.FIND_STREAM, request, timeout_s)
+        term = self._current_term()
+        settled_at = term.started_at + STREAMS_REPORTED_S
+        until = min(self._clock.now() + request.wait_s, settled_at)
+        while (origin := self._origin_of(term, request)) is None:
+            if self._clock.now() >= until:
+                break
+            await self._clock.sleep(STREAM_POLL_S)
+        if not self._node.holds_lease() or self._current_term() is not term:
+            raise self._node.not_leader()
+        return _messages.FoundStream(origin)
+
+    def _origin_of(
+        self, term: _Term, request: _messages.FindStream
+    ) -> _messages.StreamOrigin | None:
+        now = self._clock.now()
+        return self._streams.find(
+            term.term, request.stream
+        ) or term.softwares.sole(request.route, now - request.within_s, now)
+
     async def on_status(
         self, request: _messages.Status
     ) -> _messages.StatusReply:
@@ -684,8 +728,11 @@
             self._put_target(term, instance, leaving)
         for target in set(term.digest.target_by_id) - known:
             term.digest.drop_target(target)
+        infos = tuple(term.digest.target_by_id.values())
+        term.softwares.note(
+            infos, self._machine.view.routes.table, self._clock.now()
+        )
         if self._use_tracker is not None:
-            infos = tuple(term.digest.target_by_id.values())
             self._use_tracker.targets_changed(infos)
 
     async def _run_leader_rounds(self) -> None:
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -133,6 +133,20 @@
         return self.software is not None and software == self.software
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamNote:
+    """Reports where a stream began.
+
+    Args:
+        stream: the caller, and the id of the attempt that began it.
+        keep_s: how long its caller may still resume it.
+    """
+
+    stream: str
+    origin: StreamOrigin
+    keep_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DigestDelta:
     """Changes of the soft state since a version.
@@ -188,6 +202,7 @@
         runs_last_s: upper bound in seconds for the duration of all requests
             that it has admitted or admits before the reply.
         spending: what members asked for and spent of their budgets.
+        streams: streams that began here, unless a placement told the leader.
     """
 
     daemon: DaemonInfo
@@ -205,6 +220,7 @@
     leaving: tuple[str, ...] = ()
     runs_last_s: float = 0.0
     spending: limits.SpendingReport = limits.SpendingReport()
+    streams: tuple[StreamNote, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -345,6 +361,30 @@
     granted: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindStream:
+    """Asks where a stream began.
+
+    Args:
+        route: the route that its caller resumes it on.
+        within_s: how long ago it may have begun.
+        wait_s: how long a new leader may delay the reply, to hear of it.
+    """
+
+    stream: str
+    route: str
+    within_s: float
+    wait_s: float
+    relayed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundStream:
+    """Where a stream began; None if that is not known."""
+
+    origin: StreamOrigin | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Done:
     """A reply without content."""
@@ -378,4 +418,5 @@
 TURN = wire.Call("turn", TurnRequest, TurnReply)
 TURN_END = wire.Call("turn_end", TurnEnd, Done)
 ALONE = wire.Call("alone", AloneRequest, AloneReply)
+FIND_STREAM = wire.Call("find_stream", FindStream, FoundStream)
 STATUS = wire.Call("status", Status, StatusReply)
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -12,6 +12,7 @@
 from bergamotsail import catalogue
 from bergamotsail.control import _digest
 from bergamotsail.control import _messages
+from bergamotsail.control import _streams
 from bergamotsail.control import _target_notices
 from bergamotsail import limits
 from bergamotsail import quarantine
@@ -227,6 +228,28 @@
         assert last_error is not None
         raise last_error
 
+    async def ask(
+        self, call: wire.Call, request: object, timeout_s: float
+    ) -> object:
+        """Call the presumed leader, through the neighbour if there is one.
+
+        One redirect is followed; the other replicas are not tried.
+
+        Raises:
+            ServingError: there was no reply of a leader.
+        """
+        address = self.address
+        try:
+            return await self._transport.call(
+                address, call, request, timeout_s
+            )
+        except wire.NotLeaderError as error:
+            if error.use in (None, address):
+                raise
+            return await self._transport.call(
+                error.use, call, request, timeout_s
+            )
+
     async def command(self, command: catalogue.Command) -> object:
         """Commit a command and return its typed result."""
         request = _messages.CommandRequest(command)
@@ -265,6 +288,7 @@
         self.digest = _digest.Digest()
         self.leader = leader
         self.observations = quarantine.Observations(clock)
+        self.streams = _streams.StreamNotes(clock)
         self.notices = _target_notices.TargetNotices()
         self.budgets = limits.DaemonBudgets(
             wire.make_rng(daemon.boot),
@@ -469,6 +493,7 @@
             leaving=self.unreported_leaving(),
             runs_last_s=self._participant.declare_run_bound(),
             spending=self.budgets.take_report(),
+            streams=self.streams.pending(self.digest.term),
         )
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.BEFORE)
         try:
@@ -481,6 +506,7 @@
         self.leader.found(reply.leader)
         self.leader.add_seeds(reply.replicas)
         self.observations.acknowledge(reply.term, last_end)
+        self.streams.acknowledge(reply.term, request.streams)
         self.observations.take_suspects(reply.suspects)
         if await self._catch_up(reply):
             self._log_renewal(sent_at, answered_at)
--- /dev/null
+++ b/libs/control/src/bergamotsail/control/_streams.py
@@ -0,0 +1,170 @@
+"""Where the streams of callers began, for those who resume them.
+
+A caller may resume its stream at any daemon, and usually does because the one
+that began it is gone. So the leader keeps where streams began, from the
+placements that it grants and from daemons' heartbeats. Daemons keep their own
+ones as well, and report them to a new leader.
+"""
+
+import collections.abc
+import dataclasses
+
+from bergamotsail.control import _messages
+from bergamotsail import wire
+
+# Bounds of memory: 250 bytes for each stream.
+MAX_STREAMS = 200_000
+MAX_NOTES = 5_000
+PURGE_INTERVAL_S = 5.0
+# Notes in one heartbeat; about 90 bytes each.
+MAX_REPORTED_NOTES = 300
+
+
+class StreamTable:
+    """The leader's record of where streams began, each for a limited time.
+
+    It is soft state of one term. What an earlier term left may be outdated:
+    another leader may have granted a stream another target meanwhile.
+
+    Example::
+
+        >>> table = StreamTable()
+        >>> table.note(7, "m1/a7", StreamOrigin("quotes", "v1"), 30.0)
+        >>> table.find(7, "m1/a7")
+        StreamOrigin(pool='quotes', software='v1')
+        >>> table.find(8, "m1/a7")
+    """
+
+    def __init__(
+        self,
+        clock: wire.Clock = wire.LoopClock(),
+        max_streams: int = MAX_STREAMS,
+    ) -> None:
+        self._clock = clock
+        self._max_streams = max_streams
+        self._entry_by_stream: dict[
+            str, tuple[_messages.StreamOrigin, float]
+        ] = {}
+        # Equal origins share one object.
+        self._origins: dict[_messages.StreamOrigin, _messages.StreamOrigin] = (
+            {}
+        )
+        self._purge_at = float("-inf")
+        self._term = -1
+
+    def note(
+        self,
+        term: int,
+        stream: str,
+        origin: _messages.StreamOrigin,
+        keep_s: float,
+    ) -> None:
+        """Record where a stream began, for *keep_s*.
+
+        If a stream is granted another target before its first event, the
+        last note counts.
+        """
+        self._follow(term)
+        now = self._clock.now()
+        if now >= self._purge_at:
+            self._purge(now)
+        origin = self._origins.setdefault(origin, origin)
+        self._entry_by_stream.pop(stream, None)
+        self._entry_by_stream[stream] = (origin, now + keep_s)
+        if len(self._entry_by_stream) > self._max_streams:
+            del self._entry_by_stream[next(iter(self._entry_by_stream))]
+
+    def find(self, term: int, stream: str) -> _messages.StreamOrigin | None:
+        """Return where a stream began, None if that is not known."""
+        self._follow(term)
+        origin, until = self._entry_by_stream.get(stream, (None, 0.0))
+        return origin if until > self._clock.now() else None
+
+    def _follow(self, term: int) -> None:
+        if term != self._term:
+            self._term = term
+            self._entry_by_stream.clear()
+
+    def _purge(self, now: float) -> None:
+        self._purge_at = now + PURGE_INTERVAL_S
+        self._entry_by_stream = {
+            stream: entry
+            for stream, entry in self._entry_by_stream.items()
+            if entry[1] > now
+        }
+        self._origins = {
+            origin: origin for origin, _ in self._entry_by_stream.values()
+        }
+
+
+@dataclasses.dataclass(slots=True)
+class _Noted:
+    """A stream of this daemon.
+
+    Args:
+        known_to: the term of the leader that knows it.
+    """
+
+    origin: _messages.StreamOrigin
+    until: float
+    known_to: int
+
+
+class StreamNotes:
+    """Where the streams of this daemon began, and which leader knows it."""
+
+    def __init__(self, clock: wire.Clock = wire.LoopClock()) -> None:
+        self._clock = clock
+        self._noted_by_stream: dict[str, _Noted] = {}
+
+    def note(
+        self,
+        stream: str,
+        origin: _messages.StreamOrigin,
+        keep_s: float,
+        known_to: int,
+    ) -> None:
+        """Record where a stream began.
+
+        Args:
+            known_to: the term of the leader that granted its placement, -1
+                without one.
+        """
+        until = self._clock.now() + keep_s
+        self._noted_by_stream.pop(stream, None)
+        self._noted_by_stream[stream] = _Noted(origin, until, known_to)
+        if len(self._noted_by_stream) > MAX_NOTES:
+            del self._noted_by_stream[next(iter(self._noted_by_stream))]
+
+    def find(self, stream: str) -> _messages.StreamOrigin | None:
+        """Return where a stream of this daemon began, None if unknown."""
+        noted = self._noted_by_stream.get(stream)
+        if noted is None or noted.until <= self._clock.now():
+            return None
+        return noted.origin
+
+    def pending(self, term: int) -> tuple[_messages.StreamNote, ...]:
+        """Return the streams to report to the leader of a term."""
+        now = self._clock.now()
+        for stream, noted in list(self._noted_by_stream.items()):
+            if noted.until <= now:
+                del self._noted_by_stream[stream]
+        pending = (
+            _messages.StreamNote(stream, noted.origin, noted.until - now)
+            for stream, noted in reversed(self._noted_by_stream.items())
+            if noted.known_to != term
+        )
+        return tuple(
+            note for note, _ in zip(pending, range(MAX_REPORTED_NOTES))
+        )
+
+    def acknowledge(
+        self,
+        term: int,
+        notes: collections.abc.Iterable[_messages.StreamNote],
+    ) -> None:
+        """Mark streams as known to the leader of a term."""
+        for note in notes:
+            noted = self._noted_by_stream.get(note.stream)
+            if noted is not None and noted.origin == note.origin:
+                noted.known_to = term
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -252,6 +252,7 @@
                 settings.budget_slack, settings.lease.alone_after_s
             )
         )
+        streams = control.StreamTable(clock)
         self.placer = placement.Placer(
             _NodeLeadership(self.node),
             lambda: self.machine.view,
@@ -273,6 +274,7 @@
                 settings.initial_order_delay_s,
             ),
             budgets=budgets,
+            streams=streams,
         )
         self.coordinator = control.Coordinator(
             settings.address,
@@ -286,6 +288,7 @@
             use_tracker=self.placer,
             metrics=self.metrics,
             budgets=budgets,
+            streams=streams,
         )
         self.node.serve(self.server)
         self.coordinator.serve(self.server)
@@ -446,6 +449,7 @@
             control.HEARTBEAT,
             placement.PLACE,
             placement.RELEASE,
+            control.FIND_STREAM,
         )
 
         def fetch_report(
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -71,6 +71,8 @@
         member: the member that sent the request.
         cost: units of the member's budget to debit; 0 if that was done.
         software: version that the engine's software must have, None for any.
+        stream: name of the stream that it begins or resumes, empty for none.
+        stream_keep_s: how long its caller may resume that stream.
     """
 
     boot: str
@@ -93,6 +95,8 @@
     member: str = ""
     cost: float = 0.0
     software: str | None = None
+    stream: str = ""
+    stream_keep_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +111,7 @@
             the scheduler, else ``loaded``. Without a leader, ``surveyed`` or
             ``remembered``, for a placement found by the daemon itself.
         software: version of the target's software, None if unknown.
+        term: of the leader that granted it, -1 without one.
     """
 
     target: str
@@ -115,6 +120,7 @@
     waited_s: float
     reason: str
     software: str | None = None
+    term: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -100,6 +100,7 @@
         holder_registry: where the processes that gave orders are recorded.
         tenure: decides when this process may give orders.
         budgets: what members spend of their budgets.
+        streams: where streams began; grants are noted there.
     """
 
     def __init__(
@@ -119,7 +120,9 @@
         holder_registry: _tenure.HolderRegistry = _tenure.NoHolderRegistry(),
         tenure: _tenure.Tenure | None = None,
         budgets: limits.LeaderBudgets | None = None,
+        streams: control.StreamTable | None = None,
     ) -> None:
+        self._streams = streams or control.StreamTable(clock)
         self._budgets = budgets or limits.LeaderBudgets()
         self._settings = settings
         self._rights = _rights.OrderRights(
@@ -223,6 +226,7 @@
             record.info.software == request.software
             and record.info.pool == request.pool
             and not record.leaving
+            and (not record.known or request.model in record.models)
             and record.info.id not in request.avoid
             for record in self._record_by_target.values()
         ):
@@ -809,8 +813,16 @@
                 waited_s,
                 reason,
                 record.info.software,
+                self._term,
             )
         )
+        if request.stream:
+            self._streams.note(
+                self._term,
+                request.stream,
+                control.StreamOrigin(request.pool, record.info.software),
+                request.stream_keep_s,
+            )
         observe.log_event(
             "place",
             "grant",
--- a/libs/routing/src/bergamotsail/routing/_answers.py
+++ b/libs/routing/src/bergamotsail/routing/_answers.py
@@ -23,6 +23,7 @@
     Args:
         has_other_target: whether an attempt may go to another target after
             the present one failed it.
+        note_origin: called when the stream of an attempt begins or goes on.
     """
 
     def __init__(
@@ -33,6 +34,7 @@
         metrics: observe.Metrics,
         clock: wire.Clock,
         has_other_target: collections.abc.Callable[[_attempt.Attempt], bool],
+        note_origin: collections.abc.Callable[[_attempt.Attempt], None],
     ) -> None:
         self._session = session
         self._dialect = dialect
@@ -40,6 +42,7 @@
         self._metrics = metrics
         self._clock = clock
         self._has_other_target = has_other_target
+        self._note_origin = note_origin
 
     async def relay(
         self,
@@ -91,6 +94,7 @@
                 attempt.origin = control.StreamOrigin(
                     attempt.pool.name, attempt.software
                 )
+            self._note_origin(attempt)
             attempt.answer.start(head.status, self._dialect.returning(head))
         elif not _has_events(attempt, head):
             raise _attempt.InvalidAnswerError(
--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -67,6 +67,8 @@
         events: boundaries of the events in the current target's answer.
         software: version of the current target's software.
         origin: where its stream began, None if it may begin anywhere.
+        granted_term: the term of the leader that granted the current
+            placement, -1 without one.
         not_repeated: why it was not sent again, for the log.
         longest_pause_s: the longest gap between two pieces of the answer.
     """
@@ -91,6 +93,7 @@
     target: str = ""
     software: str | None = None
     origin: control.StreamOrigin | None = None
+    granted_term: int = -1
     aborted: bool = False
     not_repeated: str | None = None
     on_first_piece: collections.abc.Callable[[], None] | None = None
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -21,6 +21,7 @@
 from bergamotsail.routing import _budget_admission
 from bergamotsail.routing import _fatal
 from bergamotsail.routing import _forward_types
+from bergamotsail.routing import _origins
 from bergamotsail.routing import _placements
 from bergamotsail.routing import _sending
 from bergamotsail.routing import _service_choice
@@ -89,8 +90,15 @@
         brittle = _brittle.BrittleTargets(
             lambda: len(session.daemon_by_boot), clock
         )
+        self._origins = _origins.Origins(session, clock)
         answers = _answers.AnswerRelay(
-            session, dialect, brittle, metrics, clock, self._has_other_target
+            session,
+            dialect,
+            brittle,
+            metrics,
+            clock,
+            self._has_other_target,
+            self._origins.note,
         )
         self._sender = _sending.Sender(
             session, client, dialect, self._guard, brittle, answers, clock
@@ -123,7 +131,7 @@
         attempt: _attempt.Attempt | None = None
         try:
             await self._wait_for_routes(request)
-            attempt = self._start_attempt(request, answer)
+            attempt = await self._start_attempt(request, answer)
             await self._serve_in_time(attempt)
             if attempt.aborted:
                 code = ABORTED
@@ -153,9 +161,15 @@
                 return
             await self._clock.sleep(ROUTES_POLL_S)
 
-    def _start_attempt(
-        self, request: CallerRequest, answer: AnswerWriter
-    ) -> _attempt.Attempt:
+    def _find_route(
+        self, request: CallerRequest
+    ) -> tuple[catalogue.Route, _authentication.Caller]:
+        """Return the route of a request and the member that sent it.
+
+        Raises:
+            NotFoundError: no route matches.
+            ServingError: the member is not known, or no route is.
+        """
         routes = self._session.view.routes
         if routes.table.version == 0:
             raise wire.OverloadError(
@@ -170,7 +184,28 @@
         caller = _authentication.authenticate(
             routes, route, request.token, self._session.fresh()
         )
-        pool = routes.choose_pool(route, request.id)
+        return route, caller
+
+    async def _start_attempt(
+        self, request: CallerRequest, answer: AnswerWriter
+    ) -> _attempt.Attempt:
+        """Admit a request.
+
+        Raises:
+            OriginUnknownError: it resumes a stream that can't go on.
+            ServingError: it is not admitted.
+        """
+        route, caller = self._find_route(request)
+        origin: control.StreamOrigin | None = None
+        if _origins.is_resumption(route, request):
+            origin = await self._origins.find(request, route, caller.name)
+            # The routes may have changed meanwhile.
+            route, caller = self._find_route(request)
+        routes = self._session.view.routes
+        if origin is None:
+            pool = routes.choose_pool(route, request.id)
+        else:
+            pool = _origins.pool_of(routes, route, origin)
         self._budgets.count(pool.name)
         debit = self._admission.admit(
             caller.name, _attempt.size_of(request, pool), request.id
@@ -179,7 +214,15 @@
         deadline = request.arrived_at + min(patience_s, route.timeout_s)
         age_s = self._estimate_age_s(route, patience_s)
         return _attempt.Attempt(
-            request, route, pool, answer, deadline, age_s, caller, debit
+            request,
+            route,
+            pool,
+            answer,
+            deadline,
+            age_s,
+            caller,
+            debit,
+            origin=origin,
         )
 
     def _estimate_age_s(
@@ -423,9 +466,12 @@
                 attempt.route.objective_s * REFUSE_AFTER_OBJECTIVES,
                 attempt.age_s,
                 software=software,
+                stream=self._stream_of(attempt),
+                stream_keep_s=_origins.keep_s(request),
             ),
             attempt.debit,
         )
+        attempt.granted_term = place.term
         outcome = Outcome.LEFT
         listed = self._session.digest.target_by_id.get(place.target)
         destination = self._destination(
@@ -461,6 +507,12 @@
             attempt.on_first_piece = None
             self._placements.release(use_id, place.target, outcome)
 
+    def _stream_of(self, attempt: _attempt.Attempt) -> str:
+        """Return the name of an attempt's stream, empty if it has none."""
+        if attempt.route.kind is not catalogue.RouteKind.STREAM:
+            return ""
+        return _origins.stream_name(attempt.caller.name, attempt.request)
+
     async def _wait_for_engine(
         self, attempt: _attempt.Attempt, target: str
     ) -> None:
--- /dev/null
+++ b/libs/routing/src/bergamotsail/routing/_origins.py
@@ -0,0 +1,149 @@
+"""Finds where the streams that callers resume began.
+
+A caller may resume its stream at any entry, which may know nothing of it. It
+goes on only where it began, so it is refused if nobody knows that.
+"""
+
+import math
+
+from bergamotsail import catalogue
+from bergamotsail import control
+from bergamotsail import observe
+from bergamotsail.routing import _attempt
+from bergamotsail.routing import _forward_types
+from bergamotsail import wire
+
+# How long after its patience ended a caller may still resume its stream.
+RESUME_S = 15.0
+DEFAULT_PATIENCE_S = 30.0
+# A new leader may delay its reply by this, and by this share of the caller's
+# patience, until it has heard of the streams.
+MAX_WAIT_S = 1.0
+WAIT_SHARE = 0.2
+ASK_MARGIN_S = 0.3
+RETRY_AFTER_S = 0.5
+
+
+def stream_name(member: str, request: _forward_types.CallerRequest) -> str:
+    """Return the name of the stream that an attempt begins or resumes.
+
+    It contains the member, so that nobody finds the streams of others.
+    """
+    return f"{member}/{request.resumes or request.id}"
+
+
+def keep_s(request: _forward_types.CallerRequest) -> float:
+    """Return how long the caller of an attempt may resume its stream."""
+    return (request.patience_s or DEFAULT_PATIENCE_S) + RESUME_S
+
+
+def is_resumption(
+    route: catalogue.Route, request: _forward_types.CallerRequest
+) -> bool:
+    """Whether an attempt resumes a stream that an earlier one began."""
+    return route.kind is catalogue.RouteKind.STREAM and (
+        request.resume_after is not None or request.resumes is not None
+    )
+
+
+class Origins:
+    """Notes where streams began, and finds it for those that are resumed."""
+
+    def __init__(self, session: control.Session, clock: wire.Clock) -> None:
+        self._session = session
+        self._clock = clock
+
+    def note(self, attempt: _attempt.Attempt) -> None:
+        """Note where the stream of an attempt began."""
+        if attempt.origin is not None:
+            self._session.streams.note(
+                stream_name(attempt.caller.name, attempt.request),
+                attempt.origin,
+                keep_s(attempt.request),
+                attempt.granted_term,
+            )
+
+    async def find(
+        self,
+        request: _forward_types.CallerRequest,
+        route: catalogue.Route,
+        member: str,
+    ) -> control.StreamOrigin:
+        """Return where the stream that an attempt resumes began.
+
+        Raises:
+            OriginUnknownError: nobody knows, so the stream can't go on.
+        """
+        started_at = self._clock.now()
+        stream = stream_name(member, request) if request.resumes else ""
+        within_s = max(route.timeout_s, DEFAULT_PATIENCE_S) + RESUME_S
+        origin, source = self._session.streams.find(stream), "own"
+        error: wire.ServingError | None = None
+        if origin is None:
+            source = "leader"
+            try:
+                origin = await self._ask_leader(
+                    stream, route, within_s, request
+                )
+            except wire.ServingError as caught:
+                error = caught
+        known = origin is not None and origin.software is not None
+        observe.log_event(
+            "route",
+            "origin",
+            request=request.id,
+            resumes=request.resumes,
+            resume=request.resume_after,
+            pool=origin.pool if origin is not None else None,
+            software=origin.software if origin is not None else None,
+            source=source if known else None,
+            error=error.code if error is not None else None,
+            leader_silent_s=_finite(self._session.silent_s()),
+            took_s=round(self._clock.now() - started_at, 4),
+        )
+        if not known:
+            raise _attempt.OriginUnknownError(
+                "It is not known which version of the target's software "
+                "began the stream, so it can't go on. Start a new stream.",
+                retry_after_s=RETRY_AFTER_S if error is not None else None,
+            ) from error
+        return origin
+
+    async def _ask_leader(
+        self,
+        stream: str,
+        route: catalogue.Route,
+        within_s: float,
+        request: _forward_types.CallerRequest,
+    ) -> control.StreamOrigin | None:
+        patience_s = request.patience_s or DEFAULT_PATIENCE_S
+        wait_s = min(MAX_WAIT_S, patience_s * WAIT_SHARE)
+        found = await self._session.leader.ask(
+            control.FIND_STREAM,
+            control.FindStream(stream, route.name, within_s, wait_s),
+            wait_s + ASK_MARGIN_S,
+        )
+        return found.origin
+
+
+def pool_of(
+    routes: catalogue.RouteIndex,
+    route: catalogue.Route,
+    origin: control.StreamOrigin,
+) -> catalogue.RoutePool:
+    """Return the pool in which a stream began.
+
+    Raises:
+        OverloadError: the route no longer leads there.
+    """
+    for split in route.splits:
+        if split.pool == origin.pool and split.weight > 0:
+            return routes.pool_by_name[split.pool]
+    raise wire.OverloadError(
+        "The route no longer leads to the pool that began the stream, so it "
+        "can't go on. Start a new stream."
+    )
+
+
+def _finite(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -463,7 +463,12 @@
             age_s=round(age_s, 3),
             leader_silent_s=round(self._session.silent_s(), 3),
         )
-        return dataclasses.replace(found.reply, reason="remembered")
+        return dataclasses.replace(
+            found.reply,
+            reason="remembered",
+            software=info.software,
+            term=-1,
+        )
 
     def report_begun(self, request: str, target: str, first_s: float) -> None:
         """Queue a notice that a target sent the start of its answer."""
