Test: fake targets of several versions state chunks

A stream resumed after its last event has none left. Without chunks its end can't be told from a lost connection, so 12 of 121 resumed streams in "Resumed streams go on at least half as often as new ones begin" counted as broken, which hid what the scenario is for.

--- a/features/support/software.py
+++ b/features/support/software.py
@@ -36,7 +36,10 @@
 # Least share of resumed streams that go on, of that of new ones that begin.
 LEAST_SHARE = 0.5
 ADAPTER = "a1"
-EVENT_STREAM = (("Content-Type", "text/event-stream"),)
+EVENT_STREAM = (
+    ("Content-Type", "text/event-stream"),
+    ("Transfer-Encoding", "chunked"),
+)
 SPEC = catalogue.EngineSpec(
     64, 125_000, 1e6, 6, 8.0, (catalogue.BaseModel(ledger.MODEL, 1, 1),)
 )
