Control: forget streams a few at a time

Each note now looks at two streams from the front and forgets them or moves them to the end, so the record holds at most twice the streams that may still be resumed.

New scenario table_is_bounded.

--- a/features/software.feature
+++ b/features/software.feature
@@ -28,6 +28,7 @@
       | nobody_knows_the_stream         |
       | first_entry_and_leader_are_lost |
       | leader_leads_again              |
+      | table_is_bounded                |
       | version_is_gone                 |
       | one_version_for_long            |
       | cut_off_from_the_core           |
--- a/features/support/software.py
+++ b/features/support/software.py
@@ -654,6 +654,31 @@
     return faults + ["found later"] * (table.find(3, "m/a") is not None)
 
 
+async def table_is_bounded() -> list[str]:
+    """Streams whose time is over are forgotten, and at most so many kept.
+
+    Each note looks at two streams, so all are looked at once while half as
+    many are noted, and at most twice as many are kept as are in their time.
+    """
+    table = control.StreamTable(max_streams=50)
+    origin = control.StreamOrigin("p", "v1")
+    table.note(1, "m/long", origin, 100.0)
+    faults = []
+    for number in range(200):
+        table.note(1, f"m/{number}", origin, 0.5)
+        await asyncio.sleep(0.05)
+        kept = len(table._entry_by_stream)
+        if kept > 22:
+            faults.append(f"{kept} streams are kept, 11 are in their time")
+    if table.find(1, "m/long") is None:
+        faults.append("a stream is forgotten before its time")
+    for number in range(200):
+        table.note(1, f"m/{number}", origin, 100.0)
+    if len(table._entry_by_stream) != 50:
+        faults.append(f"{len(table._entry_by_stream)} streams, not 50")
+    return faults
+
+
 async def version_is_gone() -> list[str]:
     """A stream whose version no target runs any more is refused at once."""
     faults = []
@@ -911,6 +936,7 @@
         nobody_knows_the_stream,
         first_entry_and_leader_are_lost,
         leader_leads_again,
+        table_is_bounded,
         version_is_gone,
         one_version_for_long,
         cut_off_from_the_core,
--- a/libs/bench/src/bergamotsail/bench/capacity.py
+++ b/libs/bench/src/bergamotsail/bench/capacity.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import resource
+import sys
 import tempfile
 import time
 import tracemalloc
@@ -30,6 +31,8 @@
 )
 
 ENTRIES = 41_000
+STREAMS = 60_000
+REPORTED_STREAMS = 200
 LOG_ENTRIES = 10_000
 PAGE_BYTES = resource.getpagesize()
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -180,6 +183,36 @@
     )
 
 
+def measure_streams() -> collections.abc.Iterator[Measurement]:
+    """Measure the leader's record of streams, and the reports of a daemon."""
+    origin = control.StreamOrigin("sastre-llm", "v1")
+    names = [f"member-{n % 16}/{n:016x}" for n in range(STREAMS)]
+    tracemalloc.start()
+    table = control.StreamTable()
+    for name in names:
+        table.note(1, name, origin, 30.0)
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    # The names themselves were allocated before.
+    used += sum(map(sys.getsizeof, names))
+    yield Measurement("record of a stream, memory", used / STREAMS, "bytes")
+    started = time.perf_counter()
+    for name in names:
+        table.note(1, name, origin, 30.0)
+    elapsed_s = time.perf_counter() - started
+    yield Measurement("record of a stream", elapsed_s / STREAMS * 1e6, "us")
+    notes = control.StreamNotes()
+    for name in names[:REPORTED_STREAMS]:
+        notes.note(name, origin, 30.0, -1)
+    started = time.perf_counter()
+    for _ in range(100):
+        pending = notes.pending(1)
+    elapsed_s = time.perf_counter() - started
+    yield Measurement("report of 200 streams", elapsed_s / 100 * 1e6, "us")
+    size = len(wire.encode(pending)) / REPORTED_STREAMS
+    yield Measurement("report of a stream", size, "bytes")
+
+
 async def measure_log() -> list[Measurement]:
     """Measure append and sync, log size, and restart by replay."""
     measurements = []
@@ -507,7 +540,11 @@
 
 
 async def _measure() -> list[Measurement]:
-    measurements = [*measure_catalogue(), *measure_heartbeat()]
+    measurements = [
+        *measure_catalogue(),
+        *measure_heartbeat(),
+        *measure_streams(),
+    ]
     measurements += await measure_log()
     measurements += await measure_snapshot()
     measurements += await measure_processes()
--- a/libs/control/src/bergamotsail/control/_streams.py
+++ b/libs/control/src/bergamotsail/control/_streams.py
@@ -6,16 +6,19 @@
 ones as well, and report them to a new leader.
 """
 
+import collections
 import collections.abc
 import dataclasses
 
 from bergamotsail.control import _messages
 from bergamotsail import wire
 
-# Bounds of memory: 250 bytes for each stream.
+# Bounds of memory.
 MAX_STREAMS = 200_000
 MAX_NOTES = 5_000
-PURGE_INTERVAL_S = 5.0
+# Streams looked at with each note, to forget those whose time is over. A
+# pass over all of them would hold the leader's event loop for too long.
+SWEPT_PER_NOTE = 2
 # Notes in one heartbeat; about 90 bytes each.
 MAX_REPORTED_NOTES = 300
 
@@ -42,14 +45,13 @@
     ) -> None:
         self._clock = clock
         self._max_streams = max_streams
-        self._entry_by_stream: dict[
+        self._entry_by_stream: collections.OrderedDict[
             str, tuple[_messages.StreamOrigin, float]
-        ] = {}
+        ] = collections.OrderedDict()
         # Equal origins share one object.
         self._origins: dict[_messages.StreamOrigin, _messages.StreamOrigin] = (
             {}
         )
-        self._purge_at = float("-inf")
         self._term = -1
 
     def note(
@@ -66,13 +68,12 @@
         """
         self._follow(term)
         now = self._clock.now()
-        if now >= self._purge_at:
-            self._purge(now)
+        self._sweep(now)
         origin = self._origins.setdefault(origin, origin)
-        self._entry_by_stream.pop(stream, None)
         self._entry_by_stream[stream] = (origin, now + keep_s)
+        self._entry_by_stream.move_to_end(stream)
         if len(self._entry_by_stream) > self._max_streams:
-            del self._entry_by_stream[next(iter(self._entry_by_stream))]
+            self._entry_by_stream.popitem(last=False)
 
     def find(self, term: int, stream: str) -> _messages.StreamOrigin | None:
         """Return where a stream began, None if that is not known."""
@@ -84,17 +85,14 @@
         if term != self._term:
             self._term = term
             self._entry_by_stream.clear()
+            self._origins.clear()
 
-    def _purge(self, now: float) -> None:
-        self._purge_at = now + PURGE_INTERVAL_S
-        self._entry_by_stream = {
-            stream: entry
-            for stream, entry in self._entry_by_stream.items()
-            if entry[1] > now
-        }
-        self._origins = {
-            origin: origin for origin, _ in self._entry_by_stream.values()
-        }
+    def _sweep(self, now: float) -> None:
+        """Forget the first streams if their time is over, else go on."""
+        for _ in range(min(SWEPT_PER_NOTE, len(self._entry_by_stream))):
+            stream, entry = self._entry_by_stream.popitem(last=False)
+            if entry[1] > now:
+                self._entry_by_stream[stream] = entry
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,7 +113,9 @@
 
     def __init__(self, clock: wire.Clock = wire.LoopClock()) -> None:
         self._clock = clock
-        self._noted_by_stream: dict[str, _Noted] = {}
+        self._noted_by_stream: collections.OrderedDict[str, _Noted] = (
+            collections.OrderedDict()
+        )
 
     def note(
         self,
@@ -131,10 +131,10 @@
                 without one.
         """
         until = self._clock.now() + keep_s
-        self._noted_by_stream.pop(stream, None)
         self._noted_by_stream[stream] = _Noted(origin, until, known_to)
+        self._noted_by_stream.move_to_end(stream)
         if len(self._noted_by_stream) > MAX_NOTES:
-            del self._noted_by_stream[next(iter(self._noted_by_stream))]
+            self._noted_by_stream.popitem(last=False)
 
     def find(self, stream: str) -> _messages.StreamOrigin | None:
         """Return where a stream of this daemon began, None if unknown."""
