Routing: short functions for the look-up of a stream's origin

The look-up, its log line and the refusal were one function of 45 lines; the default patience stood twice. Waiters that need one software version have a property for it. No behaviour changes but in the log: `source` of `route origin` names who was asked last also if nobody knew.

--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -718,10 +718,11 @@
         because of the software version that it needs.
         """
         for waiter in waiters:
-            if not waiter.done.done():
-                if not self._decide_one(waiter, wanted, now, may_load):
-                    if waiter.request.software is None:
-                        return
+            if waiter.done.done():
+                continue
+            granted = self._decide_one(waiter, wanted, now, may_load)
+            if not granted and not waiter.needs_software:
+                return
 
     def _try_grant(self, waiter: _waiting.Waiter, now: float) -> bool:
         """Grant a new request if it can run now; False if it has to wait.
@@ -738,9 +739,8 @@
             return True
         if isinstance(decision, _decisions.Load) and not self._blocked:
             self._start_load(decision, waiter.name, now)
-        if decision == _decisions.Wait(False) and (
-            waiter.request.software is None
-        ):
+        waits = decision == _decisions.Wait(False)
+        if waits and not waiter.needs_software:
             self._blocked.add(waiter.name)
         return False
 
@@ -759,7 +759,7 @@
             return True
         if isinstance(decision, _decisions.Load):
             self._start_load(decision, waiter.name, now)
-        if waiter.request.software is not None:
+        if waiter.needs_software:
             return False
         if decision == _decisions.Wait(False):
             self._blocked.add(waiter.name)
--- a/libs/placement/src/bergamotsail/placement/_waiting.py
+++ b/libs/placement/src/bergamotsail/placement/_waiting.py
@@ -38,6 +38,11 @@
         """Prompt tokens plus the maximum of generated tokens."""
         return self.request.prompt_tokens + self.request.output_tokens
 
+    @property
+    def needs_software(self) -> bool:
+        """Whether it waits for engines of one software version only."""
+        return self.request.software is not None
+
     def rank(self, pace: _pace.Pace, now: float) -> tuple[bool, int, float]:
         """Return the sort key: requests that can still be on time come first.
 
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -38,7 +38,6 @@
 ROUTES_WAIT_SHARE = 0.25
 ROUTES_POLL_S = 0.01
 NO_ROUTES_RETRY_S = 0.3
-DEFAULT_PATIENCE_S = 30.0
 PLACEMENT_WAIT_SHARE = 0.7
 PLACEMENT_WAIT_OBJECTIVES = 3.0
 REFUSE_AFTER_OBJECTIVES = 1.5
@@ -153,7 +152,7 @@
         After a power loss callers return before the routes are known, and
         refusing them would use up the only retry that each of them has.
         """
-        patience_s = request.patience_s or DEFAULT_PATIENCE_S
+        patience_s = request.assumed_patience_s
         wait_s = min(ROUTES_WAIT_S, patience_s * ROUTES_WAIT_SHARE)
         gives_up_at = request.arrived_at + wait_s
         while self._session.view.routes.table.version == 0:
@@ -210,7 +209,7 @@
         debit = self._admission.admit(
             caller.name, _attempt.size_of(request, pool), request.id
         )
-        patience_s = request.patience_s or DEFAULT_PATIENCE_S
+        patience_s = request.assumed_patience_s
         deadline = request.arrived_at + min(patience_s, route.timeout_s)
         age_s = self._estimate_age_s(route, patience_s)
         return _attempt.Attempt(
--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -7,6 +7,9 @@
 from bergamotsail import targets
 from bergamotsail import wire
 
+# Patience of a caller that states none.
+DEFAULT_PATIENCE_S = 30.0
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -62,6 +65,11 @@
     size: int | None = None
     resumes: str | None = None
 
+    @property
+    def assumed_patience_s(self) -> float:
+        """How long the caller waits, a default if it is unknown."""
+        return self.patience_s or DEFAULT_PATIENCE_S
+
     @property
     def member(self) -> str:
         """Hash that identifies the caller without exposing its credentials."""
--- a/libs/routing/src/bergamotsail/routing/_origins.py
+++ b/libs/routing/src/bergamotsail/routing/_origins.py
@@ -4,6 +4,7 @@
 goes on only where it began, so it is refused if nobody knows that.
 """
 
+import dataclasses
 import math
 
 from bergamotsail import catalogue
@@ -15,7 +16,6 @@
 
 # How long after its patience ended a caller may still resume its stream.
 RESUME_S = 15.0
-DEFAULT_PATIENCE_S = 30.0
 # A new leader may delay its reply by this, and by this share of the caller's
 # patience, until it has heard of the streams.
 MAX_WAIT_S = 1.0
@@ -34,7 +34,7 @@
 
 def keep_s(request: _forward_types.CallerRequest) -> float:
     """Return how long the caller of an attempt may resume its stream."""
-    return (request.patience_s or DEFAULT_PATIENCE_S) + RESUME_S
+    return request.assumed_patience_s + RESUME_S
 
 
 def is_resumption(
@@ -46,6 +46,20 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Found:
+    """The result of a look-up.
+
+    Args:
+        source: who was asked last.
+        error: why the leader did not answer.
+    """
+
+    origin: control.StreamOrigin | None
+    source: str
+    error: wire.ServingError | None = None
+
+
 class Origins:
     """Notes where streams began, and finds it for those that are resumed."""
 
@@ -75,19 +89,8 @@
             OriginUnknownError: nobody knows, so the stream can't go on.
         """
         started_at = self._clock.now()
-        stream = stream_name(member, request) if request.resumes else ""
-        within_s = max(route.timeout_s, DEFAULT_PATIENCE_S) + RESUME_S
-        origin, source = self._session.streams.find(stream), "own"
-        error: wire.ServingError | None = None
-        if origin is None:
-            source = "leader"
-            try:
-                origin = await self._ask_leader(
-                    stream, route, within_s, request
-                )
-            except wire.ServingError as caught:
-                error = caught
-        known = origin is not None and origin.software is not None
+        found = await self._look_up(request, route, member)
+        origin = found.origin
         observe.log_event(
             "route",
             "origin",
@@ -96,28 +99,44 @@
             resume=request.resume_after,
             pool=origin.pool if origin is not None else None,
             software=origin.software if origin is not None else None,
-            source=source if known else None,
-            error=error.code if error is not None else None,
+            source=found.source,
+            error=found.error.code if found.error is not None else None,
             leader_silent_s=_finite(self._session.silent_s()),
             took_s=round(self._clock.now() - started_at, 4),
         )
-        if not known:
+        if origin is None or origin.software is None:
             raise _attempt.OriginUnknownError(
                 "It is not known which version of the target's software "
                 "began the stream, so it can't go on. Start a new stream.",
-                retry_after_s=RETRY_AFTER_S if error is not None else None,
-            ) from error
+                retry_after_s=RETRY_AFTER_S if found.error else None,
+            ) from found.error
         return origin
 
+    async def _look_up(
+        self,
+        request: _forward_types.CallerRequest,
+        route: catalogue.Route,
+        member: str,
+    ) -> _Found:
+        stream = stream_name(member, request) if request.resumes else ""
+        origin = self._session.streams.find(stream)
+        if origin is not None:
+            return _Found(origin, "own")
+        try:
+            origin = await self._ask_leader(stream, route, request)
+        except wire.ServingError as error:
+            return _Found(None, "leader", error)
+        return _Found(origin, "leader")
+
     async def _ask_leader(
         self,
         stream: str,
         route: catalogue.Route,
-        within_s: float,
         request: _forward_types.CallerRequest,
     ) -> control.StreamOrigin | None:
-        patience_s = request.patience_s or DEFAULT_PATIENCE_S
-        wait_s = min(MAX_WAIT_S, patience_s * WAIT_SHARE)
+        longest_s = max(route.timeout_s, _forward_types.DEFAULT_PATIENCE_S)
+        within_s = longest_s + RESUME_S
+        wait_s = min(MAX_WAIT_S, request.assumed_patience_s * WAIT_SHARE)
         found = await self._session.leader.ask(
             control.FIND_STREAM,
             control.FindStream(stream, route.name, within_s, wait_s),
