Routing: the leader learns that a stream began at an unknown version

An entry that lists another version of a target's software than the grant states notes the stream as begun at an unknown one, but didn't tell the leader, which keeps the version that it granted. If that entry was lost, its caller's stream went on at a version that may not be the one that began it. Found by reading; no start of the users' platform comes back under its id.

Such a stream is reported with the next heartbeat. New scenario began_at_an_unknown_version: without the change it "ran at ['t1-1']" and completed; now it is refused at once, as not run.

--- a/features/software.feature
+++ b/features/software.feature
@@ -22,6 +22,7 @@
       | one_of_many_runs_the_version    |
       | version_changes_under_its_id    |
       | lists_of_different_age          |
+      | began_at_an_unknown_version     |
       | no_version_is_stated            |
       | resumed_a_third_time            |
       | entry_of_the_stream_lives       |
--- a/features/support/software.py
+++ b/features/support/software.py
@@ -533,6 +533,21 @@
         return []
 
 
+async def began_at_an_unknown_version() -> list[str]:
+    """The leader learns that it granted a target of an unknown version."""
+    async with World(("v1", "v1", "v1"), holds=True) as world:
+        target_by_id = world.entries[0].session.digest.target_by_id
+        for target_id, info in list(target_by_id.items()):
+            target_by_id[target_id] = dataclasses.replace(info, software="v2")
+        world.event_s = 0.5
+        caller, asking = await world.begin("c")
+        await asyncio.sleep(1.0)
+        await world.kill_entry(0)
+        await asking
+        await caller.ask(world.entries[0])
+        return caller.not_refused_at_once()
+
+
 async def no_version_is_stated() -> list[str]:
     """Streams go on if no target states a version, not if it is unknown."""
     faults = []
@@ -929,6 +944,7 @@
         one_of_many_runs_the_version,
         version_changes_under_its_id,
         lists_of_different_age,
+        began_at_an_unknown_version,
         no_version_is_stated,
         resumed_after_its_entry_was_killed,
         resumed_a_third_time,
--- a/libs/routing/src/bergamotsail/routing/_origins.py
+++ b/libs/routing/src/bergamotsail/routing/_origins.py
@@ -68,14 +68,21 @@
         self._clock = clock
 
     def note(self, attempt: _attempt.Attempt) -> None:
-        """Note where the stream of an attempt began."""
-        if attempt.origin is not None:
-            self._session.streams.note(
-                stream_name(attempt.caller.name, attempt.request),
-                attempt.origin,
-                keep_s(attempt.request),
-                attempt.granted_term,
-            )
+        """Note where the stream of an attempt began.
+
+        The leader that granted its placement knows, unless this daemon lists
+        another version of the target's software.
+        """
+        origin = attempt.origin
+        if origin is None:
+            return
+        known_to = -1 if origin.software is None else attempt.granted_term
+        self._session.streams.note(
+            stream_name(attempt.caller.name, attempt.request),
+            origin,
+            keep_s(attempt.request),
+            known_to,
+        )
 
     async def find(
         self,
