Routing: bound the age of a resumed stream by its route's timeout

A caller that doesn't name the attempt that began its stream, or whose attempt nobody knows, is served if the leader has seen one pool and version only since before the stream can have begun.

An attempt ends by its route's timeout, and a caller comes back within its patience. Twice the longer of the two bounds the age: 10 s for routes of 5 s.

--- a/libs/routing/src/bergamotsail/routing/_origins.py
+++ b/libs/routing/src/bergamotsail/routing/_origins.py
@@ -16,6 +16,10 @@
 
 # How long after its patience ended a caller may still resume its stream.
 RESUME_S = 15.0
+# Upper bound of the age of a stream that is resumed, as a multiple of the
+# route's timeout or of the time that its caller still waits. A caller doesn't
+# say how long it has waited already.
+AGE_FACTOR = 2.0
 # A new leader may delay its reply by this, and by this share of the caller's
 # patience, until it has heard of the streams.
 MAX_WAIT_S = 1.0
@@ -141,8 +145,8 @@
         route: catalogue.Route,
         request: _forward_types.CallerRequest,
     ) -> control.StreamOrigin | None:
-        longest_s = max(route.timeout_s, _forward_types.DEFAULT_PATIENCE_S)
-        within_s = longest_s + RESUME_S
+        longest_s = max(route.timeout_s, request.assumed_patience_s)
+        within_s = AGE_FACTOR * longest_s
         wait_s = min(MAX_WAIT_S, request.assumed_patience_s * WAIT_SHARE)
         found = await self._session.leader.ask(
             control.FIND_STREAM,
