Log which version answered, and how the origin of a stream is known

`route answer` names the software version of its target. `source` in `route origin` now tells the leader's record of the stream from the only pool and version that can have begun it; both were "leader".

--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -34,6 +34,7 @@
 StreamOrigin = _messages.StreamOrigin
 FIND_STREAM = _messages.FIND_STREAM
 FindStream = _messages.FindStream
+FoundStream = _messages.FoundStream
 StreamNotes = _streams.StreamNotes
 StreamTable = _streams.StreamTable
 Use = _messages.Use
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -366,21 +366,25 @@
         term = self._current_term()
         settled_at = term.started_at + STREAMS_REPORTED_S
         until = min(self._clock.now() + request.wait_s, settled_at)
-        while (origin := self._origin_of(term, request)) is None:
+        while (found := self._find_origin(term, request)).origin is None:
             if self._clock.now() >= until:
                 break
             await self._clock.sleep(STREAM_POLL_S)
         if not self._node.holds_lease() or self._current_term() is not term:
             raise self._node.not_leader()
-        return _messages.FoundStream(origin)
+        return found
 
-    def _origin_of(
+    def _find_origin(
         self, term: _Term, request: _messages.FindStream
-    ) -> _messages.StreamOrigin | None:
+    ) -> _messages.FoundStream:
+        origin = self._streams.find(term.term, request.stream)
+        if origin is not None:
+            return _messages.FoundStream(origin, "record")
         now = self._clock.now()
-        return self._streams.find(
-            term.term, request.stream
-        ) or term.softwares.sole(request.route, now - request.within_s, now)
+        origin = term.softwares.sole(
+            request.route, now - request.within_s, now
+        )
+        return _messages.FoundStream(origin, "sole" if origin else None)
 
     async def on_status(
         self, request: _messages.Status
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -380,9 +380,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundStream:
-    """Where a stream began; None if that is not known."""
+    """Where a stream began; None if that is not known.
+
+    Args:
+        source: how it is known: ``record`` of the stream itself, or ``sole``
+            if all streams of the route must have begun there.
+    """
 
     origin: StreamOrigin | None
+    source: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/routing/src/bergamotsail/routing/_answers.py
+++ b/libs/routing/src/bergamotsail/routing/_answers.py
@@ -64,6 +64,7 @@
             "answer",
             request=attempt.request.id,
             target=attempt.target,
+            software=attempt.software,
             status=head.status,
             framing=head.framing,
             own=parsed.own,
--- a/libs/routing/src/bergamotsail/routing/_origins.py
+++ b/libs/routing/src/bergamotsail/routing/_origins.py
@@ -55,12 +55,14 @@
     """The result of a look-up.
 
     Args:
-        source: who was asked last.
+        source: how it is known: from the ``own`` notes, the leader's
+            ``record`` of the stream, or as the ``sole`` possible origin;
+            None if it is not.
         error: why the leader did not answer.
     """
 
     origin: control.StreamOrigin | None
-    source: str
+    source: str | None
     error: wire.ServingError | None = None
 
 
@@ -134,26 +136,25 @@
         if origin is not None:
             return _Found(origin, "own")
         try:
-            origin = await self._ask_leader(stream, route, request)
+            found = await self._ask_leader(stream, route, request)
         except wire.ServingError as error:
-            return _Found(None, "leader", error)
-        return _Found(origin, "leader")
+            return _Found(None, None, error)
+        return _Found(found.origin, found.source)
 
     async def _ask_leader(
         self,
         stream: str,
         route: catalogue.Route,
         request: _forward_types.CallerRequest,
-    ) -> control.StreamOrigin | None:
+    ) -> control.FoundStream:
         longest_s = max(route.timeout_s, request.assumed_patience_s)
         within_s = AGE_FACTOR * longest_s
         wait_s = min(MAX_WAIT_S, request.assumed_patience_s * WAIT_SHARE)
-        found = await self._session.leader.ask(
+        return await self._session.leader.ask(
             control.FIND_STREAM,
             control.FindStream(stream, route.name, within_s, wait_s),
             wait_s + ASK_MARGIN_S,
         )
-        return found.origin
 
 
 def pool_of(
