Routing: a request waits for a pause only of targets it may still use

A stream of a plain service that broke off was given up at once though the other target of its version was paused for 0.6 s: callers got a broken stream. The same holds for any request that a target failed.

Cause: the remaining pauses of all targets of the pool were compared, also of the one that had just failed the request and is avoided. Its pause is 0, so the pool counted as not paused, and as no target was left the request was given up.

--- a/features/software.feature
+++ b/features/software.feature
@@ -17,6 +17,7 @@
     Examples:
       | scenario                        |
       | none_left_of_the_version        |
+      | granted_late                    |
       | granted_without_a_leader        |
       | relayed_by_a_neighbour          |
       | one_of_many_runs_the_version    |
@@ -24,6 +25,8 @@
       | lists_of_different_age          |
       | began_at_an_unknown_version     |
       | no_version_is_stated            |
+      | resumed_after_its_entry_stopped |
+      | stream_of_another_member        |
       | resumed_a_third_time            |
       | entry_of_the_stream_lives       |
       | nobody_knows_the_stream         |
--- a/features/support/software.py
+++ b/features/support/software.py
@@ -222,9 +222,12 @@
         outcomes: "complete", "broken" or an error code, by attempt.
     """
 
-    def __init__(self, world: "World", name: str) -> None:
+    def __init__(
+        self, world: "World", name: str, token: str | None = None
+    ) -> None:
         self._world = world
         self.name = name
+        self._token = token
         self.first: str | None = None
         self.events: list[tuple[int, str]] = []
         self.outcomes: list[str] = []
@@ -257,6 +260,7 @@
             started_at,
             model if self._world.engine_spec is not None else None,
             resume_after=after,
+            token=self._token,
             resumes=resumes,
         )
         answer = _Answer(self, attempt)
@@ -399,10 +403,10 @@
         return next(t for t in self.targets if t.id == target)
 
     async def begin(
-        self, name: str, entry: int = 0
+        self, name: str, entry: int = 0, token: str | None = None
     ) -> tuple[Caller, asyncio.Task]:
         """Start a stream and wait until its caller has two events."""
-        caller = Caller(self, name)
+        caller = Caller(self, name, token)
         asking = asyncio.create_task(caller.ask(self.entries[entry]))
         while len(caller.events) < 2:
             if asking.done():
@@ -414,6 +418,48 @@
 # Within one answer.
 
 
+async def _wait_for_place(world: World, busy_s: float) -> list[str]:
+    """Break a stream while the other target of its version is busy."""
+    caller, asking = await world.begin("c")
+    running = world.running_target(caller)
+    (other,) = (
+        target
+        for target in world.targets
+        if target.software == running.software and target is not running
+    )
+    leader = (await world.leader()).member.address
+    placer = world.replica_by_address[leader].placer
+    record = placer._record_by_target.get(other.id)
+    if record is None:
+        notices = world.entries[0].session.notices
+        now = asyncio.get_running_loop().time()
+        notices.note_pause(other.id, busy_s, now)
+    else:
+        record.tokens += SPEC.memory_tokens
+    running.crash()
+    await asyncio.sleep(busy_s)
+    faults = [f"ended as {caller.outcomes}"] * asking.done()
+    if record is not None:
+        record.tokens -= SPEC.memory_tokens
+        placer._schedule_soon()
+    await asking
+    return faults + caller.faults() + caller.incomplete()
+
+
+async def granted_late() -> list[str]:
+    """A stream that waits for a target of its version is not sent elsewhere.
+
+    The only one left is full, or paused, for a while.
+    """
+    faults = []
+    for engines in (True, False):
+        for seed in range(3):
+            softwares = ("v1", "v2", "v1", "v2")
+            async with World(softwares, engines, seed=seed) as world:
+                faults += await _wait_for_place(world, 0.6)
+    return faults
+
+
 async def _broken_once(world: World) -> tuple[Caller, list[str]]:
     """Break a stream by crashing its target."""
     caller, asking = await world.begin("c")
@@ -591,6 +637,56 @@
     return faults
 
 
+async def resumed_after_its_entry_stopped() -> list[str]:
+    """A stream that a stopping entry cuts off goes on at another one."""
+    faults = []
+    for engines in (True, False):
+        softwares = ("v1", "v2", "v1", "v2", "v2", "v1")
+        async with World(softwares, engines) as world:
+            world.event_s = 1.0
+            caller, asking = await world.begin("c")
+            entry = world.entries[0]
+            entry.session.set_leaving()
+            await asyncio.sleep(1.0)
+            world.entries.remove(entry)
+            for serving in list(entry.serving):
+                serving.cancel()
+            await asking
+            await entry.__aexit__(None, None, None)
+            await caller.ask(world.entries[0])
+            faults += caller.faults() + caller.incomplete()
+    return faults
+
+
+async def stream_of_another_member() -> list[str]:
+    """A member can't resume the stream of another one."""
+    members = tuple(
+        catalogue.RouteMember(
+            name,
+            catalogue.Member(tokens_sha256=(catalogue.hash_token(name),)),
+        )
+        for name in ("m1", "m2")
+    )
+    faults = []
+    for engines in (True, False):
+        async with World(("v1", "v2", "v1", "v2"), engines) as world:
+            table = world.entries[0].session.view.routes.table
+            table = dataclasses.replace(table, version=3, members=members)
+            await fatal_world.growth._replace_table(world, table)
+            await asyncio.sleep(1.0)
+            world.event_s = 0.5
+            caller, asking = await world.begin("c", token="m1")
+            await asyncio.sleep(1.0)
+            other = Caller(world, "d", "m2")
+            await other.ask(world.entries[1], "c-0", "2")
+            faults += other.not_refused_at_once()
+            await world.kill_entry(0)
+            await asking
+            await caller.ask(world.entries[0])
+            faults += caller.faults() + caller.incomplete()
+    return faults
+
+
 async def resumed_a_third_time() -> list[str]:
     """Each further attempt names the first one, wherever it comes to."""
     faults = []
@@ -939,6 +1035,7 @@
     for scenario in (
         goes_on_at_the_same_version,
         none_left_of_the_version,
+        granted_late,
         granted_without_a_leader,
         relayed_by_a_neighbour,
         one_of_many_runs_the_version,
@@ -947,6 +1044,8 @@
         began_at_an_unknown_version,
         no_version_is_stated,
         resumed_after_its_entry_was_killed,
+        resumed_after_its_entry_stopped,
+        stream_of_another_member,
         resumed_a_third_time,
         entry_of_the_stream_lives,
         nobody_knows_the_stream,
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -374,13 +374,14 @@
         return _software.usable(attempt, self._session.open_targets())
 
     def _remaining_pauses_s(self, attempt: _attempt.Attempt) -> list[float]:
-        """Return the remaining pause of each target that is not leaving."""
+        """Return the remaining pause of each target that may still be used."""
         now = self._clock.now()
         notices = self._session.notices
         return [
             notices.pause_left_s(info.id, now)
             for info in self._session.digest.target_by_id.values()
             if info.pool == attempt.pool.name
+            and info.id not in attempt.avoid
             and not notices.is_marked_leaving(info)
             and _software.may_run(attempt, info)
         ]
