Routing: no remembered placement of another version after a lost grant

A stream that its caller resumed could hold two versions: the leader granted one and noted it, its reply was lost, the entry fell back on a remembered placement of another version and was killed before its next heartbeat. The next entry was told the version of the lost grant.

Once a leader may have granted a stream, the entry places it without the leader only if it lists one version in the pool; else the request waits for a leader and is refused as before. Streams that need a version, and requests that are no streams, are placed as before.

Why it works: what the entry may then choose has the version that the leader noted. Left: a version that the entry doesn't list yet.

--- a/features/software.feature
+++ b/features/software.feature
@@ -31,6 +31,7 @@
       | entry_of_the_stream_lives       |
       | nobody_knows_the_stream         |
       | first_entry_and_leader_are_lost |
+      | grant_is_lost_on_its_way        |
       | leader_leads_again              |
       | table_is_bounded                |
       | version_is_gone                 |
--- a/features/support/software.py
+++ b/features/support/software.py
@@ -756,6 +756,39 @@
     return faults
 
 
+async def grant_is_lost_on_its_way() -> list[str]:
+    """A lost grant of one version and a stream of another don't meet.
+
+    The entry remembers a placement at one version, asks the leader, which
+    grants another one, and does not get the reply. It is killed before its
+    next heartbeat.
+    """
+    faults = []
+    for seed in range(4):
+        softwares = ("v1", "v2")
+        async with World(softwares, holds=True, seed=seed) as world:
+            first = Caller(world, "a")
+            await first.ask(world.entries[0])
+            remembered = world.running_target(first)
+            leader = (await world.leader()).member.address
+            placer = world.replica_by_address[leader].placer
+            now = asyncio.get_running_loop().time()
+            placer._record_by_target[remembered.id].add_fault(now, 9.0)
+            for address in world.addresses:
+                world.network.cut(
+                    address, world.entries[0].address, both_ways=False
+                )
+            caller = Caller(world, "c")
+            asking = asyncio.create_task(caller.ask(world.entries[0]))
+            while not caller.events and not asking.done():
+                await asyncio.sleep(EVENT_S / 5)
+            await world.kill_entry(0)
+            await asking
+            await caller.ask(world.entries[0])
+            faults += caller.faults()
+    return faults
+
+
 async def leader_leads_again() -> list[str]:
     """What a replica noted in an earlier term of its own doesn't count."""
     table = control.StreamTable()
@@ -1050,6 +1083,7 @@
         entry_of_the_stream_lives,
         nobody_knows_the_stream,
         first_entry_and_leader_are_lost,
+        grant_is_lost_on_its_way,
         leader_leads_again,
         table_is_bounded,
         version_is_gone,
@@ -1112,6 +1146,13 @@
         "pending",
         lambda *_: (),
     ),
+    (
+        "use a remembered placement though another may be granted",
+        "grant_is_lost_on_its_way",
+        routing.PlacementClient,
+        "_may_place_alone",
+        lambda *_: True,
+    ),
     (
         "keep streams of earlier terms",
         "leader_leads_again",
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -42,6 +42,12 @@
 MAX_CACHED = 500
 CACHE_TTL_S = 20.0
 MAX_REDIRECTS = 2
+# Errors after which the leader has certainly not processed the call.
+UNPROCESSED_ERRORS = (
+    wire.NotSentError,
+    wire.NotLeaderError,
+    wire.LoadShedError,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -182,8 +188,9 @@
         deadline = started_at + request.patience_s
         pause_s = ASK_RETRY_S
         last: wire.ServingError | None = None
+        may_be_granted = False
         while (left_s := deadline - self._clock.now()) > 0:
-            found = self._place_without_leader(request, left_s)
+            found = self._place_without_leader(request, left_s, may_be_granted)
             if found is not None:
                 debit.take_here()
                 return self._register_use(request, found)
@@ -219,6 +226,7 @@
                 self._on_leader_reply()
                 return self._register_use(request, reply)
             except LeaderMovedError:
+                may_be_granted = True
                 continue
             except wire.StillWaitingError:
                 debit.mark_taken()
@@ -233,11 +241,15 @@
                 raise
             except wire.ServingError as error:
                 last = error
+                if not isinstance(error, UNPROCESSED_ERRORS):
+                    may_be_granted = True
                 self._requeue_releases(error, call_request.releases)
                 if isinstance(error, wire.LoadShedError):
                     self._leader_heard_at = self._clock.now()
                     pause_s = max(pause_s, error.retry_after_s or 0.0)
-                cached = self._cached_placement(request)
+                cached = None
+                if self._may_place_alone(request, may_be_granted):
+                    cached = self._cached_placement(request)
                 if cached is not None:
                     debit.take_here()
                     return self._register_use(request, cached)
@@ -264,12 +276,7 @@
         releases: placement.ReleaseRequest | None,
     ) -> None:
         """Requeue releases that the leader certainly did not process."""
-        unprocessed = (
-            wire.NotSentError,
-            wire.NotLeaderError,
-            wire.LoadShedError,
-        )
-        if releases is not None and isinstance(error, unprocessed):
+        if releases is not None and isinstance(error, UNPROCESSED_ERRORS):
             self._ended.extendleft(reversed(releases.ended))
             self._begun.extendleft(reversed(releases.begun))
 
@@ -294,8 +301,33 @@
         since_heard_s = self._clock.now() - self._leader_heard_at
         return min(since_heard_s, self._session.silent_s())
 
+    def _may_place_alone(
+        self, request: placement.PlaceRequest, may_be_granted: bool
+    ) -> bool:
+        """Whether a request may be placed without the leader.
+
+        A leader keeps the version that it granted as the one that begins the
+        stream. If its reply was lost, the stream must not begin at another.
+
+        Args:
+            may_be_granted: whether a leader may have granted the request.
+        """
+        if not may_be_granted or not request.stream:
+            return True
+        if request.software is not None:
+            return True
+        softwares = {
+            info.software
+            for info in self._session.digest.target_by_id.values()
+            if info.pool == request.pool
+        }
+        return len(softwares) == 1
+
     def _place_without_leader(
-        self, request: placement.PlaceRequest, left_s: float
+        self,
+        request: placement.PlaceRequest,
+        left_s: float,
+        may_be_granted: bool,
     ) -> placement.PlaceReply | None:
         """Return a placement found without the leader, once it is lost.
 
@@ -312,9 +344,11 @@
             if self._survey is not None:
                 self._survey.clear()
             return None
-        known = self._surveyed_placement(request) or self._cached_placement(
-            request
-        )
+        known = None
+        if self._may_place_alone(request, may_be_granted):
+            known = self._surveyed_placement(
+                request
+            ) or self._cached_placement(request)
         if known is None and _silence.outlasts(silent_s, left_s):
             raise wire.OverloadError(
                 "No leader is available to grant placements. Retry later.",
