Log the parts of a prompt that was lost with its target

"route lost" named the identity, route and adapter of a lost attempt. With these alone the crash of an engine can't be told to follow a part of the prompt, a whole request under changing identities, or our own orders. The line now has the shared parts, and whether an answer had begun.

--- a/libs/routing/src/bergamotsail/routing/_forward_types.py
+++ b/libs/routing/src/bergamotsail/routing/_forward_types.py
@@ -9,6 +9,8 @@
 
 # Patience of a caller that states none.
 DEFAULT_PATIENCE_S = 30.0
+# Parts of a prompt that are looked at; further ones are ignored.
+MAX_SHARED_PARTS = 8
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -30,6 +32,15 @@
     output_tokens: int
     parts: tuple[tuple[str, int], ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Identifiers of the parts that other requests may have, in order.
+
+        The last part belongs to the request or its session alone.
+        """
+        shared = self.parts[:-1][:MAX_SHARED_PARTS]
+        return tuple(part for part, _ in shared)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
--- a/libs/routing/src/bergamotsail/routing/_sending.py
+++ b/libs/routing/src/bergamotsail/routing/_sending.py
@@ -196,13 +196,16 @@
         Raises:
             RetryableError: no answer has started, or it can be resumed.
         """
+        model = attempt.request.model
         observe.log_event(
             "route",
             "lost",
             request=attempt.request.id,
             identity=attempt.tracked.identity,
+            parts=model.shared_parts if model is not None else None,
             body_bytes=len(attempt.request.body),
             target=attempt.target,
+            began=attempt.answer.started,
             since_send_s=round(self._clock.now() - attempt.sent_at, 4),
             beside=self._running_by_target[attempt.target] - 1,
             error=error.message,
