--- a/features/support/software.py
+++ b/features/support/software.py
@@ -99,6 +99,7 @@
         super().__init__(target, headers["expect"], request.body)
         self.gate = request.gate
         self._world = world
+        self._headers = headers
         self._adapter = headers.get("adapter")
         self._after = int(headers.get("resume", "0"))
         self._id = headers["id"]
@@ -138,12 +139,14 @@
 class Http(fatal_world.Http):
     """A client of one entry."""
 
+    exchange_type = Exchange
+
     def open(self, request, target, headers) -> Exchange:
         address = request.url.removeprefix("http://").strip("/")
         found = next(t for t in self._world.targets if t.address == address)
         if self._entry in self._world.cut_entries:
             raise wire.NotSentError("The connection was refused.")
-        return Exchange(self._world, found, request, dict(headers))
+        return self.exchange_type(self._world, found, request, dict(headers))
 
 
 class Dialect(fatal_world.Dialect):
