Routing: a failed answer clears no suspect of the quarantine

An engine that fails every second request with a fatal part kept crashing on the others: 29 crashes, 45 requests later than 3 s after the fifth (3 allowed).

Cause: any complete answer, also a 500 or a 504 in the queue, counted as proof that the request does not crash its target. A target may fail a request before it gets to the work that crashes it.

Change: only answers below 400 clear suspects, for engines and for plain services.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -33,5 +33,6 @@
       | part_is_named                  |
       | narrowest_explanation          |
       | any_order                      |
+      | failed_answers_clear_nothing   |
       | made_up_parts_evict_nobody     |
       | held_for_another_pool          |
--- a/features/support/prompt_parts.py
+++ b/features/support/prompt_parts.py
@@ -52,7 +52,12 @@
 class Exchange(software.Exchange):
     """An exchange with an engine that crashes on some parts."""
 
+    _failed = False
+
     async def pieces(self) -> collections.abc.AsyncIterator[bytes]:
+        if self._failed:
+            yield b"failed"
+            return
         fatal = self._world.fatal_part(self._parts)
         async for piece in super().pieces():
             if self._body in self._world.fatal_bodies:
@@ -65,9 +70,10 @@
 
     async def head(self) -> wire.ReplyHead:
         head = await super().head()
-        if head.status == 200 and self._world.next_fails():
-            return wire.ReplyHead(500, ())
-        return head
+        fatal = self._world.fatal_part(self._parts)
+        if fatal is not None and head.status == 200:
+            self._failed = self._world.next_fails()
+        return wire.ReplyHead(500, ()) if self._failed else head
 
     def connect(self) -> None:
         super().connect()
@@ -125,8 +131,8 @@
         self.crashes: list[Event] = []
         self.outcomes: list[Outcome] = []
         self.fatal_bodies: set[bytes] = set()
-        # One in so many answers is a failure, if it is not 0.
-        self.fails_every = 0
+        # Whether engines fail every second request with a fatal part.
+        self.fails_fatal = False
         self.last_error: wire.ServingError | None = None
         self._asked = 0
         self._answered = 0
@@ -147,9 +153,9 @@
         self.crashes.append(Event(now, part, target.id))
 
     def next_fails(self) -> bool:
-        """Whether an engine fails the next request."""
+        """Whether an engine fails the next request with a fatal part."""
         self._answered += 1
-        return self.fails_every > 0 and self._answered % self.fails_every == 0
+        return self.fails_fatal and self._answered % 2 == 0
 
     async def ask_parts(
         self,
@@ -598,9 +604,8 @@
     """An engine that fails such a request has not answered it."""
     async with World(attempts=1) as world:
         world.fatal = {FATAL_PART}
-        world.fails_every = 3
-        load = Load()
-        await play(world, load)
+        world.fails_fatal = True
+        await play(world, Load(gap_s=0.7))
         return world.late_arrivals(FATAL_PART)
 
 
--- a/features/support/quarantine.py
+++ b/features/support/quarantine.py
@@ -548,7 +548,7 @@
     (
         "report no successes",
         "popular_request_in_a_failed_rack",
-        (_fatal.QuarantineGuard, "served", lambda *_: None),
+        (_fatal.QuarantineGuard, "answered", lambda *_: None),
     ),
     (
         "run copies concurrently",
--- a/libs/routing/src/bergamotsail/routing/_fatal.py
+++ b/libs/routing/src/bergamotsail/routing/_fatal.py
@@ -20,6 +20,7 @@
 EXCLUSIVE_WAIT_SHARE = 0.25
 EXCLUSIVE_CALL_MARGIN_S = 0.3
 EXCLUSIVE_RETRY_S = 0.5
+CLIENT_ERROR = 400
 
 
 class TrackedRequest:
@@ -238,8 +239,16 @@
             tracked.lasts = True
             self._report_served(tracked, target, False)
 
-    def served(self, tracked: TrackedRequest, target: str) -> None:
-        """Report a complete answer, which clears its suspected keys."""
+    def answered(
+        self, tracked: TrackedRequest, target: str, status: int
+    ) -> None:
+        """Report a complete answer, which clears its suspected keys.
+
+        A failure clears nothing: the target may not have got to the part of
+        its work that crashes it.
+        """
+        if status >= CLIENT_ERROR:
+            return
         if self._report_served(tracked, target, True):
             tracked.end_reported = True
 
--- a/libs/routing/src/bergamotsail/routing/_sending.py
+++ b/libs/routing/src/bergamotsail/routing/_sending.py
@@ -17,8 +17,6 @@
 
 # Share of the time that is left that a request waits at a brittle target.
 SLOT_WAIT_SHARE = 0.25
-# Status codes from here on say that the target failed the request.
-CLIENT_ERROR = 400
 
 CallerRequest = _forward_types.CallerRequest
 Destination = _forward_types.Destination
@@ -137,7 +135,9 @@
             async with self._client.open(sending) as (exchange, head):
                 slot.release()
                 await self._answers.relay(attempt, exchange, head)
-            self._guard.served(attempt.tracked, destination.target)
+            self._guard.answered(
+                attempt.tracked, destination.target, head.status
+            )
         except wire.NotSentError as error:
             attempt.arrived = False
             self._log_not_sent(attempt, error)
--- a/libs/routing/src/bergamotsail/routing/_services.py
+++ b/libs/routing/src/bergamotsail/routing/_services.py
@@ -298,7 +298,7 @@
                     tracked, target.id, self._incarnation_name(target)
                 )
                 raise
-            self._guard.served(tracked, target.id)
+            self._guard.answered(tracked, target.id, reply.status)
             return reply
 
     def _incarnation_name(self, target: control.TargetInfo) -> str:
