Placement: quarantine messages of chats that crash owned engines

Now each message of a chat but the last is a key too; the counter, the catalogue entry and the answer are those of parts on routes. A prompt that is no chat has no parts.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -27,6 +27,7 @@
       | earlier_success                  |
       | random_faults                    |
       | fatal_prompt                     |
+      | fatal_message                    |
       | fatal_call                       |
 
   Scenario: Every disabled guard against such requests is noticed
--- a/features/support/fatal.py
+++ b/features/support/fatal.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import json
 import unittest.mock
 
 from bergamotsail import catalogue
@@ -31,11 +32,13 @@
     return world_lib.ClusterSettings(seed=seed)
 
 
-async def _ask(world: SimulatedCluster, number: int, prompt: str) -> str:
+async def _ask(
+    world: SimulatedCluster, number: int, prompt: str, chat: bool = False
+) -> str:
     """Send one completion; return its error code, or "served"."""
     at = world.entry(number % 5)
     request = routing.Completion(
-        f"fatal-{number}", "adapter-0", targets.Prompt(prompt, 4), 10.0
+        f"fatal-{number}", "adapter-0", targets.Prompt(prompt, 4, chat), 10.0
     )
     parts = at.daemon.completions.complete(
         routing.Caller(world_lib.MEMBERS[0]), request
@@ -60,7 +63,7 @@
 
     def start_or_crash(engine: standins.EngineStandIn, run: targets.Run):
         sequence = start(engine, run)
-        if run.prompt.text == FATAL:
+        if FATAL in run.prompt.text:
             crashed.append(run.stream_id)
             asyncio.get_running_loop().call_later(CRASH_S, engine.restart)
         return sequence
@@ -91,6 +94,37 @@
     return faults
 
 
+def _chat(*contents: str) -> str:
+    messages = [{"role": "user", "content": content} for content in contents]
+    return json.dumps(messages)
+
+
+async def fatal_message(seed: int = 1) -> list[str]:
+    """A chat message that crashes engines is quarantined, whatever follows.
+
+    Chats without it that share the first message are served.
+    """
+    crashed: list[str] = []
+    crashing = unittest.mock.patch.object(
+        standins.EngineStandIn, "_find_or_start", _crashing(crashed)
+    )
+    with crashing:
+        async with SimulatedCluster(_settings(seed)) as world:
+            outcomes, others = [], []
+            for number in range(REPEATS):
+                fatal = _chat("You book rooms.", FATAL, f"question {number}")
+                outcomes.append(await _ask(world, number, fatal, True))
+                await asyncio.sleep(2.0)
+                sound = _chat("You book rooms.", f"question {number}")
+                others.append(await _ask(world, REPEATS + number, sound, True))
+    faults = []
+    if len(crashed) > MAX_CRASHES or outcomes[-1] != "quarantined":
+        faults.append(f"{len(crashed)} engines crashed, outcomes {outcomes}")
+    if set(others) != {"served"}:
+        faults.append(f"other chats got {others}")
+    return faults
+
+
 async def fatal_call(seed: int = 1) -> list[str]:
     """A fatal non-idempotent call under new keys is quarantined, too.
 
--- a/features/support/quarantine.py
+++ b/features/support/quarantine.py
@@ -486,6 +486,7 @@
         earlier_success,
         random_faults,
         fatal.fatal_prompt,
+        fatal.fatal_message,
         fatal.fatal_call,
     )
 }
--- a/libs/placement/src/bergamotsail/placement/_engine_owner.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_owner.py
@@ -13,6 +13,7 @@
 from bergamotsail.placement import _jobs
 from bergamotsail.placement import _loads
 from bergamotsail.placement import _residents
+from bergamotsail.placement import _run_keys
 from bergamotsail.placement import _state
 from bergamotsail import quarantine
 from bergamotsail import targets
@@ -376,13 +377,21 @@
         held_by_id = self._session.view.quarantine_by_id
         if not held_by_id:
             return
-        entry = held_by_id.get(_identity(stream.job.request))
-        if entry is not None and entry.value.held:
-            raise wire.QuarantinedError(
-                f"This request crashed {entry.value.ends} engines that ran "
-                "it. Change it, or have an operator delete the catalogue "
-                f"entry quarantine {entry.id}."
-            )
+        request = stream.job.request
+        parts = _run_keys.part_keys(request, self.info.pool)
+        for key_id in (
+            _run_keys.identity(request),
+            *(key.id for key in parts),
+        ):
+            entry = held_by_id.get(key_id)
+            if entry is not None and entry.value.held:
+                part = entry.value.part
+                what = "request" if part is None else f"prompt's {part}"
+                raise wire.QuarantinedError(
+                    f"This {what} crashed {entry.value.ends} engines that "
+                    "ran it. Change it, or have an operator delete the "
+                    f"catalogue entry quarantine {entry.id}."
+                )
 
     def _note_lost(self, stream: _Stream, error: wire.PeerLostError) -> None:
         """Record that the engine may have crashed while running a request."""
@@ -398,12 +407,19 @@
         A served run is reported only while there are suspects.
         """
         observations = self._session.observations
-        if end is quarantine.RunEnd.SERVED and not observations.any_suspect:
-            return
-        request = stream.job.request
-        start = f"{self.info.id}/{stream.incarnation}"
+        request, pool = stream.job.request, self.info.pool
+        if end is quarantine.RunEnd.SERVED:
+            observations.served_parts.note(
+                request.payer, pool, _run_keys.parts(request.prompt)
+            )
+            if not observations.any_suspect:
+                return
         run = quarantine.Run(
-            _identity(request), request.payer, self.info.pool, start
+            _run_keys.identity(request),
+            request.payer,
+            pool,
+            f"{self.info.id}/{stream.incarnation}",
+            _run_keys.part_keys(request, pool),
         )
         observations.note(run, end)
         self._session.kick()
@@ -565,15 +581,3 @@
     def _reachable(self) -> bool:
         silent_s = self._clock.now() - self._report_at
         return silent_s < UNREACHABLE_AFTER_S
-
-
-def _identity(request: _jobs.RunRequest) -> str:
-    """Return an id that is equal for all repeats of a request."""
-    prompt = request.prompt
-    return quarantine.identity(
-        request.payer,
-        request.adapter,
-        str(prompt.text),
-        str(prompt.max_tokens),
-        str(prompt.chat),
-    )
