--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -16,17 +16,22 @@
       | quick_succession               |
       | once_per_attempt               |
       | rare                           |
+      | slow_engines                   |
+      | long_answers                   |
       | beside_other_crashes           |
       | beside_failed_racks            |
       | leader_lost_before_fifth       |
       | leader_lost_at_third           |
       | entries_restarted              |
+      | all_entries_restarted          |
+      | restarted_into_crashes         |
       | two_parts_in_turn              |
       | fatal_on_a_new_part            |
       | part_turns_fatal               |
       | without_power                  |
       | fatal_request_is_no_fatal_part |
       | crashes_of_other_causes        |
+      | popular_part_runs_together     |
       | other_members_part             |
       | runs_again_after_hold          |
       | operator_releases              |
@@ -36,3 +41,7 @@
       | failed_answers_clear_nothing   |
       | made_up_parts_evict_nobody     |
       | held_for_another_pool          |
+
+  Scenario: Every disabled guard against fatal parts is noticed
+    When each guard against fatal parts is disabled
+    Then each disabled guard is detected
--- a/features/support/prompt_parts.py
+++ b/features/support/prompt_parts.py
@@ -18,7 +18,9 @@
 from bergamotsail.control import _quarantine
 from bergamotsail import quarantine
 from bergamotsail.quarantine import _ends
+from bergamotsail.quarantine import _served
 from bergamotsail import routing
+from bergamotsail.routing import _fatal
 from bergamotsail import wire
 from features.support import fatal_world
 from features.support import ledger
@@ -429,6 +431,33 @@
     return await _check(Load(at_once=5, gap_s=7.0, for_s=60.0), attempts=1)
 
 
+async def slow_engines() -> list[str]:
+    """Prompts take long to read, and crashed engines to come back."""
+    faults = []
+    for seed in range(2):
+        with (
+            unittest.mock.patch.object(software, "FIRST_EVENT_S", 0.8),
+            unittest.mock.patch.object(fatal_world, "DOWN_S", 4.0),
+        ):
+            load = Load(gap_s=0.6, sound=12, subjects=60)
+            faults += await _check(load, attempts=1, entries=9, seed=seed)
+    return faults
+
+
+async def long_answers() -> list[str]:
+    """Answers last for longer than the pause between crashes."""
+    load = Load(gap_s=0.6, sound=8, subjects=60)
+    async with World(attempts=1) as world:
+        world.event_s = 0.6
+        await play(world, dataclasses.replace(load, fatal=(), for_s=6.0))
+        world.fatal = {FATAL_PART}
+        await play(world, load)
+        faults = checked(world, load)
+        if world.held_parts() - {None} != {FATAL_PART}:
+            faults.append(f"held are {world.held_parts()}")
+        return faults
+
+
 async def beside_other_crashes() -> list[str]:
     """Engines crash for other causes, too."""
     return await _check(Load(), _crash_now_and_then)
@@ -454,6 +483,28 @@
     return await _check(Load(), _at_crash(2, _restart_two_entries))
 
 
+async def all_entries_restarted() -> list[str]:
+    """No entry remembers which parts it answered; leaders do count."""
+
+    async def restart_entries(world: World) -> None:
+        await asyncio.gather(*map(world.restart_entry, list(world.entries)))
+
+    return await _check(Load(), _at_crash(1, restart_entries))
+
+
+async def restarted_into_crashes() -> list[str]:
+    """Nobody remembers anything as such requests come."""
+    async with World() as world:
+        await world.restart_all()
+        world.fatal = {FATAL_PART}
+        load = Load(gap_s=0.4, sound=12)
+        await play(world, load)
+        faults = checked(world, load)
+        if world.held_parts() - {None} != {FATAL_PART}:
+            faults.append(f"held are {world.held_parts()}")
+        return faults
+
+
 async def two_parts_in_turn() -> list[str]:
     """Two parts are fatal, each with requests of its own."""
     shared = ((FIRST_PART, "bad"), (FIRST_PART, "worse"))
@@ -535,6 +586,30 @@
     return faults
 
 
+async def popular_part_runs_together() -> list[str]:
+    """Requests with a popular part don't wait for one another."""
+    (popular,) = quarantine.part_keys(
+        quarantine.identity("m1"), fatal_world.POOL, [FIRST_PART]
+    )
+    acquire = _quarantine.Quarantine.acquire_exclusive
+    waited = collections.Counter()
+
+    async def record(leader, boot, key_ids, wait_s) -> bool:
+        waited.update(key_ids)
+        return await acquire(leader, boot, key_ids, wait_s)
+
+    load = Load(fatal=(), for_s=8.0, subjects=1)
+    async with World() as world:
+        await play(world, load)
+        load = dataclasses.replace(load, for_s=24.0)
+        with unittest.mock.patch.object(
+            _quarantine.Quarantine, "acquire_exclusive", record
+        ):
+            await play(world, load, _crash_quickly(world))
+    times = waited[popular.id]
+    return [f"{times} requests asked to run alone"] * (times > 0)
+
+
 async def _crash_quickly(world: World) -> None:
     """Crash an engine each 0.4 s for a while."""
     await asyncio.sleep(10.0)
@@ -676,6 +751,7 @@
     retried = [
         _observed(f"w{n // 2}", f"t{n}", 9.0 - n, "f", "x") for n in range(4)
     ]
+    mostly = [*alike[:2], _observed("v", "t2", 7.0, "f", "x")]
     once = [_observed(f"w{n}", f"t{n}", 9 + n / 9, "f", "x") for n in range(3)]
     answer = _observed("", "t9", 5, "f", "x", end=quarantine.RunEnd.SERVED)
     cases = (
@@ -685,6 +761,7 @@
         (wide, {"f"}),
         (served, set()),
         (retried, {"x"}),
+        (mostly, set()),
         (once, set()),
         ([*shared, answer], {"x"}),
         ([answer, *shared], set()),
@@ -807,17 +884,22 @@
         quick_succession,
         once_per_attempt,
         rare,
+        slow_engines,
+        long_answers,
         beside_other_crashes,
         beside_failed_racks,
         leader_lost_before_fifth,
         leader_lost_at_third,
         entries_restarted,
+        all_entries_restarted,
+        restarted_into_crashes,
         two_parts_in_turn,
         fatal_on_a_new_part,
         part_turns_fatal,
         without_power,
         fatal_request_is_no_fatal_part,
         crashes_of_other_causes,
+        popular_part_runs_together,
         other_members_part,
         runs_again_after_hold,
         operator_releases,
@@ -831,6 +913,91 @@
 }
 
 
+async def _allow(*_: object) -> bool:
+    """Allow every run."""
+    return True
+
+
+# Each mutant: name, the scenario that must fail, and the patch (object,
+# attribute, replacement) that disables a guard.
+MUTANTS = (
+    (
+        "count whole requests only",
+        "no_two_requests_alike",
+        (quarantine, "part_keys", lambda *_: ()),
+    ),
+    (
+        "blame a part for the losses of one request",
+        "narrowest_explanation",
+        (_ends, "MIN_ENDS_BEYOND_NARROWER", 0),
+    ),
+    (
+        "blame a popular part as soon as a new one",
+        "narrowest_explanation",
+        (_ends, "MAX_ENDS_OF_SERVED", _ends.MAX_ENDS),
+    ),
+    (
+        "let a loss count for all keys though one explains it",
+        "narrowest_explanation",
+        (_ends.LossCounter, "blame", lambda *_: None),
+    ),
+    (
+        "excuse a part by a narrower one that is answered",
+        "first_part",
+        (
+            _ends.LossCounter,
+            "_targets",
+            lambda counter, key_id: (
+                list(counter.find(key_id).loss_by_target)
+                if counter.find(key_id)
+                else []
+            ),
+        ),
+    ),
+    (
+        "remember no answered parts",
+        "popular_part_runs_together",
+        (_served.ServedParts, "served_at", lambda *_: None),
+    ),
+    (
+        "run requests with a suspected part together",
+        "rare",
+        (_quarantine.Quarantine, "acquire_exclusive", _allow),
+    ),
+    (
+        "run all requests at once after the hold",
+        "runs_again_after_hold",
+        (catalogue.View, "released_keys", frozenset()),
+    ),
+    (
+        "report explained losses again",
+        "operator_releases",
+        (quarantine.Observations, "forget", lambda *_: None),
+    ),
+    (
+        "take a failure for an answer",
+        "failed_answers_clear_nothing",
+        (_fatal, "CLIENT_ERROR", 1_000),
+    ),
+    (
+        "know nothing of other pools",
+        "held_for_another_pool",
+        (
+            _quarantine.Quarantine,
+            "_is_held_elsewhere",
+            lambda *_: False,
+        ),
+    ),
+)
+
+
 def run_scenario(name: str) -> list[str]:
     """Run a scenario in virtual time."""
     return ledger.run(SCENARIOS[name]())
+
+
+def run_mutant(number: int) -> list[str]:
+    """Run a mutant's scenario with its guard disabled."""
+    _, scenario, guard = MUTANTS[number]
+    with ledger.disabled_guard(guard):
+        return run_scenario(scenario)
