--- a/libs/quarantine/src/bergamotsail/quarantine/_ends.py
+++ b/libs/quarantine/src/bergamotsail/quarantine/_ends.py
@@ -278,25 +278,24 @@
         ids = {key.id}
         if key.part is None:
             ids.update(part.id for part in observation.parts)
-        suspect = self.find(key.id)
-        targets = suspect.targets() if suspect is not None else []
-        for target in (observation.target, *targets):
-            self._explain(target, ids)
-        self._latest_suspects = None
-
-    def _explain(self, target: str, ids: set[str]) -> None:
-        explained_by = self._explained_by_target.get(target)
-        if explained_by is not None:
-            ids = ids & explained_by
-        if ids == explained_by:
-            return
-        self._explained_by_target[target] = frozenset(ids)
-        if len(self._explained_by_target) > MAX_EXPLAINED:
-            self._explained_by_target.popitem(last=False)
+        targets = {observation.target, *self._targets(key.id)}
+        for target in targets:
+            others = self._explained_by_target.get(target)
+            self._explained_by_target[target] = frozenset(
+                ids if others is None else ids & others
+            )
         for suspects in self._by_member.values():
             for key_id, suspect in suspects.all():
-                if key_id not in ids:
-                    suspect.drop_loss(target)
+                if not targets.isdisjoint(suspect.loss_by_target):
+                    self._drop_explained(key_id, suspect)
+        while len(self._explained_by_target) > MAX_EXPLAINED:
+            self._explained_by_target.popitem(last=False)
+        self._latest_suspects = None
+
+    def _drop_explained(self, key_id: str, suspect: Suspect) -> None:
+        for target in list(suspect.loss_by_target):
+            if not self._may_explain(key_id, target):
+                suspect.drop_loss(target)
 
     def is_to_blame(self, key_id: str) -> bool:
         """Whether a key, and no narrower one, explains its losses.
