Log requests that the quarantine refuses, with the part that is to blame

An entry refused a held request without a line of its own, so its operators saw the code only. "route held" names the key, the part and its count, and "route other_copy" the suspected keys that another run has.

--- a/features/support/prompt_parts.py
+++ b/features/support/prompt_parts.py
@@ -16,6 +16,7 @@
 
 from bergamotsail import catalogue
 from bergamotsail.control import _quarantine
+from bergamotsail import observe
 from bergamotsail import quarantine
 from bergamotsail.quarantine import _ends
 from bergamotsail.quarantine import _served
@@ -685,18 +686,24 @@
 
 
 async def part_is_named() -> list[str]:
-    """A refused caller is told which part of the prompt to change."""
+    """A refused caller and the log are told which part it is."""
     async with World() as world:
         world.fatal = {FATAL_PART}
         await play(world, Load(for_s=10.0))
-        await world.ask_parts((FIRST_PART, FATAL_PART))
+        with unittest.mock.patch.object(observe, "log_event") as log_event:
+            await world.ask_parts((FIRST_PART, FATAL_PART))
         error = world.last_error
         faults = []
         if error is None or FATAL_PART not in error.message:
             faults.append(f"told {error}")
         elif error.ran is not wire.RunStatus.NOT_RUN:
             faults.append(f"said to have run: {error.ran}")
-        return faults
+        named = [
+            call.kwargs.get("prompt_part")
+            for call in log_event.call_args_list
+            if call.args == ("route", "held")
+        ]
+        return faults + [f"logged {named}"] * (named != [FATAL_PART])
 
 
 # Counting.
--- a/libs/routing/src/bergamotsail/routing/_fatal.py
+++ b/libs/routing/src/bergamotsail/routing/_fatal.py
@@ -104,6 +104,15 @@
             return
         self._metrics.count("requests_held", pool=tracked.pool)
         part = entry.value.part
+        observe.log_event(
+            "route",
+            "held",
+            request=tracked.request,
+            identity=entry.id,
+            prompt_part=part,
+            ends=entry.value.ends,
+            ran=tracked.ran,
+        )
         what = "This request" if part is None else f"Part {part} of the prompt"
         raise wire.QuarantinedError(
             f"{what} is quarantined: {entry.value.ends} targets were lost "
@@ -146,6 +155,13 @@
         if not await self._acquire_exclusive(
             tracked, key_ids, left_s * EXCLUSIVE_WAIT_SHARE
         ):
+            observe.log_event(
+                "route",
+                "other_copy",
+                request=tracked.request,
+                suspected=key_ids,
+                ran=tracked.ran,
+            )
             raise wire.OtherCopyError(
                 "Targets were lost while running this request or a part of "
                 "its prompt, and another such request is running. Retry when "
