Quarantine: answers evict no losses from a daemon's buffer

Since parts are keys, a popular part is a suspect after each crash, and every answer with it is noted. A daemon keeps 256 observations for the next leader; the answers of some seconds would push out the losses, which can't be observed again. Found by reading. With the oldest dropped, 1,000 answers left only answers to report; now answers are dropped first.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -40,6 +40,7 @@
       | any_order                      |
       | failed_answers_clear_nothing   |
       | made_up_parts_evict_nobody     |
+      | answers_evict_no_losses        |
       | held_for_another_pool          |
 
   Scenario: Every disabled guard against fatal parts is noticed
--- a/libs/placement/src/bergamotsail/placement/_engine_owner.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_owner.py
@@ -421,8 +421,8 @@
             f"{self.info.id}/{stream.incarnation}",
             _run_keys.part_keys(request, pool),
         )
-        observations.note(run, end)
-        self._session.kick()
+        if observations.note(run, end):
+            self._session.kick()
 
     def _abandon_reason(self, job: _jobs.Job) -> wire.ServingError | None:
         """Return an error if the engine is silent or the deadline passed."""
--- a/libs/quarantine/src/bergamotsail/quarantine/_observations.py
+++ b/libs/quarantine/src/bergamotsail/quarantine/_observations.py
@@ -129,7 +129,7 @@
     def __init__(self, clock: wire.Clock = wire.LoopClock()) -> None:
         self._clock = clock
         self._buffer: collections.deque[_NumberedObservation] = (
-            collections.deque(maxlen=MAX_BUFFERED)
+            collections.deque()
         )
         self._number = 0
         self._reported_term = -1
@@ -170,6 +170,7 @@
                 return False
             if end is RunEnd.SERVED:
                 self._lost_locally.difference_update(run.ids())
+        self._make_room()
         self._number += 1
         self._buffer.append(
             _NumberedObservation(
@@ -182,6 +183,24 @@
         )
         return True
 
+    def _make_room(self) -> None:
+        """Drop the oldest observation if there are too many.
+
+        Answers go first: there are many of them while a popular part is
+        suspected, and only losses can't be observed again.
+        """
+        if len(self._buffer) < MAX_BUFFERED:
+            return
+        oldest = next(
+            (
+                number
+                for number, noted in enumerate(self._buffer)
+                if noted.end is not RunEnd.LOST
+            ),
+            0,
+        )
+        del self._buffer[oldest]
+
     def _suspected_only(self, run: Run) -> Run:
         return dataclasses.replace(
             run,
