Test: random loads and faults beside a fatal part of prompts

Engines crash or lose connections, entries restart and leaders are lost in random order while requests that share a fatal part come singly or in bursts.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -29,6 +29,7 @@
       | fatal_on_a_new_part            |
       | part_turns_fatal               |
       | without_power                  |
+      | random_faults                  |
       | fatal_request_is_no_fatal_part |
       | crashes_of_other_causes        |
       | popular_part_runs_together     |
--- a/features/support/prompt_parts.py
+++ b/features/support/prompt_parts.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import dataclasses
+import random
 import unittest.mock
 
 from bergamotsail import catalogue
@@ -248,6 +249,43 @@
         return checked(world, Load()) + faults * (len(world.crashes) > before)
 
 
+async def random_faults() -> list[str]:
+    """Random loads beside crashes, lost connections, leaders and entries."""
+    return [fault for seed in range(4) for fault in await _random(seed)]
+
+
+async def _random(seed: int) -> list[str]:
+    rng = random.Random(seed)
+    load = Load(
+        ((FIRST_PART, FATAL_PART),),
+        at_once=rng.randint(1, 4),
+        gap_s=rng.uniform(0.3, 3.0),
+        sound=rng.randint(4, 12),
+        subjects=rng.randint(1, 60),
+    )
+    attempts = rng.choice((1, 2, 4))
+
+    async def disrupt(world: World) -> None:
+        for _ in range(rng.randint(3, 6)):
+            await asyncio.sleep(rng.uniform(1.0, 4.0))
+            await _inject_fault(world, rng)
+
+    faults = await _check(load, disrupt, seed=seed, attempts=attempts)
+    return [f"seed {seed}: {fault}" for fault in faults]
+
+
+async def _inject_fault(world: World, rng: random.Random) -> None:
+    what = rng.randrange(4)
+    if what == 0:
+        rng.choice(world.targets).crash()
+    elif what == 1:
+        rng.choice(world.targets).disconnect()
+    elif what == 2:
+        await world.restart_entry(rng.choice(world.entries))
+    else:
+        await _lose_leader(world)
+
+
 # Requests that share a part which isn't fatal.
 
 
@@ -426,6 +464,7 @@
         fatal_on_a_new_part,
         part_turns_fatal,
         without_power,
+        random_faults,
         fatal_request_is_no_fatal_part,
         crashes_of_other_causes,
         popular_part_runs_together,
