--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -22,6 +22,7 @@
       | beside_failed_racks            |
       | leader_lost_before_fifth       |
       | leader_lost_at_third           |
+      | leader_lost_after_hold         |
       | entries_restarted              |
       | all_entries_restarted          |
       | restarted_into_crashes         |
--- a/features/support/prompt_parts.py
+++ b/features/support/prompt_parts.py
@@ -178,6 +178,16 @@
     return await _check(Load(), _at_crash(3, _lose_leader))
 
 
+async def leader_lost_after_hold() -> list[str]:
+    """The leader is lost once the part is in quarantine."""
+
+    async def lose_later(world: World) -> None:
+        await asyncio.sleep(1.5)
+        await _lose_leader(world)
+
+    return await _check(Load(), _at_crash(3, lose_later))
+
+
 async def entries_restarted() -> list[str]:
     """Two of three entries forget what they saw."""
     return await _check(Load(), _at_crash(2, _restart_two_entries))
@@ -457,6 +467,7 @@
         beside_failed_racks,
         leader_lost_before_fifth,
         leader_lost_at_third,
+        leader_lost_after_hold,
         entries_restarted,
         all_entries_restarted,
         restarted_into_crashes,
