Placement: log what deciding costs the scheduler

The line `place state` now has the number of decisions, of the engines weighed for them, and the time of both. No decision changes.

--- a/libs/placement/src/bergamotsail/placement/_decisions.py
+++ b/libs/placement/src/bergamotsail/placement/_decisions.py
@@ -62,6 +62,19 @@
     target: str | None = dataclasses.field(default=None, compare=False)
 
 
+@dataclasses.dataclass(slots=True)
+class DecisionCounts:
+    """What deciding has cost so far.
+
+    Args:
+        decided: number of decisions.
+        weighed: number of engines whose cost was computed for them.
+    """
+
+    decided: int = 0
+    weighed: int = 0
+
+
 Decision = Run | Load | Wait
 PlacementDemand = _place_policy.PlacementDemand
 EngineRecord = _engine_record.EngineRecord
@@ -89,6 +102,7 @@
         self._policy = policy
         self._settings = settings
         self._is_current = is_current
+        self.counts = DecisionCounts()
         self._sorted_by_pool: dict[str, tuple[float, list[EngineRecord]]] = {}
 
     def decide(
@@ -104,6 +118,7 @@
             wanted: adapters that other requests wait for; not evicted.
             may_load: whether load orders are allowed now.
         """
+        self.counts.decided += 1
         if not demand.name[1]:
             return self._run_anywhere(demand, now)
         holders = [
@@ -118,7 +133,7 @@
         ]
         best = min(
             (
-                (self._policy.run_cost_s(record, demand, now), number, record)
+                (self._run_cost_s(record, demand, now), number, record)
                 for number, (record, slot) in enumerate(resident)
                 if slot.state is State.READY
                 and self._is_current(demand.name, slot, now)
@@ -146,11 +161,17 @@
                 return alternative
         return Run(cheapest.info.id)
 
+    def _run_cost_s(
+        self, record: EngineRecord, demand: PlacementDemand, now: float
+    ) -> float:
+        self.counts.weighed += 1
+        return self._policy.run_cost_s(record, demand, now)
+
     def _run_anywhere(self, demand: PlacementDemand, now: float) -> Decision:
         """Decide for a request to the base model, which needs no adapter."""
         best = min(
             (
-                (self._policy.run_cost_s(record, demand, now), number, record)
+                (self._run_cost_s(record, demand, now), number, record)
                 for number, record in enumerate(
                     self._least_loaded_first(demand, now)
                 )
@@ -186,7 +207,7 @@
         ]
         for record, slot in loading:
             left_s = max(0.0, slot.ready_at - now)
-            run_s = self._policy.run_cost_s(record, demand, now)
+            run_s = self._run_cost_s(record, demand, now)
             if left_s + run_s < limit_s:
                 return Wait(True)
         if loading:
@@ -213,6 +234,7 @@
             ):
                 continue
             found = self._find_slot(record, wanted, now)
+            self.counts.weighed += 1
             cost_s = self._policy.load_cost_s(
                 record, demand, now, found is not None
             )
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -153,6 +153,10 @@
         self._decider = _decisions.Decider(
             self._record_by_target, policy, settings, self._is_current
         )
+        # Since the state was last logged: time in seconds spent to decide for
+        # arriving requests, and in passes for waiting ones.
+        self._arrivals_took_s = 0.0
+        self._passes_took_s = 0.0
         self._waiters: list[_waiting.Waiter] = []
         self._store = _engine_orders.StoreLoadLock()
         self._background = wire.BackgroundTasks()
@@ -217,7 +221,9 @@
         self._waiters.append(waiter)
         try:
             now = self._clock.now()
-            if not self._try_grant(waiter, now):
+            granted = self._try_grant(waiter, now)
+            self._arrivals_took_s += self._clock.now() - now
+            if not granted:
                 self._check_tenure(waiter)
                 self._log_wait(waiter)
                 self._schedule_soon()
@@ -599,7 +605,8 @@
                 self._fail_waiters()
 
     def _log_state(self) -> None:
-        """Log the recorded state of all engines."""
+        """Log the recorded state of all engines and what decisions cost."""
+        counts = self._decider.counts
         observe.log_event(
             "place",
             "state",
@@ -615,11 +622,17 @@
                 ),
                 3,
             ),
+            decided=counts.decided,
+            weighed=counts.weighed,
+            arrivals_took_s=round(self._arrivals_took_s, 4),
+            passes_took_s=round(self._passes_took_s, 4),
             engines={
                 target: orders.record.summary(self._clock.now())
                 for target, orders in self._orders_by_target.items()
             },
         )
+        counts.decided = counts.weighed = 0
+        self._arrivals_took_s = self._passes_took_s = 0.0
 
     async def _note_copies(self) -> None:
         """Persist new copies and removed targets for the next leader."""
@@ -704,6 +717,7 @@
             )
         self._waiters = [w for w in self._waiters if not w.done.done()]
         self._schedule_took_s = self._clock.now() - now
+        self._passes_took_s += self._schedule_took_s
         if self._names_left:
             self._schedule_soon()
 
