--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -32,3 +32,7 @@
 
   Scenario: Every mechanism of the placement decisions is needed
     Then the scenario of each mechanism fails without it
+
+  Scenario: Requests are not refused because deciding costs more in a large deployment
+    When placements are decided beside few and beside many engines
+    Then a decision costs about the same
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -2,6 +2,7 @@
 
 import behave
 
+from features.support import decision_cost
 from features.support import decisions
 
 
@@ -19,3 +20,13 @@
 def check_switches(context) -> None:
     undetected = decisions.undetected_switches()
     assert not undetected, undetected
+
+
+@behave.when("placements are decided beside few and beside many engines")
+def decide_beside_engines(context) -> None:
+    context.faults = decision_cost.cost_beside_many_engines()
+
+
+@behave.then("a decision costs about the same")
+def check_decision_cost(context) -> None:
+    assert not context.faults, context.faults
--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -244,7 +244,6 @@
         ),
     ) -> None:
         self.now = 100.0
-        self.weighed = 0
         pool = _pace.PoolPace()
         self.by_id = {
             f"e{n}": _engine_record.EngineRecord(
@@ -270,6 +269,14 @@
         self.by_id[target].slot_by_name[(MODEL, adapter)] = slot
         self.by_id[target].remember_copy((MODEL, adapter))
 
+    def add_prompt(self, target: str, adapter: str, priority: int = 0) -> None:
+        """Add a run whose prompt is unread to the record of an engine."""
+        self._number += 1
+        grant = _engine_record.Grant(
+            "b", str(self._number), (MODEL, adapter), 3_100, self.now
+        )
+        self.by_id[target].add(grant, (), 3_000, priority)
+
     def demand(
         self, adapter: str, tokens: int = 3_000
     ) -> _place_policy.PlacementDemand:
@@ -285,11 +292,7 @@
         names = {(MODEL, name) for name in (adapter, *wanted)}
         decision = self.decider.decide(self.demand(adapter), names, self.now)
         if isinstance(decision, _decisions.Run):
-            self._number += 1
-            grant = _engine_record.Grant(
-                "b", str(self._number), (MODEL, adapter), 3_100, self.now
-            )
-            self.by_id[decision.target].add(grant, (), 3_000)
+            self.add_prompt(decision.target, adapter)
         return decision
 
 
