Placement: a decision costs the same beside many busy engines

Cause: each decision looked at all engines for the adapter and for copies, added up all unread prompts of each engine that it weighed, and collected the names of all waiting requests. Class: a cost that grows with the load that it has to carry. The line `place state` shows 1,450 decisions and 12,500 to 17,000 weighed engines a second, 0.4 s of each second of the leader.

Change: engines are indexed by adapter and by copy; unread prompts are counted by priority as they come and go; waiting requests are kept by adapter; engines whose cheapest possible load costs too much are not weighed, and slots are searched last. A pool of over 64 engines is sorted in turns. Decisions are the same, but for ties and for such pools.

--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -21,6 +21,7 @@
 from bergamotsail import placement
 from bergamotsail.placement import _decisions
 from bergamotsail.placement import _engine_record
+from bergamotsail.placement import _engine_table
 from bergamotsail.placement import _pace
 from bergamotsail.placement import _place_policy
 from bergamotsail.placement import _place_settings
@@ -245,28 +246,24 @@
     ) -> None:
         self.now = 100.0
         pool = _pace.PoolPace()
-        self.by_id = {
-            f"e{n}": _engine_record.EngineRecord(
-                targets.Instance(f"e{n}", POOL, "10.0.0.1:1", "a"),
-                SPEC,
-                0,
-                pool,
-            )
-            for n in range(count)
-        }
-        for record in self.by_id.values():
+        table = _engine_table.EngineTable()
+        self.by_id = table.record_by_target
+        for n in range(count):
+            instance = targets.Instance(f"e{n}", POOL, "10.0.0.1:1", "a")
+            record = _engine_record.EngineRecord(instance, SPEC, 0, pool)
             record.known = True
             record.models = {MODEL}
+            table.add(record)
         self.policy = _place_policy.CopyAffinityPolicy()
         self.decider = _decisions.Decider(
-            self.by_id, self.policy, settings, lambda *_: True
+            table, self.policy, settings, lambda *_: True
         )
         self._number = 0
 
     def hold(self, target: str, adapter: str, **fields: object) -> None:
         """Make an adapter resident at an engine."""
         slot = _engine_record.Slot(1, _engine_record.SlotState.READY, **fields)
-        self.by_id[target].slot_by_name[(MODEL, adapter)] = slot
+        self.by_id[target].put_slot((MODEL, adapter), slot)
         self.by_id[target].remember_copy((MODEL, adapter))
 
     def add_prompt(self, target: str, adapter: str, priority: int = 0) -> None:
@@ -338,7 +335,7 @@
     slot = _engine_record.Slot(
         1, _engine_record.SlotState.LOADING, ready_at=engines.now + 0.2
     )
-    engines.by_id["e1"].slot_by_name[(MODEL, "a1")] = slot
+    engines.by_id["e1"].put_slot((MODEL, "a1"), slot)
     decision = engines.decide("a1")
     return [] if decision == _decisions.Wait(True) else [str(decision)]
 
@@ -885,9 +882,10 @@
                 "b", f"running-{number}", (MODEL, "a1"), 100, loop.time()
             )
             holder.add(grant, (), 50)
-        engines.by_id["e1"].slot_by_name[(MODEL, "a1")] = _engine_record.Slot(
+        slot = _engine_record.Slot(
             1, _engine_record.SlotState.LOADING, ready_at=loop.time() + 2.0
         )
+        engines.by_id["e1"].put_slot((MODEL, "a1"), slot)
         leadership = unittest.mock.Mock(term=1)
         leadership.holds.return_value = True
         view = unittest.mock.Mock()
@@ -901,7 +899,8 @@
             observe.Metrics(),
         )
         placer._follow_term()
-        placer._record_by_target.update(engines.by_id)
+        for record in engines.by_id.values():
+            placer._engines.add(record)
         async with placer:
             asking = asyncio.create_task(placer.on_place(_place_request(1)))
             # Less than the interval between decisions for the same load.
--- a/libs/placement/src/bergamotsail/placement/_decisions.py
+++ b/libs/placement/src/bergamotsail/placement/_decisions.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from bergamotsail.placement import _engine_record
+from bergamotsail.placement import _engine_table
 from bergamotsail.placement import _place_policy
 from bergamotsail.placement import _place_settings
 
@@ -30,6 +31,8 @@
 # copy. The cost of a decision is proportional to it, and more engines gain
 # nothing since the least loaded ones are alike.
 MAX_LOAD_CANDIDATES = 10
+# Number of engines up to which a whole pool is sorted by load.
+MAX_SORTED = 64
 # Maximum age of the cached order of engines by load.
 MAX_SORT_AGE_S = 0.02
 
@@ -75,6 +78,15 @@
     weighed: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sorted:
+    """The least loaded engines of a pool at a time."""
+
+    at: float
+    revision: int
+    records: list[_engine_record.EngineRecord]
+
+
 Decision = Run | Load | Wait
 PlacementDemand = _place_policy.PlacementDemand
 EngineRecord = _engine_record.EngineRecord
@@ -84,26 +96,28 @@
     """Decides for one request at a time.
 
     Args:
-        record_by_target: the records of all engines, which may change
-            between decisions.
+        engines: the records of all engines, which may change between
+            decisions.
         is_current: whether requests may start on the version in a slot.
     """
 
     def __init__(
         self,
-        record_by_target: collections.abc.Mapping[str, EngineRecord],
+        engines: _engine_table.EngineTable,
         policy: _place_policy.PlacePolicy,
         settings: _place_settings.PlaceSettings,
         is_current: collections.abc.Callable[
             [_engine_record.AdapterName, _engine_record.Slot, float], bool
         ],
     ) -> None:
-        self._record_by_target = record_by_target
+        self._engines = engines
         self._policy = policy
         self._settings = settings
         self._is_current = is_current
         self.counts = DecisionCounts()
-        self._sorted_by_pool: dict[str, tuple[float, list[EngineRecord]]] = {}
+        self._sorted_by_pool: dict[str, _Sorted] = {}
+        # Index of the engine that is next in turn to be sorted.
+        self._turn_by_pool: dict[str, int] = {}
 
     def decide(
         self,
@@ -122,9 +136,8 @@
         if not demand.name[1]:
             return self._run_anywhere(demand, now)
         holders = [
-            (record, slot)
-            for record in self._record_by_target.values()
-            if (slot := record.slot_by_name.get(demand.name)) is not None
+            (record, record.slot_by_name[demand.name])
+            for record in self._engines.holders(demand.name)
         ]
         resident = [
             (record, slot)
@@ -173,7 +186,7 @@
             (
                 (self._run_cost_s(record, demand, now), number, record)
                 for number, record in enumerate(
-                    self._least_loaded_first(demand, now)
+                    self._engines.pool(demand.pool)
                 )
                 if record.can_take(demand)
             ),
@@ -229,15 +242,18 @@
         best: tuple[float, int, EngineRecord] | None = None
         best_slot: tuple[_engine_record.AdapterName | None] | None = None
         for number, record in enumerate(self._load_candidates(demand, now)):
-            if demand.name in record.slot_by_name or not record.can_take(
-                demand
-            ):
+            if not record.can_take(demand):
+                continue
+            max_cost_s = limit_s if best is None else min(limit_s, best[0])
+            if self._policy.min_load_cost_s(record, demand, now) > max_cost_s:
                 continue
-            found = self._find_slot(record, wanted, now)
             self.counts.weighed += 1
-            cost_s = self._policy.load_cost_s(
-                record, demand, now, found is not None
-            )
+            cost_s = self._policy.load_cost_s(record, demand, now, True)
+            if cost_s > max_cost_s:
+                continue
+            found = self._find_slot(record, wanted, now)
+            if found is None:
+                cost_s = self._policy.load_cost_s(record, demand, now, False)
             if best is None or (cost_s, number) < best[:2]:
                 best, best_slot = (cost_s, number, record), found
         if best is None or best_slot is None or best[0] > limit_s:
@@ -247,42 +263,88 @@
     def _load_candidates(
         self, demand: PlacementDemand, now: float
     ) -> collections.abc.Iterator[EngineRecord]:
-        """Yield the least loaded engines and those with a copy."""
-        ordered = self._least_loaded_first(demand, now)
-        if demand.software is not None:
-            ordered = [
-                record
-                for record in ordered
-                if record.info.software == demand.software
-            ]
-        least_loaded = ordered[:MAX_LOAD_CANDIDATES]
-        yield from least_loaded
-        for record in ordered[MAX_LOAD_CANDIDATES:]:
-            if record.has_copy(demand.name):
+        """Yield engines without the adapter that may load it.
+
+        These are the least loaded ones and those with a copy.
+        """
+        least_loaded = self._least_loaded(demand, now)
+        for record in least_loaded:
+            if demand.name not in record.slot_by_name:
+                yield record
+        for record in self._engines.keepers(demand.name):
+            if (
+                demand.name not in record.slot_by_name
+                and record not in least_loaded
+            ):
                 yield record
 
-    def _least_loaded_first(
+    def _least_loaded(
         self, demand: PlacementDemand, now: float
     ) -> list[EngineRecord]:
-        """Return a pool's engines, the least loaded first.
+        """Return up to MAX_LOAD_CANDIDATES engines, the least loaded first.
 
         The order may be MAX_SORT_AGE_S old. A pool is not sorted if it has
         at most MAX_LOAD_CANDIDATES engines.
         """
-        at, ordered = self._sorted_by_pool.get(demand.pool, (0.0, []))
-        records = self._record_by_target
-        if ordered and now - at <= MAX_SORT_AGE_S:
-            if all(records.get(r.info.id) is r for r in ordered):
-                return ordered
-        ordered = [
-            record
-            for record in self._record_by_target.values()
-            if record.info.pool == demand.pool
-        ]
-        if len(ordered) > MAX_LOAD_CANDIDATES:
-            ordered.sort(key=lambda record: self._load_of(record, now))
-        self._sorted_by_pool[demand.pool] = (now, ordered)
-        return ordered
+        if demand.software is not None:
+            return self._sorted(
+                [
+                    record
+                    for record in self._engines.pool(demand.pool)
+                    if record.info.software == demand.software
+                ],
+                now,
+            )
+        latest = self._sorted_by_pool.get(demand.pool)
+        if (
+            latest is not None
+            and latest.revision == self._engines.revision
+            and now - latest.at <= MAX_SORT_AGE_S
+        ):
+            return latest.records
+        records = self._sorted(self._sample(demand.pool, latest), now)
+        self._sorted_by_pool[demand.pool] = _Sorted(
+            now, self._engines.revision, records
+        )
+        return records
+
+    def _sample(
+        self, pool: str, latest: _Sorted | None
+    ) -> collections.abc.Sequence[EngineRecord]:
+        """Return the engines of a pool to sort, at most MAX_SORTED.
+
+        In a larger pool these are the least loaded ones of the last time and
+        others in turn. Each is considered again within a few times, and the
+        cost doesn't grow with the pool.
+        """
+        records = self._engines.pool(pool)
+        if len(records) <= MAX_SORTED:
+            return records
+        sample = {
+            record.info.id: record
+            for record in (latest.records if latest is not None else ())
+            if self._engines.record_by_target.get(record.info.id) is record
+        }
+        turn = self._turn_by_pool.get(pool, 0)
+        for offset in range(MAX_SORTED - len(sample)):
+            record = records[(turn + offset) % len(records)]
+            sample[record.info.id] = record
+        self._turn_by_pool[pool] = (turn + MAX_SORTED) % len(records)
+        return list(sample.values())
+
+    def _sorted(
+        self, records: collections.abc.Sequence[EngineRecord], now: float
+    ) -> list[EngineRecord]:
+        """Return up to MAX_LOAD_CANDIDATES of them, sorted if there are more.
+
+        Args:
+            records: engines of a pool.
+        """
+        if len(records) > MAX_LOAD_CANDIDATES:
+            records = sorted(
+                records, key=lambda record: self._load_of(record, now)
+            )
+        return list(records[:MAX_LOAD_CANDIDATES])
 
     def _load_of(self, record: EngineRecord, now: float) -> float:
         """Return the load of an engine, infinite if it accepts no loads."""
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -289,12 +289,12 @@
         replaced = record.slot_by_name.get(name)
         uses = replaced.uses if replaced is not None else 0
         if victim is not None:
-            del record.slot_by_name[victim]
+            record.drop_slot(victim)
         load_s = COPY_LOAD_S if record.has_copy(name) else STORE_LOAD_S
         slot = _engine_record.Slot(
             version, State.LOADING, uses, now, now + load_s, newest_at=now
         )
-        record.slot_by_name[name] = slot
+        record.put_slot(name, slot)
         self._log(
             "load",
             adapter="/".join(name),
--- a/libs/placement/src/bergamotsail/placement/_engine_record.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_record.py
@@ -84,6 +84,31 @@
     granted_at: float
 
 
+class AdapterIndex:
+    """The records of the engines that have an adapter, by its name."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[AdapterName, dict[str, "EngineRecord"]] = {}
+
+    def add(self, name: AdapterName, record: "EngineRecord") -> None:
+        """Add an engine that has an adapter."""
+        self._by_name.setdefault(name, {})[record.info.id] = record
+
+    def discard(self, name: AdapterName, record: "EngineRecord") -> None:
+        """Remove an engine that no longer has an adapter."""
+        records = self._by_name.get(name, {})
+        if records.get(record.info.id) is record:
+            del records[record.info.id]
+            if not records:
+                del self._by_name[name]
+
+    def records(
+        self, name: AdapterName
+    ) -> collections.abc.Collection["EngineRecord"]:
+        """Return the records of the engines that have an adapter."""
+        return self._by_name.get(name, {}).values()
+
+
 class EngineRecord:
     """The scheduler's record of one incarnation of an engine.
 
@@ -119,21 +144,56 @@
         self.leaving = False
         # Whether its limit of requests a second allows one now.
         self.takes_requests = True
+        self._held_index = AdapterIndex()
+        self._copy_index = AdapterIndex()
+        self.slot_by_name: dict[AdapterName, Slot] = {}
+        self._copies: collections.OrderedDict[AdapterName, None] = (
+            collections.OrderedDict()
+        )
         self.reset()
 
+    def attach(self, held: AdapterIndex, copies: AdapterIndex) -> None:
+        """Keep the record's adapters and copies in the given indexes."""
+        self.detach()
+        self._held_index, self._copy_index = held, copies
+        for name in self.slot_by_name:
+            held.add(name, self)
+        for name in self._copies:
+            copies.add(name, self)
+
+    def detach(self) -> None:
+        """Remove the record from the indexes; later changes add nothing."""
+        self._drop_from_indexes()
+        self._held_index, self._copy_index = AdapterIndex(), AdapterIndex()
+
+    def _drop_from_indexes(self) -> None:
+        for name in self.slot_by_name:
+            self._held_index.discard(name, self)
+        for name in self._copies:
+            self._copy_index.discard(name, self)
+
+    def put_slot(self, name: AdapterName, slot: Slot) -> None:
+        """Add or replace the slot of an adapter."""
+        self.slot_by_name[name] = slot
+        self._held_index.add(name, self)
+
+    def drop_slot(self, name: AdapterName) -> None:
+        """Remove the slot of an adapter, if there is one."""
+        if self.slot_by_name.pop(name, None) is not None:
+            self._held_index.discard(name, self)
+
     def reset(self) -> None:
         """Reset the record after a restart of the engine."""
+        self._drop_from_indexes()
         self.known = False
         self.fenced = False
         self.sequence = 0
         self.models: set[str] = set()
-        self.slot_by_name: dict[AdapterName, Slot] = {}
+        self.slot_by_name = {}
         self.grant_by_request: dict[tuple[str, str], Grant] = {}
         self.tokens = 0
         self.reading = _pace.Reading(self._pool_pace)
-        self._copies: collections.OrderedDict[AdapterName, None] = (
-            collections.OrderedDict()
-        )
+        self._copies = collections.OrderedDict()
         self.new_copies: dict[AdapterName, None] = {}
         self._prefixes: collections.OrderedDict[
             tuple[AdapterName, str], None
@@ -211,7 +271,11 @@
             earlier = self.slot_by_name.get(name)
             if earlier is not None and earlier.version == slot.version:
                 slot.newest_at = earlier.newest_at
+        for name in self.slot_by_name:
+            self._held_index.discard(name, self)
         self.slot_by_name = slot_by_name
+        for name in slot_by_name:
+            self._held_index.add(name, self)
         self.known = True
 
     def shows_new_start(self, report: targets.AdapterReport) -> bool:
@@ -268,8 +332,10 @@
             self.new_copies[name] = None
         self._copies[name] = None
         self._copies.move_to_end(name)
+        self._copy_index.add(name, self)
         while len(self._copies) > self._max_copies:
-            self._copies.popitem(last=False)
+            oldest, _ = self._copies.popitem(last=False)
+            self._copy_index.discard(oldest, self)
 
     def restore_copies(self, names: collections.abc.Iterable[str]) -> None:
         """Restore the copies that an earlier leader recorded."""
--- a/libs/placement/src/bergamotsail/placement/_pace.py
+++ b/libs/placement/src/bergamotsail/placement/_pace.py
@@ -163,8 +163,13 @@
         self._prefill_since = 0.0
         self._pace = pool.pace()
         self._pace_at = float("-inf")
-        self._backlog_by_priority: dict[int, float] = {}
-        self._backlog_at = float("-inf")
+        # Number of the unread prompts and of their tokens, by priority.
+        self._count_by_priority: collections.Counter[int] = (
+            collections.Counter()
+        )
+        self._tokens_by_priority: collections.Counter[int] = (
+            collections.Counter()
+        )
 
     def pace(self, now: float) -> Pace:
         """Return the estimated speed, cached for MAX_ESTIMATE_AGE_S."""
@@ -179,13 +184,27 @@
         """Add a prompt that is sent to the engine."""
         if not self._unread:
             self._prefill_since = now
+        earlier = self._unread.get(key)
+        if earlier is not None:
+            self._subtract(earlier)
         self._unread[key] = _Unread(now, tokens, priority)
-        self._backlog_at = float("-inf")
+        self._count_by_priority[priority] += 1
+        self._tokens_by_priority[priority] += tokens
 
     def drop(self, key: tuple[str, str]) -> None:
         """Remove a prompt whose prefill has ended or is no longer needed."""
-        if self._unread.pop(key, None) is not None:
-            self._backlog_at = float("-inf")
+        unread = self._unread.pop(key, None)
+        if unread is not None:
+            self._subtract(unread)
+
+    def _subtract(self, unread: _Unread) -> None:
+        """Remove a prompt from the numbers by priority."""
+        priority = unread.priority
+        self._count_by_priority[priority] -= 1
+        self._tokens_by_priority[priority] -= unread.tokens
+        if not self._count_by_priority[priority]:
+            del self._count_by_priority[priority]
+            del self._tokens_by_priority[priority]
 
     def begun(self, key: tuple[str, str], first_s: float, now: float) -> None:
         """Record that the first answer came *first_s* after the grant."""
@@ -223,24 +242,14 @@
         """
         if not self._unread:
             return 0.0
-        if self._backlog_at != now:
-            self._backlog_at = now
-            self._backlog_by_priority.clear()
         lowest_priority = LOWEST_PRIORITY if priority is None else priority
-        if lowest_priority not in self._backlog_by_priority:
-            self._backlog_by_priority[lowest_priority] = (
-                self._compute_backlog_s(now, lowest_priority)
-            )
-        return self._backlog_by_priority[lowest_priority]
-
-    def _compute_backlog_s(self, now: float, lowest_priority: int) -> float:
         pace = self.pace(now)
-        ahead = [
-            unread
-            for unread in self._unread.values()
-            if unread.priority <= lowest_priority
-        ]
-        total_s = sum(pace.prefill_s(unread.tokens) for unread in ahead)
+        count = tokens = 0
+        for key, number in self._count_by_priority.items():
+            if key <= lowest_priority:
+                count += number
+                tokens += self._tokens_by_priority[key]
+        total_s = count * pace.fixed_s + tokens / pace.tokens_per_s
         oldest = next(iter(self._unread.values()))
         first_s = pace.prefill_s(oldest.tokens)
         spent_s = max(0.0, now - max(self._prefill_since, oldest.granted_at))
--- a/libs/placement/src/bergamotsail/placement/_place_policy.py
+++ b/libs/placement/src/bergamotsail/placement/_place_policy.py
@@ -71,9 +71,19 @@
         """Return the cost of loading the adapter there and then running.
 
         Args:
-            can_start: whether the load can start now.
+            can_start: whether the load can start now; the cost is not lower
+                if it can't.
         """
 
+    @abc.abstractmethod
+    def min_load_cost_s(
+        self,
+        record: _engine_record.EngineRecord,
+        demand: PlacementDemand,
+        now: float,
+    ) -> float:
+        """Return a lower bound of load_cost_s that is cheaper to compute."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CopyAffinityPolicy(PlacePolicy):
@@ -149,6 +159,16 @@
         waited_s = demand.waited_s * WAITING_WEIGHT
         return cost_s + self.slot_wait_s + waited_s
 
+    def min_load_cost_s(
+        self,
+        record: _engine_record.EngineRecord,
+        demand: PlacementDemand,
+        now: float,
+    ) -> float:
+        has_copy = record.has_copy(demand.name)
+        load_s = self.copy_load_s if has_copy else self.store_load_s
+        return load_s + record.reading.backlog_s(now, demand.priority)
+
 
 def _rank(target: str, name: _engine_record.AdapterName) -> float:
     """Return the hash rank of a target for an adapter, from 0 up to 10."""
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -22,6 +22,7 @@
 from bergamotsail.placement import _decisions
 from bergamotsail.placement import _engine_orders
 from bergamotsail.placement import _engine_record
+from bergamotsail.placement import _engine_table
 from bergamotsail.placement import _leadership
 from bergamotsail.placement import _pace
 from bergamotsail.placement import _place_messages
@@ -147,17 +148,18 @@
         self._term = -1
         self._term_at = 0.0
         self._orders_by_target: dict[str, _engine_orders.EngineOrders] = {}
-        self._record_by_target: dict[str, _engine_record.EngineRecord] = {}
+        self._engines = _engine_table.EngineTable()
+        self._record_by_target = self._engines.record_by_target
         # Targets of running requests, by the daemon's boot id and request.
         self._target_by_request: dict[str, dict[str, str]] = {}
         self._decider = _decisions.Decider(
-            self._record_by_target, policy, settings, self._is_current
+            self._engines, policy, settings, self._is_current
         )
         # Since the state was last logged: time in seconds spent to decide for
         # arriving requests, and in passes for waiting ones.
         self._arrivals_took_s = 0.0
         self._passes_took_s = 0.0
-        self._waiters: list[_waiting.Waiter] = []
+        self._waiters = _waiting.WaitingList()
         self._store = _engine_orders.StoreLoadLock()
         self._background = wire.BackgroundTasks()
         self._removed_targets: set[str] = set()
@@ -218,7 +220,7 @@
         done = asyncio.get_running_loop().create_future()
         arrived_at = self._clock.now() - request.waited_s
         waiter = _waiting.Waiter(request, arrived_at, done)
-        self._waiters.append(waiter)
+        self._waiters.add(waiter)
         try:
             now = self._clock.now()
             granted = self._try_grant(waiter, now)
@@ -229,8 +231,7 @@
                 self._schedule_soon()
             return await self._wait(waiter)
         finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+            self._waiters.discard(waiter)
 
     def _check_software(self, request: _place_messages.PlaceRequest) -> None:
         """Refuse a request at once if no engine has the software it needs.
@@ -419,7 +420,7 @@
             orders.record.add_fault(now, 0.5)
         elif ended.outcome is Outcome.ABSENT:
             if grant is not None:
-                orders.record.slot_by_name.pop(grant.name, None)
+                orders.record.drop_slot(grant.name)
             orders.reconcile()
 
     # Callbacks from the session coordinator.
@@ -508,7 +509,7 @@
                 )
         for target in set(self._orders_by_target) - seen:
             self._orders_by_target.pop(target).stop()
-            del self._record_by_target[target]
+            self._engines.remove(target)
             self._removed_targets.add(target)
         self._schedule_soon()
 
@@ -552,7 +553,7 @@
         )
         self._incarnation_count_by_name[name] += 1
         self._orders_by_target[info.id] = orders
-        self._record_by_target[info.id] = orders.record
+        self._engines.add(orders.record)
         if self._copy_registry is not None:
             orders.record.restore_copies(self._copy_registry.names(info.id))
         orders.reconcile()
@@ -582,7 +583,7 @@
         for orders in self._orders_by_target.values():
             orders.stop()
         self._orders_by_target.clear()
-        self._record_by_target.clear()
+        self._engines.clear()
         self._target_by_request.clear()
         self._blocked.clear()
         self._incarnation_count_by_name.clear()
@@ -708,14 +709,15 @@
         ] = {}
         for waiter in self._waiters:
             waiters_by_name.setdefault(waiter.name, []).append(waiter)
-        wanted = set(waiters_by_name)
+        wanted = self._waiters.names
         may_load = self._rights.may_order()
         while self._names_left and self._clock.now() - now < SCHEDULE_SLICE_S:
             name = self._names_left.popleft()
             self._decide_adapter(
                 name, waiters_by_name.get(name, []), wanted, now, may_load
             )
-        self._waiters = [w for w in self._waiters if not w.done.done()]
+        for waiter in [w for w in self._waiters if w.done.done()]:
+            self._waiters.discard(waiter)
         self._schedule_took_s = self._clock.now() - now
         self._passes_took_s += self._schedule_took_s
         if self._names_left:
@@ -792,7 +794,7 @@
         self._apply_rates(now)
         decision = self._decider.decide(
             self._demand(waiter, now),
-            _waiting.WantedNames(self._waiters),
+            self._waiters.names,
             now,
             self._rights.may_order(),
         )
--- a/libs/placement/src/bergamotsail/placement/_waiting.py
+++ b/libs/placement/src/bergamotsail/placement/_waiting.py
@@ -1,9 +1,10 @@
 """Requests that wait for a grant, and the order in which they are served."""
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
-import functools
+import typing
 
 from bergamotsail.placement import _engine_record
 from bergamotsail.placement import _pace
@@ -76,19 +77,56 @@
         )
 
 
-class WantedNames(collections.abc.Container):
-    """The adapters of waiting requests.
+class WaitingList(collections.abc.Collection[Waiter]):
+    """The requests that wait for a grant, and the adapters that they need.
 
-    They are collected when first needed, since most requests run on an engine
-    that holds their adapter.
+    Example::
+
+        waiting.add(waiter)
+        waiter.name in waiting.names  # True
     """
 
-    def __init__(self, waiters: collections.abc.Iterable[Waiter]) -> None:
-        self._waiters = waiters
+    def __init__(self) -> None:
+        self._waiters: dict[Waiter, None] = {}
+        self._count_by_name: collections.Counter[
+            _engine_record.AdapterName
+        ] = collections.Counter()
+
+    def __len__(self) -> int:
+        return len(self._waiters)
 
-    @functools.cached_property
-    def _names(self) -> set[_engine_record.AdapterName]:
-        return {waiter.name for waiter in self._waiters}
+    def __iter__(self) -> collections.abc.Iterator[Waiter]:
+        return iter(self._waiters)
 
-    def __contains__(self, name: object) -> bool:
-        return name in self._names
+    def __contains__(self, waiter: object) -> bool:
+        return waiter in self._waiters
+
+    @property
+    def names(self) -> collections.abc.Collection[_engine_record.AdapterName]:
+        """The adapters of the waiting requests."""
+        return self._count_by_name.keys()
+
+    def add(self, waiter: Waiter) -> None:
+        """Add a request that is not in the list."""
+        self._waiters[waiter] = None
+        self._count_by_name[waiter.name] += 1
+
+    def discard(self, waiter: Waiter) -> None:
+        """Remove a request if it is in the list."""
+        if waiter not in self._waiters:
+            return
+        del self._waiters[waiter]
+        self._count_by_name[waiter.name] -= 1
+        if not self._count_by_name[waiter.name]:
+            del self._count_by_name[waiter.name]
+
+    def sort(
+        self, key: collections.abc.Callable[[Waiter], typing.Any]
+    ) -> None:
+        """Sort the requests, as ``list.sort`` does."""
+        self._waiters = dict.fromkeys(sorted(self._waiters, key=key))
+
+    def clear(self) -> None:
+        """Remove all requests."""
+        self._waiters.clear()
+        self._count_by_name.clear()
