Orders: an unload without an answer is sent again

What callers saw: a request was sent to an engine that had lost its adapter, was refused there as not run, and had to be placed once more.

Cause: an unload that got no answer is given up, and a report settles the record. As long as the engine's sequence number stays the same, it may still carry out that unload, seconds later, and nothing looks at the record again. Class: an outcome that is unknown is taken for "not done".

Change: if the report shows that the engine has not carried it out, the same unload is sent again, with the same sequence number, so it runs once at most.

--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -19,6 +19,7 @@
       | full_engine_with_copy          |
       | leadership_lost_during_load    |
       | many_waiting_requests          |
+      | unanswered_unload              |
       | repeated_request               |
       | one_store_load_at_a_time       |
       | new_default_version            |
--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -26,6 +26,8 @@
 MODEL = "base"
 REPORT_LAG_S = 0.2
 STORE_LOAD_S = 0.25
+# Random loads in which an engine carries out an unload after the faults.
+LATE_UNLOAD_SEEDS = (17, 19, 26, 96)
 COPY_LOAD_S = 0.025
 MODEL_LOAD_S = 1.0
 # Time from the grant to the first chunk of the answer.
@@ -709,6 +711,20 @@
         return faults
 
 
+async def unanswered_unload() -> list[str]:
+    """A resident adapter is not taken by an unload that comes late.
+
+    Orders are lost and carried out late; afterwards each adapter is served
+    by the engine that it is granted at.
+    """
+    rates = FaultRates(late=0.35, lost=0.1)
+    return [
+        f"seed {seed}: {fault}"
+        for seed in LATE_UNLOAD_SEEDS
+        for fault in await random_load(seed, rates)
+    ]
+
+
 async def many_waiting_requests() -> list[str]:
     """Many waiting requests cause few scheduling passes.
 
@@ -767,6 +783,11 @@
 # Mutants, each of which disables a guard: name, scenario that must then
 # fail, patched attribute.
 MUTANTS = (
+    (
+        "forget an unload that was not answered",
+        "unanswered_unload",
+        (placement.EngineOrders, "_repeat_unanswered", lambda _: None),
+    ),
     (
         "send a load that reconciliation removed",
         "dropped_load",
@@ -844,6 +865,7 @@
     "repeated_request": repeated_request,
     "one_store_load_at_a_time": one_store_load_at_a_time,
     "many_waiting_requests": many_waiting_requests,
+    "unanswered_unload": unanswered_unload,
     "new_default_version": new_default_version,
 }
 
--- a/libs/placement/src/bergamotsail/placement/_engine_orders.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_orders.py
@@ -124,6 +124,8 @@
         self._polled_at = 0.0
         self._reconciling: asyncio.Task | None = None
         self._tasks: set[asyncio.Task] = set()
+        # An unload without an answer: its adapter and expected sequence.
+        self._unanswered: tuple[_engine_record.AdapterName, int] | None = None
         self._stopped = False
 
     def stop(self) -> None:
@@ -228,9 +230,39 @@
                 pending=len(report.pending),
             )
             self._confirm_pending()
+            self._repeat_unanswered()
             self._on_changed()
             return
 
+    def _repeat_unanswered(self) -> None:
+        """Send an unload again that the engine has not carried out yet.
+
+        It may still do so, as long as its sequence number stays the same, and
+        requests would be granted an adapter that it no longer holds.
+        """
+        unanswered, self._unanswered = self._unanswered, None
+        if unanswered is None or unanswered[1] != self.record.sequence:
+            return
+        name = unanswered[0]
+        slot = self.record.slot_by_name.get(name)
+        if slot is not None and self.record.is_idle(slot, self._clock.now()):
+            self.record.drop_slot(name)
+            self._start_task(self._repeat_unload, name)
+
+    async def _repeat_unload(self, name: _engine_record.AdapterName) -> None:
+        async with self._lock:
+            if self.record.known:
+                await self._unload(name)
+
+    async def _unload(self, name: _engine_record.AdapterName) -> bool:
+        """Order an unload; return whether it was accepted."""
+        expected = self.record.sequence
+        order = self._order(name, None, expected)
+        outcome = await self._send(self._engine.unload, order)
+        if outcome is None:
+            self._unanswered = (name, expected)
+        return self._apply_outcome(outcome)
+
     def _confirm_pending(self) -> None:
         for name, slot in self.record.slot_by_name.items():
             if slot.state is State.DOUBTFUL:
@@ -328,10 +360,7 @@
             if not self._still_planned(name, slot):
                 return
             if victim is not None:
-                unload_order = self._order(victim, None, self.record.sequence)
-                if not self._apply_outcome(
-                    await self._send(self._engine.unload, unload_order)
-                ):
+                if not await self._unload(victim):
                     return
                 if not self._still_planned(name, slot):
                     return
