Test: an unload that comes late, without random loads

The scenario now loses each unload by itself; it fails on the untouched code: "a1 was granted, but it is gone".

--- a/features/support/ledger.py
+++ b/features/support/ledger.py
@@ -26,8 +26,8 @@
 MODEL = "base"
 REPORT_LAG_S = 0.2
 STORE_LOAD_S = 0.25
-# Random loads in which an engine carries out an unload after the faults.
-LATE_UNLOAD_SEEDS = (17, 19, 26, 96)
+# Longest delay of an unload that is carried out late.
+LATE_UNLOAD_S = 30.0
 COPY_LOAD_S = 0.025
 MODEL_LOAD_S = 1.0
 # Time from the grant to the first chunk of the answer.
@@ -712,17 +712,20 @@
 
 
 async def unanswered_unload() -> list[str]:
-    """A resident adapter is not taken by an unload that comes late.
-
-    Orders are lost and carried out late; afterwards each adapter is served
-    by the engine that it is granted at.
-    """
-    rates = FaultRates(late=0.35, lost=0.1)
-    return [
-        f"seed {seed}: {fault}"
-        for seed in LATE_UNLOAD_SEEDS
-        for fault in await random_load(seed, rates)
-    ]
+    """A resident adapter is not taken by an unload that comes late."""
+    async with PlacerHarness(1, FaultRates(), 1, 1) as harness:
+        await asyncio.sleep(2.0)
+        await harness.request("a1", 0.1)
+        (engine,) = harness.engine_by_id.values()
+        engine.fault_rates = FaultRates(late=1.0, max_delay_s=LATE_UNLOAD_S)
+        await harness.request("a2", 0.1, 0.5)
+        engine.fault_rates = FaultRates()
+        await asyncio.sleep(LATE_UNLOAD_S + 5.0)
+        served = harness.served
+        await harness.request("a1", 0.1)
+        if harness.served == served:
+            return harness.check() + ["a1 was granted, but it is gone"]
+        return harness.check()
 
 
 async def many_waiting_requests() -> list[str]:
