Placement: decide for waiting requests only when something may serve them

Cause: each end of a request and each tick of 0.05 s decided for all requests that wait, 120 to 200 adapters, though nothing had changed for nearly all of them. The passes took 0.2 s of each second of the leader, so orders, confirmations and calls waited behind them. An arriving request was weighed for a load that could not be started, as others wait first. Class: work for everybody on each event, where the event concerns one.

Change: an engine that changes is noted. A pass decides for the adapters at such engines, then, if a slot has become free there, for others by rank until five can't use it. What waits without a load is looked at each 0.2 s besides. The guard `_awaits_load` is no longer needed and gone. The log of work has the process's processor time.

Evidence: "one request ends while many wait": 200 decisions before, 10 at most after; two mutants.

The mutant "decide for each waiting request in each pass" moves from the fleet to the scenarios of decisions, where it is noticed without random traffic; a second one covers the tick.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -36,3 +36,11 @@
   Scenario: Requests are not refused because deciding costs more in a large deployment
     When placements are decided beside few and beside many engines
     Then a decision costs about the same
+
+  Scenario: Requests are not refused because each end of one decides for all that wait
+    When one request ends while many wait
+    Then few of them are decided for
+
+  Scenario: Requests are not refused because each tick decides for all that wait
+    When many requests wait while no engine changes
+    Then few of them are decided for
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -19,6 +19,7 @@
 @behave.then("the scenario of each mechanism fails without it")
 def check_switches(context) -> None:
     undetected = decisions.undetected_switches()
+    undetected += decision_cost.undetected_switches()
     assert not undetected, undetected
 
 
@@ -30,3 +31,18 @@
 @behave.then("a decision costs about the same")
 def check_decision_cost(context) -> None:
     assert not context.faults, context.faults
+
+
+@behave.when("one request ends while many wait")
+def end_request(context) -> None:
+    context.faults = decision_cost.cost_of_an_end()
+
+
+@behave.when("many requests wait while no engine changes")
+def wait_unchanged(context) -> None:
+    context.faults = decision_cost.cost_of_waiting()
+
+
+@behave.then("few of them are decided for")
+def check_decisions(context) -> None:
+    assert not context.faults, context.faults
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -471,11 +471,6 @@
             property(lambda node: node.leader is not None),
         ),
     ),
-    (
-        "decide for each waiting request in each pass",
-        "decisions_per_request",
-        (_placer.Placer, "_awaits_load", lambda *_: False),
-    ),
     (
         "refuse heartbeats at once while there is no leader",
         "heartbeat_held_in_election",
--- a/libs/daemon/src/bergamotsail/daemon/_process_monitor.py
+++ b/libs/daemon/src/bergamotsail/daemon/_process_monitor.py
@@ -117,6 +117,7 @@
 
     async def _watch(self) -> None:
         logged_at = self._clock.now()
+        cpu_s = time.process_time()
         while True:
             for _ in range(SAMPLES_PER_CHECK):
                 self._samples.append(self._sample())
@@ -125,9 +126,10 @@
             over_s = self._clock.now() - logged_at
             if over_s >= WORK_LOG_INTERVAL_S:
                 logged_at += over_s
-                self._log_work(over_s)
+                used_s, cpu_s = cpu_s, time.process_time()
+                self._log_work(over_s, cpu_s - used_s)
 
-    def _log_work(self, over_s: float) -> None:
+    def _log_work(self, over_s: float, cpu_s: float) -> None:
         """Log the work done since the last such event.
 
         Each kind maps to seconds of execution (waits excluded), messages,
@@ -138,6 +140,7 @@
             "work",
             role=self._role,
             over_s=round(over_s, 3),
+            cpu_s=round(cpu_s, 4),
             resident_mb=_resident_mb(),
             by_kind={
                 kind: [
--- a/libs/placement/src/bergamotsail/placement/_decisions.py
+++ b/libs/placement/src/bergamotsail/placement/_decisions.py
@@ -58,11 +58,9 @@
 
     Args:
         load_in_progress: whether a load of the adapter is in progress.
-        target: where it is loaded, if no engine holds the adapter yet.
     """
 
     load_in_progress: bool
-    target: str | None = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(slots=True)
@@ -125,12 +123,15 @@
         wanted: collections.abc.Container[_engine_record.AdapterName],
         now: float,
         may_load: bool = True,
+        may_load_first: bool = True,
     ) -> Decision:
         """Return what to do for a request.
 
         Args:
             wanted: adapters that other requests wait for; not evicted.
             may_load: whether load orders are allowed now.
+            may_load_first: whether an adapter may be loaded that no engine
+                has ready.
         """
         self.counts.decided += 1
         if not demand.name[1]:
@@ -158,11 +159,8 @@
                 if slot.is_load_imminent and self._is_current(
                     demand.name, slot, now
                 ):
-                    is_only = all(
-                        s.state is not State.READY for _, s in holders
-                    )
-                    return Wait(True, record.info.id if is_only else None)
-            if not may_load:
+                    return Wait(True)
+            if not may_load or not may_load_first:
                 return Wait(False)
             return self._load(demand, wanted, now, float("inf")) or Wait(False)
         cost_s, _, cheapest = best
@@ -352,6 +350,15 @@
             return float("inf")
         return self._policy.busy_cost_s(record, now)
 
+    def has_room(
+        self,
+        record: EngineRecord,
+        wanted: collections.abc.Container[_engine_record.AdapterName],
+        now: float,
+    ) -> bool:
+        """Whether a load of a further adapter could start at an engine now."""
+        return self._find_slot(record, wanted, now) is not None
+
     def _find_slot(
         self,
         record: EngineRecord,
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -57,6 +57,12 @@
 # The leader grants about 250 requests a second, so more waiting requests
 # can't be served before their deadlines. Further callers are told to retry.
 MAX_WAITERS = 400
+# How often requests without a load in progress are decided for while no engine
+# that may serve them changes.
+BLOCKED_RETRY_S = 0.2
+# Adapters that can't be loaded at an engine with a free slot, after which no
+# more are tried there before the next tick.
+MAX_PASSED_OVER = 4
 # Minimum delay before the next scheduling pass, as a multiple of the duration
 # of the last one.
 SCHEDULE_SPACING = 3.0
@@ -174,13 +180,17 @@
         self._pace_by_pool: dict[str, _pace.PoolPace] = {}
         self._schedule_timer: asyncio.TimerHandle | None = None
         self._schedule_took_s = 0.0
-        # Adapters whose requests wait for a load that nothing else can
-        # replace: its target, and when that was decided.
-        self._awaited_load_by_name: dict[
-            _engine_record.AdapterName, tuple[str, float]
-        ] = {}
-        # Adapters whose requests wait without a load in progress.
-        self._blocked: set[_engine_record.AdapterName] = set()
+        # Adapters whose requests wait without a load in progress, and when
+        # the latest pass decided so.
+        self._blocked: dict[_engine_record.AdapterName, float] = {}
+        # Whether the next scheduling pass decides for all waiting requests;
+        # otherwise for those that the changed targets may serve.
+        self._all_due = True
+        self._changed: set[str] = set()
+        # Targets that had a slot for a further adapter when last looked at.
+        self._with_free_slot: set[str] = set()
+        # Adapters of the latest pass for all requests, highest rank first.
+        self._ranked: tuple[_engine_record.AdapterName, ...] = ()
         # Adapters that the current scheduling pass has still to decide for.
         self._names_left: collections.deque[_engine_record.AdapterName] = (
             collections.deque()
@@ -209,7 +219,6 @@
         self._check_leading()
         if request.releases is not None:
             self._apply_releases(request.releases)
-            self._schedule_soon()
         if len(self._waiters) >= MAX_WAITERS:
             raise wire.LoadShedError(
                 "Too many requests are waiting for an engine. Try again.",
@@ -228,7 +237,6 @@
             if not granted:
                 self._check_tenure(waiter)
                 self._log_wait(waiter)
-                self._schedule_soon()
             return await self._wait(waiter)
         finally:
             self._waiters.discard(waiter)
@@ -392,7 +400,6 @@
         """Release ended requests and record how they ended."""
         self._check_leading()
         self._apply_releases(request)
-        self._schedule_soon()
         return _place_messages.Released()
 
     def _apply_releases(self, request: _place_messages.ReleaseRequest) -> None:
@@ -480,6 +487,7 @@
         record = self._record_by_target.get(target)
         if record is None:
             return None
+        self._schedule_for(target)
         return record.release(boot, request, now)
 
     def drop_uses(self, boot: str) -> None:
@@ -546,7 +554,7 @@
             self._rights,
             self._store,
             self._metrics,
-            self._schedule_soon,
+            functools.partial(self._schedule_for, info.id),
             self._clock,
             functools.partial(self._report_new_start, info.id),
             self._incarnation_count_by_name[name],
@@ -672,7 +680,17 @@
     # Scheduling.
 
     def _schedule_soon(self) -> None:
-        """Schedule a pass, delayed so that passes take a bounded CPU share."""
+        """Schedule a pass that decides for all waiting requests."""
+        self._all_due = True
+        self._set_timer()
+
+    def _schedule_for(self, target: str) -> None:
+        """Schedule a pass for the requests that a changed target may serve."""
+        self._changed.add(target)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        """Start the timer, so that passes take a bounded share of CPU time."""
         if self._schedule_timer is None:
             delay_s = max(
                 SCHEDULE_DELAY_S, SCHEDULE_SPACING * self._schedule_took_s
@@ -696,46 +714,128 @@
         """Decide for waiting requests in rank order, up to the time limit."""
         now = self._clock.now()
         self._apply_rates(now)
-        if not self._names_left:
-            self._names_left.extend(self._ranked_names(now))
-            self._blocked.intersection_update(self._names_left)
-            self._awaited_load_by_name = {
-                name: self._awaited_load_by_name[name]
-                for name in self._names_left
-                if name in self._awaited_load_by_name
-            }
-        waiters_by_name: dict[
-            _engine_record.AdapterName, list[_waiting.Waiter]
-        ] = {}
-        for waiter in self._waiters:
-            waiters_by_name.setdefault(waiter.name, []).append(waiter)
-        wanted = self._waiters.names
         may_load = self._rights.may_order()
-        while self._names_left and self._clock.now() - now < SCHEDULE_SLICE_S:
-            name = self._names_left.popleft()
-            self._decide_adapter(
-                name, waiters_by_name.get(name, []), wanted, now, may_load
-            )
-        for waiter in [w for w in self._waiters if w.done.done()]:
-            self._waiters.discard(waiter)
+        if self._all_due and not self._names_left:
+            self._rank_names(now)
+        names = self._names_left_in_pass()
+        if not self._names_left:
+            names = self._names_served_by_changed(now)
+        for name in names:
+            self._decide_adapter(name, now, may_load)
+            if self._clock.now() - now >= SCHEDULE_SLICE_S:
+                break
         self._schedule_took_s = self._clock.now() - now
         self._passes_took_s += self._schedule_took_s
-        if self._names_left:
-            self._schedule_soon()
+        if self._names_left or self._changed:
+            self._set_timer()
+
+    def _rank_names(self, now: float) -> None:
+        """Have the pass decide for all waiting requests, in rank order."""
+        self._all_due = False
+        self._changed.clear()
+        self._with_free_slot.clear()
+        self._update_free_slots(self._record_by_target.values(), now)
+        self._ranked = tuple(self._ranked_names(now))
+        self._names_left.extend(
+            name
+            for name in self._ranked
+            if now - self._blocked.get(name, float("-inf")) >= BLOCKED_RETRY_S
+        )
+        self._blocked = {
+            name: self._blocked[name]
+            for name in self._ranked
+            if name in self._blocked
+        }
+
+    def _names_left_in_pass(
+        self,
+    ) -> collections.abc.Iterator[_engine_record.AdapterName]:
+        while self._names_left:
+            yield self._names_left.popleft()
+
+    def _names_served_by_changed(
+        self, now: float
+    ) -> collections.abc.Iterator[_engine_record.AdapterName]:
+        """Yield the adapters that the changed targets may serve.
+
+        These are the ones at these targets, then others if a slot has become
+        free there. What is left of a pass that is cut short waits for the
+        tick.
+        """
+        changed, self._changed = self._changed, set()
+        records = [
+            self._record_by_target[target]
+            for target in changed
+            if target in self._record_by_target
+        ]
+        yield from self._waiting_at(records, now)
+        free_before = self._with_free_slot
+        freed = [
+            record
+            for record in self._update_free_slots(records, now)
+            if record.info.id not in free_before
+        ]
+        passed_over = 0
+        for name in self._ranked if freed else ():
+            if passed_over > MAX_PASSED_OVER or not any(
+                self._decider.has_room(record, self._waiters.names, now)
+                for record in freed
+            ):
+                return
+            if name in self._blocked:
+                yield name
+                passed_over += name in self._blocked
+
+    def _update_free_slots(
+        self,
+        records: collections.abc.Iterable[_engine_record.EngineRecord],
+        now: float,
+    ) -> list[_engine_record.EngineRecord]:
+        """Note which engines have a free slot, and return those."""
+        free = []
+        known = set(self._with_free_slot)
+        for record in records:
+            known.discard(record.info.id)
+            if self._decider.has_room(record, self._waiters.names, now):
+                known.add(record.info.id)
+                free.append(record)
+        self._with_free_slot = known
+        return free
+
+    def _waiting_at(
+        self,
+        records: collections.abc.Iterable[_engine_record.EngineRecord],
+        now: float,
+    ) -> list[_engine_record.AdapterName]:
+        """Return the adapters at engines that requests wait for, by rank."""
+        names = {
+            name
+            for record in records
+            for name in record.slot_by_name
+            if name in self._waiters.names
+        }
+        return sorted(
+            names,
+            key=lambda name: min(
+                self._rank(waiter, now) for waiter in self._waiters.of(name)
+            ),
+        )
+
+    def _rank(
+        self, waiter: _waiting.Waiter, now: float
+    ) -> tuple[bool, int, float]:
+        paces = self._pace_by_pool.get(waiter.request.pool)
+        pace = _pace.INITIAL_PACE if paces is None else paces.pace()
+        return waiter.rank(pace, now)
 
     def _ranked_names(
         self, now: float
     ) -> collections.abc.Iterable[_engine_record.AdapterName]:
         """Return the adapters of waiting requests, highest rank first."""
-        pace_by_pool = {
-            pool: paces.pace() for pool, paces in self._pace_by_pool.items()
-        }
-        self._waiters.sort(
-            key=lambda waiter: waiter.rank(
-                pace_by_pool.get(waiter.request.pool, _pace.INITIAL_PACE), now
-            )
+        ranked = sorted(
+            self._waiters, key=lambda waiter: self._rank(waiter, now)
         )
-        return dict.fromkeys(waiter.name for waiter in self._waiters)
+        return dict.fromkeys(waiter.name for waiter in ranked)
 
     def _apply_rates(self, now: float) -> None:
         """Note in the records which limited engines take a request now."""
@@ -746,28 +846,9 @@
                 record.takes_requests = self._rates.has_token(target, now)
         self._limited = limited
 
-    def _awaits_load(
-        self, name: _engine_record.AdapterName, now: float
-    ) -> bool:
-        """Whether requests for an adapter still wait for the same load.
-
-        Each end of a request starts a pass, so deciding for all adapters that
-        are being loaded would take most of its time.
-        """
-        if name not in self._awaited_load_by_name:
-            return False
-        target, decided_at = self._awaited_load_by_name[name]
-        record = self._record_by_target.get(target)
-        slot = record.slot_by_name.get(name) if record is not None else None
-        if slot is None or not slot.is_load_imminent:
-            return False
-        return now - decided_at < TICK_S
-
     def _decide_adapter(
         self,
         name: _engine_record.AdapterName,
-        waiters: list[_waiting.Waiter],
-        wanted: set[_engine_record.AdapterName],
         now: float,
         may_load: bool,
     ) -> None:
@@ -776,12 +857,13 @@
         Stops at the first request that can't be granted, unless that is
         because of the software version that it needs.
         """
-        if self._awaits_load(name, now):
-            return
+        waiters = sorted(
+            self._waiters.of(name), key=lambda waiter: self._rank(waiter, now)
+        )
         for waiter in waiters:
             if waiter.done.done():
                 continue
-            granted = self._decide_one(waiter, wanted, now, may_load)
+            granted = self._decide_one(waiter, now, may_load)
             if not granted and not waiter.needs_software:
                 return
 
@@ -797,6 +879,7 @@
             self._waiters.names,
             now,
             self._rights.may_order(),
+            not self._blocked,
         )
         if isinstance(decision, _decisions.Run):
             self._grant(waiter, decision.target, now)
@@ -805,19 +888,20 @@
             self._start_load(decision, waiter.name, now)
         waits = decision == _decisions.Wait(False)
         if waits and not waiter.needs_software:
-            self._blocked.add(waiter.name)
+            self._blocked.setdefault(waiter.name, float("-inf"))
         return False
 
     def _decide_one(
         self,
         waiter: _waiting.Waiter,
-        wanted: collections.abc.Container[_engine_record.AdapterName],
         now: float,
         may_load: bool,
     ) -> bool:
         """Decide for a request and act on it; False if it has to wait."""
         demand = self._demand(waiter, now)
-        decision = self._decider.decide(demand, wanted, now, may_load)
+        decision = self._decider.decide(
+            demand, self._waiters.names, now, may_load
+        )
         if isinstance(decision, _decisions.Run):
             self._grant(waiter, decision.target, now)
             return True
@@ -825,12 +909,10 @@
             self._start_load(decision, waiter.name, now)
         if waiter.needs_software:
             return False
-        if isinstance(decision, _decisions.Wait) and decision.target:
-            self._awaited_load_by_name[waiter.name] = (decision.target, now)
         if decision == _decisions.Wait(False):
-            self._blocked.add(waiter.name)
+            self._blocked[waiter.name] = now
         else:
-            self._blocked.discard(waiter.name)
+            self._blocked.pop(waiter.name, None)
         return False
 
     def _start_load(
@@ -884,6 +966,7 @@
                 self._term,
             )
         )
+        self._waiters.discard(waiter)
         if request.stream:
             self._streams.note(
                 self._term,
--- a/libs/placement/src/bergamotsail/placement/_waiting.py
+++ b/libs/placement/src/bergamotsail/placement/_waiting.py
@@ -1,10 +1,9 @@
 """Requests that wait for a grant, and the order in which they are served."""
 
 import asyncio
-import collections
 import collections.abc
 import dataclasses
-import typing
+import itertools
 
 from bergamotsail.placement import _engine_record
 from bergamotsail.placement import _pace
@@ -87,46 +86,46 @@
     """
 
     def __init__(self) -> None:
-        self._waiters: dict[Waiter, None] = {}
-        self._count_by_name: collections.Counter[
-            _engine_record.AdapterName
-        ] = collections.Counter()
+        self._by_name: dict[_engine_record.AdapterName, dict[Waiter, None]]
+        self._by_name = {}
+        self._count = 0
 
     def __len__(self) -> int:
-        return len(self._waiters)
+        return self._count
 
     def __iter__(self) -> collections.abc.Iterator[Waiter]:
-        return iter(self._waiters)
+        return itertools.chain.from_iterable(self._by_name.values())
 
     def __contains__(self, waiter: object) -> bool:
-        return waiter in self._waiters
+        return isinstance(waiter, Waiter) and waiter in self.of(waiter.name)
 
     @property
     def names(self) -> collections.abc.Collection[_engine_record.AdapterName]:
         """The adapters of the waiting requests."""
-        return self._count_by_name.keys()
+        return self._by_name.keys()
+
+    def of(
+        self, name: _engine_record.AdapterName
+    ) -> collections.abc.Collection[Waiter]:
+        """Return the requests that wait for an adapter."""
+        return self._by_name.get(name, {}).keys()
 
     def add(self, waiter: Waiter) -> None:
         """Add a request that is not in the list."""
-        self._waiters[waiter] = None
-        self._count_by_name[waiter.name] += 1
+        self._by_name.setdefault(waiter.name, {})[waiter] = None
+        self._count += 1
 
     def discard(self, waiter: Waiter) -> None:
         """Remove a request if it is in the list."""
-        if waiter not in self._waiters:
+        waiters = self._by_name.get(waiter.name, {})
+        if waiter not in waiters:
             return
-        del self._waiters[waiter]
-        self._count_by_name[waiter.name] -= 1
-        if not self._count_by_name[waiter.name]:
-            del self._count_by_name[waiter.name]
-
-    def sort(
-        self, key: collections.abc.Callable[[Waiter], typing.Any]
-    ) -> None:
-        """Sort the requests, as ``list.sort`` does."""
-        self._waiters = dict.fromkeys(sorted(self._waiters, key=key))
+        del waiters[waiter]
+        self._count -= 1
+        if not waiters:
+            del self._by_name[waiter.name]
 
     def clear(self) -> None:
         """Remove all requests."""
-        self._waiters.clear()
-        self._count_by_name.clear()
+        self._by_name.clear()
+        self._count = 0
