Placement: a slot freed right before a tick does not stay idle

What callers would see: a request waits up to 0.2 s longer for a load though a slot is free.

Cause: a pass for all waiting requests cleared the notes of changed engines, but passed over those that it had decided for in the last 0.2 s, and took the freed slot for one that had been looked at. A load that began in such a pass left its engine noted as free, so the next slot that became free there went unseen.

Change: notes of changed engines are kept for the pass after it, and an engine that is given a load or a request is no longer noted as free.

Evidence: the new scenario fails before ("a load began 0.053 s after a slot became free") and passes now.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -44,3 +44,7 @@
   Scenario: Requests are not refused because each tick decides for all that wait
     When many requests wait while no engine changes
     Then few of them are decided for
+
+  Scenario: A slot that becomes free right before a tick does not stay idle
+    When a slot becomes free right before a tick
+    Then a load for a waiting request begins at once
--- a/features/steps/decisions.py
+++ b/features/steps/decisions.py
@@ -46,3 +46,13 @@
 @behave.then("few of them are decided for")
 def check_decisions(context) -> None:
     assert not context.faults, context.faults
+
+
+@behave.when("a slot becomes free right before a tick")
+def free_slot(context) -> None:
+    context.faults = decision_cost.slot_freed_before_a_tick()
+
+
+@behave.then("a load for a waiting request begins at once")
+def check_load(context) -> None:
+    assert not context.faults, context.faults
--- a/features/support/decision_cost.py
+++ b/features/support/decision_cost.py
@@ -10,6 +10,7 @@
 import dataclasses
 import functools
 import sys
+import typing
 import unittest.mock
 
 import looptime
@@ -37,6 +38,9 @@
 UNCHANGED_FOR_S = 1.0
 
 
+Result = typing.TypeVar("Result")
+
+
 class _CallCounter:
     """Counts function calls while it is entered; a context manager."""
 
@@ -190,6 +194,21 @@
     return decided.call_count
 
 
+async def _load_delay_s() -> float:
+    """Return how long a slot that is freed right before a tick stays free."""
+    loop = asyncio.get_running_loop()
+    async with _Waiting() as waiting:
+        orders = waiting.placer._orders_by_target["e0"]
+        await asyncio.sleep(_placer.TICK_S * 0.88)
+        freed_at = loop.time()
+        ended = placement.EndedUse("2", "e0", placement.UseOutcome.DONE)
+        release = placement.ReleaseRequest("b", (ended,))
+        await waiting.placer.on_release(release)
+        while not orders.start_load.called:
+            await asyncio.sleep(0.001)
+        return loop.time() - freed_at
+
+
 def _counted_decisions() -> contextlib.AbstractContextManager:
     decide = _decisions.Decider.decide
     return unittest.mock.patch.object(
@@ -197,7 +216,7 @@
     )
 
 
-def _run(work: collections.abc.Coroutine) -> int:
+def _run(work: collections.abc.Coroutine[None, None, Result]) -> Result:
     loop = looptime.new_event_loop()
     with contextlib.closing(loop):
         return loop.run_until_complete(work)
@@ -211,6 +230,14 @@
     return [f"{count} decisions for {WAITING} waiting requests"]
 
 
+def slot_freed_before_a_tick() -> list[str]:
+    """A free slot goes to a waiting request at once, also before a tick."""
+    delay_s = _run(_load_delay_s())
+    if delay_s <= ENDED_FOR_S:
+        return []
+    return [f"a load began {delay_s:.3f} s after a slot became free"]
+
+
 def cost_of_waiting() -> list[str]:
     """Requests that nothing can serve are not decided for at each tick."""
     count = _run(_decisions_while_waiting())
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -518,6 +518,7 @@
         for target in set(self._orders_by_target) - seen:
             self._orders_by_target.pop(target).stop()
             self._engines.remove(target)
+            self._with_free_slot.discard(target)
             self._removed_targets.add(target)
         self._schedule_soon()
 
@@ -594,6 +595,8 @@
         self._engines.clear()
         self._target_by_request.clear()
         self._blocked.clear()
+        self._changed.clear()
+        self._with_free_slot.clear()
         self._incarnation_count_by_name.clear()
         self._fail_waiters()
 
@@ -732,9 +735,6 @@
     def _rank_names(self, now: float) -> None:
         """Have the pass decide for all waiting requests, in rank order."""
         self._all_due = False
-        self._changed.clear()
-        self._with_free_slot.clear()
-        self._update_free_slots(self._record_by_target.values(), now)
         self._ranked = tuple(self._ranked_names(now))
         self._names_left.extend(
             name
@@ -921,6 +921,7 @@
         name: _engine_record.AdapterName,
         now: float,
     ) -> None:
+        self._with_free_slot.discard(decision.target)
         orders = self._orders_by_target[decision.target]
         version = self._wanted_version(name)
         orders.start_load(name, version, decision.victim, now)
@@ -939,6 +940,7 @@
 
     def _grant(self, waiter: _waiting.Waiter, target: str, now: float) -> None:
         record = self._record_by_target[target]
+        self._with_free_slot.discard(target)
         request = waiter.request
         grant = _engine_record.Grant(
             request.boot, request.request, waiter.name, waiter.tokens, now
