--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -57,10 +57,10 @@
 # The leader grants about 250 requests a second, so more waiting requests
 # can't be served before their deadlines. Further callers are told to retry.
 MAX_WAITERS = 400
-# How often requests without a load in progress are decided for while no engine
+# Interval of decisions for requests without a load in progress while no engine
 # that may serve them changes.
 BLOCKED_RETRY_S = 0.2
-# Adapters that can't be loaded at an engine with a free slot, after which no
+# Number of adapters that could not use a slot that became free, after which no
 # more are tried there before the next tick.
 MAX_PASSED_OVER = 4
 # Minimum delay before the next scheduling pass, as a multiple of the duration
@@ -750,6 +750,7 @@
     def _names_left_in_pass(
         self,
     ) -> collections.abc.Iterator[_engine_record.AdapterName]:
+        """Yield and remove the adapters that the pass has still to decide for."""
         while self._names_left:
             yield self._names_left.popleft()
 
