--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -750,7 +750,7 @@
     def _names_left_in_pass(
         self,
     ) -> collections.abc.Iterator[_engine_record.AdapterName]:
-        """Yield and remove the adapters that the pass has still to decide for."""
+        """Yield and remove the adapters that the pass has not decided for."""
         while self._names_left:
             yield self._names_left.popleft()
 
