Placement: gather the calls of daemons at the replicas that don't lead

Callers saw: too little served at 60 to 90 entries.

Cause: each placement, release and heartbeat of each daemon is an HTTP call that the one leading replica carries. Class: work that grows with the load at the process that has to carry the load; the mends before this one made each unit of it cheaper.

Change: replicas that don't lead take these calls and pass them on, all that came since the last message in one, one message at a time. It names the replicas that answer it with each heartbeat, those of the daemon's data centre if there are any. A daemon whose replica fails or is no longer named asks the leader itself. Decisions, orders, budgets and leases are the leader's as before; a repeated call counts once, as before.

--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -10,6 +10,7 @@
 from bergamotsail.control import _digest
 from bergamotsail.control import _fleet
 from bergamotsail.control import _floor
+from bergamotsail.control import _gatherer_choice
 from bergamotsail.control import _ledger
 from bergamotsail.control import _messages
 from bergamotsail.control import _relay
@@ -25,6 +26,7 @@
 DigestLog = _digest.DigestLog
 FloorRaiser = _floor.FloorRaiser
 Fleet = _fleet.Fleet
+GathererChoice = _gatherer_choice.GathererChoice
 TargetNotices = _target_notices.TargetNotices
 TargetRates = _target_rates.TargetRates
 Ledger = _ledger.Ledger
@@ -60,6 +62,10 @@
 StatusReply = _messages.StatusReply
 
 HEARTBEAT = _messages.HEARTBEAT
+Heartbeat = _messages.Heartbeat
+HeartbeatReply = _messages.HeartbeatReply
+HEARTBEAT_INDIRECT = _messages.HEARTBEAT_INDIRECT
+HEARTBEAT_SHED_S = _coordinator.HEARTBEAT_SHED_S
 Relay = _relay.Relay
 LeaderClient = _session.LeaderClient
 Session = _session.Session
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -273,10 +273,17 @@
             term.quarantine.suspects(),
             self._record_spending(term, request),
             self._rates.permits(request.wanted_permits, self._clock.now()),
+            self._gatherers(daemon),
         )
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.AFTER)
         return reply
 
+    def _gatherers(self, daemon: _messages.DaemonInfo) -> tuple[str, ...]:
+        """Return the replicas that may gather a daemon's calls."""
+        followers = self._node.answering_followers()
+        near = [m for m in followers if m.domain == daemon.datacentre]
+        return tuple(member.address for member in near or followers)
+
     async def on_changes(
         self, request: _messages.ChangesRequest
     ) -> _messages.ChangesReply:
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -259,6 +259,8 @@
         admit_share_by_member: for members above their budget, the share of
             their requests that the daemon should not refuse at once.
         permits: targets to each of which one request may be sent soon.
+        gatherers: replicas that pass placement calls of this daemon on to
+            the leader, those of its data centre if there are any.
     """
 
     leader: str
@@ -275,6 +277,7 @@
         default_factory=dict
     )
     permits: tuple[str, ...] = ()
+    gatherers: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -476,6 +479,8 @@
 
 
 HEARTBEAT = wire.Call("heartbeat", Heartbeat, HeartbeatReply)
+# The same call, answered by any replica that hears the leader.
+HEARTBEAT_INDIRECT = wire.Call("heartbeat_indirect", Heartbeat, HeartbeatReply)
 STATE = wire.Call("state", StateRequest, StatePiece, streams=True)
 CHANGES = wire.Call("changes", ChangesRequest, ChangesReply)
 COMMAND = wire.Call("command", CommandRequest, CommandReply)
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -12,6 +12,7 @@
 from bergamotsail import catalogue
 from bergamotsail.control import _daemon_view
 from bergamotsail.control import _digest
+from bergamotsail.control import _gatherer_choice
 from bergamotsail.control import _messages
 from bergamotsail.control import _streams
 from bergamotsail.control import _target_notices
@@ -289,6 +290,7 @@
         self.daemon = daemon
         self.digest = _digest.Digest()
         self.leader = leader
+        self.gatherer = _gatherer_choice.GathererChoice(daemon.boot, clock)
         self.observations = quarantine.Observations(clock)
         self.streams = _streams.StreamNotes(clock)
         self.notices = _target_notices.TargetNotices()
@@ -565,6 +567,7 @@
                 lambda: self._renew_after_fetch(sent_at),
             )
         self.take_digest(reply.digest)
+        self.gatherer.update(reply.gatherers, len(self.daemon_by_boot))
         if reply.digest.more:
             self.kick()
         self._participant.confirm_run_bound()
@@ -624,6 +627,10 @@
             reply = await self._send_via_neighbour(request, neighbour)
             if reply is not None:
                 return reply
+        elif (gatherer := self.gatherer.address()) is not None:
+            reply = await self._send_via_gatherer(request, gatherer)
+            if reply is not None:
+                return reply
         try:
             reply = await self.leader.call(
                 _messages.HEARTBEAT,
@@ -641,6 +648,42 @@
                 raise
             return reply
 
+    async def _send_via_gatherer(
+        self, request: _messages.Heartbeat, gatherer: str
+    ) -> _messages.HeartbeatReply | None:
+        """Send through a replica that gathers calls.
+
+        Returns:
+            None if the replica can't pass it on.
+
+        Raises:
+            PeerLostError: the leader may have it; a repeated one would be
+                refused.
+            LoadShedError: the leader has no time for it.
+        """
+        self._record_send_time()
+        try:
+            return await self._transport.call(
+                gatherer,
+                _messages.HEARTBEAT_INDIRECT,
+                request,
+                self._timing.call_s,
+            )
+        except wire.LoadShedError:
+            raise
+        except wire.ServingError as error:
+            self.gatherer.avoid(gatherer)
+            observe.log_event(
+                "session",
+                "avoid_gatherer",
+                gatherer=gatherer,
+                code=error.code,
+                silent_s=round(self.silent_s(), 3),
+            )
+            if isinstance(error, wire.PeerLostError):
+                raise
+            return None
+
     def _record_send_time(self) -> None:
         """Record the send time of this attempt.
 
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -293,9 +293,23 @@
             streams=streams,
             rates=rates,
         )
+        self.gatherer = placement.CallGatherer(
+            transport,
+            self._leader_address,
+            lambda: len(self.node.config.members) - 1,
+            clock,
+        )
+        self._exchange = placement.CallExchange(
+            self.placer.on_place,
+            self.placer.on_release,
+            self.coordinator.on_heartbeat,
+            _NodeLeadership(self.node),
+            clock,
+        )
         self.node.serve(self.server)
         self.coordinator.serve(self.server)
         self.placer.serve(self.server)
+        self._serve_gathered()
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> "Replica":
@@ -305,14 +319,71 @@
             self.node,
             self.coordinator,
             self.placer,
+            self.gatherer,
         )
         for component in components:
             await self._stack.enter_async_context(component)
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        self._exchange.stop()
         await self._stack.aclose()
 
+    def _serve_gathered(self) -> None:
+        """Register the calls that every replica answers."""
+        self.server.serve(
+            placement.PLACE_INDIRECT, self._on_place, placement.PLACE_SHED_S
+        )
+        self.server.serve(
+            placement.RELEASE_INDIRECT,
+            self._on_release,
+            placement.RELEASE_SHED_S,
+        )
+        self.server.serve(
+            control.HEARTBEAT_INDIRECT,
+            self._on_heartbeat,
+            control.HEARTBEAT_SHED_S,
+        )
+        self.server.serve(
+            placement.EXCHANGE,
+            self._exchange.on_exchange,
+            control.HEARTBEAT_SHED_S,
+        )
+
+    async def _on_heartbeat(
+        self, request: control.Heartbeat
+    ) -> control.HeartbeatReply:
+        """Renew a session, through the leader unless this replica leads."""
+        if self.node.holds_lease():
+            return await self.coordinator.on_heartbeat(request)
+        return await self.gatherer.beat(request)
+
+    async def _on_place(
+        self, request: placement.PlaceRequest
+    ) -> placement.PlaceReply:
+        """Place a request, through the leader unless this replica leads."""
+        if self.node.holds_lease():
+            return await self.placer.on_place(request)
+        return await self.gatherer.place(request)
+
+    async def _on_release(
+        self, request: placement.ReleaseRequest
+    ) -> placement.Released:
+        """Release requests, through the leader unless this one leads."""
+        if self.node.holds_lease():
+            return await self.placer.on_release(request)
+        return await self.gatherer.release(request)
+
+    def _leader_address(self) -> str:
+        """Return the address of the leader.
+
+        Raises:
+            NotLeaderError: this replica hears no leader.
+        """
+        if self.node.leader is None or not self.node.has_leader_contact:
+            raise self.node.not_leader()
+        return self.node.leader.address
+
     async def wait_failed(self) -> None:
         """Wait until the disk fails; the process must then restart."""
         while self.node.role is not quorum.Role.FAILED:
--- a/libs/placement/src/bergamotsail/placement/__init__.py
+++ b/libs/placement/src/bergamotsail/placement/__init__.py
@@ -9,6 +9,9 @@
 from bergamotsail.placement import _counter
 from bergamotsail.placement import _engine_orders
 from bergamotsail.placement import _engine_record
+from bergamotsail.placement import _exchange
+from bergamotsail.placement import _exchange_messages
+from bergamotsail.placement import _gatherer
 from bergamotsail.placement import _leadership
 from bergamotsail.placement import _place_messages
 from bergamotsail.placement import _place_policy
@@ -30,13 +33,21 @@
 PlaceSettings = _place_settings.PlaceSettings
 PlacePolicy = _place_policy.PlacePolicy
 Placer = _placer.Placer
+PLACE_SHED_S = _placer.PLACE_SHED_S
+RELEASE_SHED_S = _placer.RELEASE_SHED_S
+CallExchange = _exchange.CallExchange
+CallGatherer = _gatherer.CallGatherer
 
 BegunUse = _place_messages.BegunUse
 EndedUse = _place_messages.EndedUse
+EXCHANGE = _exchange_messages.EXCHANGE
 PLACE = _place_messages.PLACE
+PLACE_INDIRECT = _place_messages.PLACE_INDIRECT
 PlaceReply = _place_messages.PlaceReply
 PlaceRequest = _place_messages.PlaceRequest
 RELEASE = _place_messages.RELEASE
+RELEASE_INDIRECT = _place_messages.RELEASE_INDIRECT
+Released = _place_messages.Released
 ReleaseRequest = _place_messages.ReleaseRequest
 UseOutcome = _place_messages.UseOutcome
 
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -130,3 +130,6 @@
 
 PLACE = wire.Call("place", PlaceRequest, PlaceReply)
 RELEASE = wire.Call("release", ReleaseRequest, Released)
+# The same calls, answered by any replica that hears the leader.
+PLACE_INDIRECT = wire.Call("place_indirect", PlaceRequest, PlaceReply)
+RELEASE_INDIRECT = wire.Call("release_indirect", ReleaseRequest, Released)
--- a/libs/quorum/src/bergamotsail/quorum/_node.py
+++ b/libs/quorum/src/bergamotsail/quorum/_node.py
@@ -1579,6 +1579,14 @@
             and self._silent_s(member) < self._timing.election_s
         )
 
+    def answering_followers(self) -> tuple[Member, ...]:
+        """Return the other replicas that answer this leader now."""
+        return tuple(
+            member
+            for member in self.config.members
+            if member.id != self._me.id and self._answers(member)
+        )
+
     def _is_unresponsive(self, member: Member) -> bool:
         return self._silent_s(member) > UNRESPONSIVE_AFTER_S
 
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -48,6 +48,16 @@
     wire.NotLeaderError,
     wire.LoadShedError,
 )
+# Errors that are about the gathering replica rather than about the request.
+GATHERER_ERRORS = (
+    wire.NotSentError,
+    wire.PeerLostError,
+    wire.NotLeaderError,
+    wire.ReplicaFailedError,
+    wire.StartingError,
+    wire.StoppingError,
+    wire.NotFoundError,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -414,11 +424,16 @@
         self, call_request: placement.PlaceRequest
     ) -> placement.PlaceReply:
         """Ask the presumed leader, following redirects to the actual one."""
+        gatherer = self._gatherer_address()
+        if gatherer is not None:
+            return await self._ask_through(gatherer, call_request)
         address: str | None = self._session.leader.address
         last: wire.ServingError | None = None
         for _ in range(MAX_REDIRECTS + 1):
             try:
-                return await self._ask_at(address, call_request)
+                return await self._ask_at(
+                    address, placement.PLACE, call_request
+                )
             except wire.NotLeaderError as error:
                 last = error
                 if error.use is None or error.use == address:
@@ -427,33 +442,72 @@
         assert last is not None
         raise last
 
+    def _gatherer_address(self) -> str | None:
+        """Return the replica that passes calls on; None to call directly."""
+        if self._session.goes_through_neighbour:
+            return None
+        return self._session.gatherer.address()
+
+    async def _ask_through(
+        self, gatherer: str, call_request: placement.PlaceRequest
+    ) -> placement.PlaceReply:
+        """Ask through a replica that gathers calls.
+
+        It is left out for a while if it fails the call.
+        """
+        try:
+            return await self._ask_at(
+                gatherer, placement.PLACE_INDIRECT, call_request
+            )
+        except GATHERER_ERRORS as error:
+            self._avoid_gatherer(gatherer, error)
+            raise
+
+    def _avoid_gatherer(self, gatherer: str, error: wire.ServingError) -> None:
+        self._session.gatherer.avoid(gatherer)
+        observe.log_event(
+            "route",
+            "avoid_gatherer",
+            gatherer=gatherer,
+            code=error.code,
+            leader_silent_s=round(self._session.silent_s(), 3),
+        )
+
     async def _ask_at(
-        self, address: str, call_request: placement.PlaceRequest
+        self,
+        address: str,
+        call: wire.Call,
+        call_request: placement.PlaceRequest,
     ) -> placement.PlaceReply:
-        """Ask one replica; abandon the call if the leader changes.
+        """Ask one replica; abandon the call if it can't be answered.
 
         Raises:
-            LeaderMovedError: the leader changed before the reply came.
+            LeaderMovedError: the leader changed before the reply came, or it
+                no longer hears the gathering replica.
         """
-        call = asyncio.ensure_future(
+        asked = asyncio.ensure_future(
             self._transport.call(
                 address,
-                placement.PLACE,
+                call,
                 call_request,
                 call_request.patience_s + ASK_MARGIN_S,
             )
         )
-        moved = asyncio.ensure_future(self._session.leader.moved.wait())
+        events = [self._session.leader.moved]
+        if call is placement.PLACE_INDIRECT:
+            events.append(self._session.gatherer.moved)
+        moved = [asyncio.ensure_future(event.wait()) for event in events]
         try:
             await asyncio.wait(
-                (call, moved), return_when=asyncio.FIRST_COMPLETED
+                (asked, *moved), return_when=asyncio.FIRST_COMPLETED
             )
-            if call.done():
-                return call.result()
+            if asked.done():
+                return asked.result()
             raise LeaderMovedError("The leader changed. Ask the new one.")
         finally:
-            call.cancel()
-            moved.cancel()
+            asked.cancel()
+            for waiting in moved:
+                waiting.cancel()
 
     def _register_use(
         self, request: placement.PlaceRequest, reply: placement.PlaceReply
@@ -541,12 +595,19 @@
             message = self._take_releases()
             if message is None:
                 continue
+            gatherer = self._gatherer_address()
             try:
                 await self._transport.call(
-                    self._session.leader.address,
-                    placement.RELEASE,
+                    gatherer or self._session.leader.address,
+                    (
+                        placement.RELEASE_INDIRECT
+                        if gatherer
+                        else placement.RELEASE
+                    ),
                     message,
                     RELEASE_TIMEOUT_S,
                 )
             except wire.ServingError as error:
+                if gatherer and isinstance(error, GATHERER_ERRORS):
+                    self._avoid_gatherer(gatherer, error)
                 self._requeue_releases(error, message)
