Placement: count the work of gathered calls by kind

The line of a leader's work had no kind for calls that another replica passed on, so it couldn't tell placements from heartbeats. They count as direct calls do; the carrying of the message itself counts as exchange.

--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -304,6 +304,7 @@
             self.placer.on_release,
             self.coordinator.on_heartbeat,
             _NodeLeadership(self.node),
+            self.metrics,
             clock,
         )
         self.node.serve(self.server)
--- a/libs/placement/src/bergamotsail/placement/_exchange.py
+++ b/libs/placement/src/bergamotsail/placement/_exchange.py
@@ -3,10 +3,12 @@
 import asyncio
 import collections.abc
 import dataclasses
+import typing
 
 from absl import logging
 
 from bergamotsail import control
+from bergamotsail import observe
 from bergamotsail.placement import _exchange_messages
 from bergamotsail.placement import _leadership
 from bergamotsail.placement import _place_messages
@@ -64,6 +66,7 @@
     Args:
         place, release, beat: the handlers of the gathered calls.
         leadership: tells whether this process leads.
+        metrics: counts the work by kind of call.
     """
 
     def __init__(
@@ -72,12 +75,14 @@
         release: Release,
         beat: Beat,
         leadership: _leadership.Leadership,
+        metrics: observe.Metrics,
         clock: wire.Clock,
     ) -> None:
         self._place = place
         self._release = release
         self._beat = beat
         self._leadership = leadership
+        self._metrics = metrics
         self._clock = clock
         self._boot = wire.fresh_token("exchange")
         self._sender_by_id: dict[str, _Sender] = {}
@@ -132,12 +137,13 @@
         number = call.number
         try:
             if call.place is not None:
-                reply = await self._place(call.place)
+                reply = await self._timed("place", self._place, call.place)
                 outcome = CallOutcome(number, place=reply)
             else:
-                outcome = CallOutcome(
-                    number, heartbeat=await self._beat(call.heartbeat)
+                beat = await self._timed(
+                    "heartbeat", self._beat, call.heartbeat
                 )
+                outcome = CallOutcome(number, heartbeat=beat)
         except wire.ServingError as error:
             outcome = CallOutcome(number, error=error.body())
         except Exception:
@@ -147,3 +153,15 @@
         finally:
             sender.task_by_number.pop(number, None)
         sender.outcomes.append(outcome)
+
+    async def _timed(
+        self,
+        kind: str,
+        handler: collections.abc.Callable[
+            [typing.Any], collections.abc.Awaitable[typing.Any]
+        ],
+        request: object,
+    ) -> typing.Any:
+        """Run a handler and count its work like that of a direct call."""
+        observe.count_message(self._metrics, kind)
+        return await observe.timed(self._metrics, kind, handler, request)
