Placement: a lost leader doesn't make daemons leave their gatherers out

It now says that the outcome is unknown, and a replica without a leader only refuses. Heartbeats go first in an exchange and are not refused for the number of waiting calls. The check of random faults counted heartbeats on their way as calls that are left; it now counts those that no exchange can still answer.

--- a/features/support/gathering.py
+++ b/features/support/gathering.py
@@ -247,6 +247,15 @@
         return [f"{waiting} requests wait"] if waiting else []
 
 
+def _count_old_calls(gatherer: placement.CallGatherer) -> int:
+    """Count the calls that no exchange can still bring an outcome for."""
+    now = asyncio.get_running_loop().time()
+    calls = (*gatherer._unsent.values(), *gatherer._sent.values())
+    return sum(
+        now - call.arrived_at > _gatherer.EXCHANGE_TIMEOUT_S for call in calls
+    )
+
+
 FAULTS = ("kill", "power", "cut", "leader_kill", "leader_power", "calm")
 
 
@@ -289,7 +298,7 @@
         if len(placer._waiters):
             faults.append(f"{len(placer._waiters)} requests still wait")
         for address, replica in f.replica_by_address.items():
-            if calls := replica.gatherer.pending:
+            if calls := _count_old_calls(replica.gatherer):
                 faults.append(f"{calls} calls are left at {address}")
         return [f"seed {seed}, {kinds}: {fault}" for fault in faults]
 
--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -27,6 +27,7 @@
 FloorRaiser = _floor.FloorRaiser
 Fleet = _fleet.Fleet
 GathererChoice = _gatherer_choice.GathererChoice
+GATHERER_ERRORS = _gatherer_choice.GATHERER_ERRORS
 TargetNotices = _target_notices.TargetNotices
 TargetRates = _target_rates.TargetRates
 Ledger = _ledger.Ledger
--- a/libs/control/src/bergamotsail/control/_gatherer_choice.py
+++ b/libs/control/src/bergamotsail/control/_gatherer_choice.py
@@ -1,4 +1,4 @@
-"""Which replica gathers the placement calls of a daemon."""
+"""Which replica gathers the calls of a daemon."""
 
 import asyncio
 import collections.abc
@@ -11,12 +11,22 @@
 MAX_DIRECT_DAEMONS = 30
 # How long a replica that failed a call is left out.
 AVOID_S = 2.0
+# Errors that are about the gathering replica rather than about the call or
+# the leader.
+GATHERER_ERRORS = (
+    wire.NotSentError,
+    wire.PeerLostError,
+    wire.ReplicaFailedError,
+    wire.StartingError,
+    wire.StoppingError,
+    wire.NotFoundError,
+)
 
 
 class GathererChoice:
     """Chooses one of the replicas that the leader names.
 
-    Each daemon prefers another one, and keeps it while the leader names it.
+    Daemons prefer different ones, and keep theirs while the leader names it.
 
     Example::
 
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -259,8 +259,8 @@
         admit_share_by_member: for members above their budget, the share of
             their requests that the daemon should not refuse at once.
         permits: targets to each of which one request may be sent soon.
-        gatherers: replicas that pass placement calls of this daemon on to
-            the leader, those of its data centre if there are any.
+        gatherers: replicas that pass calls of this daemon on to the leader,
+            those of its data centre if there are any.
     """
 
     leader: str
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -659,7 +659,7 @@
         Raises:
             PeerLostError: the leader may have it; a repeated one would be
                 refused.
-            LoadShedError: the leader has no time for it.
+            ServingError: the leader refused it, or may have it.
         """
         self._record_send_time()
         try:
@@ -669,9 +669,9 @@
                 request,
                 self._timing.call_s,
             )
-        except wire.LoadShedError:
-            raise
-        except wire.ServingError as error:
+        except wire.NotLeaderError:
+            return None
+        except _gatherer_choice.GATHERER_ERRORS as error:
             self.gatherer.avoid(gatherer)
             observe.log_event(
                 "session",
--- a/libs/placement/src/bergamotsail/placement/_gatherer.py
+++ b/libs/placement/src/bergamotsail/placement/_gatherer.py
@@ -4,9 +4,10 @@
 import collections
 import collections.abc
 import dataclasses
-import itertools
 import typing
 
+from absl import logging
+
 from bergamotsail import control
 from bergamotsail import observe
 from bergamotsail.placement import _exchange_messages
@@ -67,9 +68,8 @@
 class CallGatherer:
     """Passes calls of daemons on to the leader, many in one message.
 
-    A leader spends most of its time on carrying calls, while the other
-    replicas are idle. They take the calls of entries instead, and the leader
-    only decides. There is one exchange at a time, so more calls share a
+    Carrying a call costs a leader more than deciding on it, and the other
+    replicas are idle. There is one exchange at a time, so more calls share a
     message as the leader gets slower.
 
     An async context manager; while it is entered it exchanges in the
@@ -121,9 +121,16 @@
 
         Raises:
             NotLeaderError: no leader is known; nothing was passed on.
-            PeerLostError: the leader may or may not have granted the call.
+            LoadShedError: the leader takes fewer calls than this replica
+                gets; nothing was passed on.
+            UnknownOutcomeError: the leader may or may not have granted it.
             ServingError: the leader's error.
         """
+        if len(self._unsent) >= MAX_UNSENT_CALLS:
+            raise wire.LoadShedError(
+                "The leader takes fewer calls than this replica gets. Retry.",
+                retry_after_s=RETRY_AFTER_S,
+            )
         self._number += 1
         return await self._wait(
             _exchange_messages.GatheredCall(self._number, place=request)
@@ -132,7 +139,11 @@
     async def beat(
         self, heartbeat: control.Heartbeat
     ) -> control.HeartbeatReply:
-        """Return the leader's reply to a heartbeat; raises as ``place``."""
+        """Return the leader's reply to a heartbeat.
+
+        It raises as ``place``, but no number of waiting calls refuses it,
+        since the daemon's lease depends on it.
+        """
         self._number += 1
         return await self._wait(
             _exchange_messages.GatheredCall(self._number, heartbeat=heartbeat)
@@ -141,11 +152,6 @@
     async def _wait(self, call: _exchange_messages.GatheredCall) -> typing.Any:
         """Wait for the outcome of a call."""
         self._find_leader()
-        if len(self._unsent) >= MAX_UNSENT_CALLS:
-            raise wire.LoadShedError(
-                "The leader takes fewer calls than this replica gets. Retry.",
-                retry_after_s=RETRY_AFTER_S,
-            )
         done = asyncio.get_running_loop().create_future()
         self._unsent[call.number] = _PendingCall(call, self._clock.now(), done)
         self._wake.set()
@@ -175,13 +181,26 @@
         while True:
             await self._wake.wait()
             began_at = self._clock.now()
-            pause_s = await self._exchange()
+            try:
+                pause_s = await self._exchange()
+            except Exception:
+                logging.exception("exchange: Unexpected error.")
+                self._lose_sent(())
+                pause_s = LEADERLESS_PAUSE_S
             if not (self.pending or self._releases or self._withdrawn):
                 self._wake.clear()
             took_s = self._clock.now() - began_at
             interval_s = self._count_gatherers() / MAX_EXCHANGES_PER_S
             await self._clock.sleep(max(interval_s - took_s, pause_s))
 
+    def _next_calls(self) -> dict[int, _PendingCall]:
+        """Return the calls for the next exchange, heartbeats first."""
+        ordered = sorted(
+            self._unsent.items(),
+            key=lambda item: item[1].call.heartbeat is None,
+        )
+        return dict(ordered[:MAX_CALLS_PER_EXCHANGE])
+
     async def _exchange(self) -> float:
         """Pass on what was gathered, and resolve the calls that ended.
 
@@ -189,9 +208,7 @@
             The minimum pause until the next exchange, in seconds.
         """
         now = self._clock.now()
-        new = dict(
-            itertools.islice(self._unsent.items(), MAX_CALLS_PER_EXCHANGE)
-        )
+        new = self._next_calls()
         request = _exchange_messages.ExchangeRequest(
             self._sender,
             tuple(call.aged(now) for call in new.values()),
@@ -269,7 +286,7 @@
         """Fail the calls that a leader had; it may have granted them."""
         lost = [number for number in self._sent if number not in kept]
         for number in lost:
-            error = wire.PeerLostError(
+            error = wire.UnknownOutcomeError(
                 "The leader that had this call was lost. Ask again."
             )
             _fail(self._sent.pop(number), error)
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -48,16 +48,6 @@
     wire.NotLeaderError,
     wire.LoadShedError,
 )
-# Errors that are about the gathering replica rather than about the request.
-GATHERER_ERRORS = (
-    wire.NotSentError,
-    wire.PeerLostError,
-    wire.NotLeaderError,
-    wire.ReplicaFailedError,
-    wire.StartingError,
-    wire.StoppingError,
-    wire.NotFoundError,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -459,7 +449,7 @@
             return await self._ask_at(
                 gatherer, placement.PLACE_INDIRECT, call_request
             )
-        except GATHERER_ERRORS as error:
+        except control.GATHERER_ERRORS as error:
             self._avoid_gatherer(gatherer, error)
             raise
 
@@ -608,6 +598,6 @@
                     RELEASE_TIMEOUT_S,
                 )
             except wire.ServingError as error:
-                if gatherer and isinstance(error, GATHERER_ERRORS):
+                if gatherer and isinstance(error, control.GATHERER_ERRORS):
                     self._avoid_gatherer(gatherer, error)
                 self._requeue_releases(error, message)
