--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -386,14 +386,14 @@
 
 
 async def _count_unserved(
-    seed: int, size: Size | None = None
+    seed: int, size: Size = FULL
 ) -> tuple[int, int, float]:
     """Count adapters that are never served, and all asked for often.
 
     Returns:
         Both, and the share of requests that were placed in time.
     """
-    async with Fleet(size or FULL, seed) as fleet:
+    async with Fleet(size, seed) as fleet:
         await asyncio.sleep(SETTLE_S)
         await fleet.generate_traffic(ASKED_S)
         await asyncio.sleep(PATIENCE_S)
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -57,7 +57,7 @@
 
 
 class LeaderMovedError(wire.ServingError):
-    """The leader changed while a reply of the previous one was pending."""
+    """The leader, or the way to it, changed while a reply was pending."""
 
     code = "leader_moved"
 
@@ -493,7 +493,10 @@
             )
             if asked.done():
                 return asked.result()
-            raise LeaderMovedError("The leader changed. Ask the new one.")
+            raise LeaderMovedError(
+                "The leader or the replica that passes calls on changed. "
+                "Ask again."
+            )
         finally:
             asked.cancel()
             for waiting in moved:
