--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -357,7 +357,7 @@
         """Renew a session, through the leader unless this replica leads."""
         if self.node.holds_lease():
             return await self.coordinator.on_heartbeat(request)
-        return await self.gatherer.beat(request)
+        return await self.gatherer.heartbeat(request)
 
     async def _on_place(
         self, request: placement.PlaceRequest
--- a/libs/placement/src/bergamotsail/placement/_exchange.py
+++ b/libs/placement/src/bergamotsail/placement/_exchange.py
@@ -18,15 +18,15 @@
 SENDER_SILENT_S = 3.0
 
 CallOutcome = _exchange_messages.CallOutcome
-Place = collections.abc.Callable[
+PlaceHandler = collections.abc.Callable[
     [_place_messages.PlaceRequest],
     collections.abc.Awaitable[_place_messages.PlaceReply],
 ]
-Release = collections.abc.Callable[
+ReleaseHandler = collections.abc.Callable[
     [_place_messages.ReleaseRequest],
     collections.abc.Awaitable[_place_messages.Released],
 ]
-Beat = collections.abc.Callable[
+HeartbeatHandler = collections.abc.Callable[
     [control.Heartbeat], collections.abc.Awaitable[control.HeartbeatReply]
 ]
 
@@ -64,23 +64,23 @@
     exchange returns.
 
     Args:
-        place, release, beat: the handlers of the gathered calls.
+        place, release, heartbeat: the handlers of the gathered calls.
         leadership: tells whether this process leads.
         metrics: counts the work by kind of call.
     """
 
     def __init__(
         self,
-        place: Place,
-        release: Release,
-        beat: Beat,
+        place: PlaceHandler,
+        release: ReleaseHandler,
+        heartbeat: HeartbeatHandler,
         leadership: _leadership.Leadership,
         metrics: observe.Metrics,
         clock: wire.Clock,
     ) -> None:
         self._place = place
         self._release = release
-        self._beat = beat
+        self._heartbeat = heartbeat
         self._leadership = leadership
         self._metrics = metrics
         self._clock = clock
@@ -140,10 +140,10 @@
                 reply = await self._timed("place", self._place, call.place)
                 outcome = CallOutcome(number, place=reply)
             else:
-                beat = await self._timed(
-                    "heartbeat", self._beat, call.heartbeat
+                renewed = await self._timed(
+                    "heartbeat", self._heartbeat, call.heartbeat
                 )
-                outcome = CallOutcome(number, heartbeat=beat)
+                outcome = CallOutcome(number, heartbeat=renewed)
         except wire.ServingError as error:
             outcome = CallOutcome(number, error=error.body())
         except Exception:
--- a/libs/placement/src/bergamotsail/placement/_gatherer.py
+++ b/libs/placement/src/bergamotsail/placement/_gatherer.py
@@ -136,17 +136,17 @@
             _exchange_messages.GatheredCall(self._number, place=request)
         )
 
-    async def beat(
-        self, heartbeat: control.Heartbeat
+    async def heartbeat(
+        self, request: control.Heartbeat
     ) -> control.HeartbeatReply:
         """Return the leader's reply to a heartbeat.
 
-        It raises as ``place``, but no number of waiting calls refuses it,
-        since the daemon's lease depends on it.
+        It raises as ``place``, but is never refused for the number of waiting
+        calls, since the daemon's lease depends on it.
         """
         self._number += 1
         return await self._wait(
-            _exchange_messages.GatheredCall(self._number, heartbeat=heartbeat)
+            _exchange_messages.GatheredCall(self._number, heartbeat=request)
         )
 
     async def _wait(self, call: _exchange_messages.GatheredCall) -> typing.Any:
