Docs: adapters are still left out under more load; what a rereading found

Two comments said more than the code does: the bound of calls that wait holds for four replicas, and a refused exchange may apply releases.

--- a/libs/placement/src/bergamotsail/placement/_exchange.py
+++ b/libs/placement/src/bergamotsail/placement/_exchange.py
@@ -99,7 +99,8 @@
         """Start the calls of a replica and return the known outcomes.
 
         Raises:
-            NotLeaderError: this process does not lead; nothing was started.
+            NotLeaderError: this process does not lead; no call was started,
+                but releases may have been applied, which may be repeated.
         """
         if not self._leadership.holds():
             raise self._leadership.refusal()
--- a/libs/placement/src/bergamotsail/placement/_gatherer.py
+++ b/libs/placement/src/bergamotsail/placement/_gatherer.py
@@ -21,8 +21,8 @@
 # Maximum number of calls in an exchange, so that the leader's event
 # loop is not blocked by one.
 MAX_CALLS_PER_EXCHANGE = 20
-# Calls that wait for an exchange beyond this number are refused. All
-# gathering replicas together can hold as many as the leader lets wait.
+# Placement calls are refused while this many calls wait for an exchange.
+# Four gathering replicas hold as many as the leader lets wait.
 MAX_UNSENT_CALLS = 100
 RETRY_AFTER_S = 0.1
 # Pause after an exchange that reached no leader.
