--- a/libs/placement/src/bergamotsail/placement/_gatherer.py
+++ b/libs/placement/src/bergamotsail/placement/_gatherer.py
@@ -31,6 +31,8 @@
 # lost release is repaired by the entry's next heartbeat.
 MAX_QUEUED = 1_000
 
+STATE_LOG_INTERVAL_S = 1.0
+
 # Errors after which the leader has certainly not processed the exchange.
 UNPROCESSED_ERRORS = (
     wire.NotSentError,
@@ -65,6 +67,30 @@
         return dataclasses.replace(self.call, place=aged)
 
 
+@dataclasses.dataclass(slots=True)
+class _ExchangeTimes:
+    """What exchanges took since they were last logged, in seconds.
+
+    Args:
+        held_s: sum of the times that calls waited here to be passed on.
+        took_s: sum of the durations of the exchanges.
+    """
+
+    calls: int = 0
+    held_s: float = 0.0
+    most_held_s: float = 0.0
+    exchanges: int = 0
+    took_s: float = 0.0
+
+    def add(self, held_s: list[float], took_s: float) -> None:
+        """Add an exchange, with the times that its calls waited here."""
+        self.calls += len(held_s)
+        self.held_s += sum(held_s)
+        self.most_held_s = max(self.most_held_s, *held_s, 0.0)
+        self.exchanges += 1
+        self.took_s += took_s
+
+
 class CallGatherer:
     """Passes calls of daemons on to the leader, many in one message.
 
@@ -102,6 +128,8 @@
         self._withdrawn: collections.deque[int]
         self._withdrawn = collections.deque(maxlen=MAX_QUEUED)
         self._wake = asyncio.Event()
+        self._times = _ExchangeTimes()
+        self._logged_at = clock.now()
         self._background = wire.BackgroundTasks()
 
     async def __aenter__(self) -> "CallGatherer":
@@ -190,6 +218,7 @@
             if not (self.pending or self._releases or self._withdrawn):
                 self._wake.clear()
             took_s = self._clock.now() - began_at
+            self._log_state()
             interval_s = self._count_gatherers() / MAX_EXCHANGES_PER_S
             await self._clock.sleep(max(interval_s - took_s, pause_s))
 
@@ -209,6 +238,7 @@
         """
         now = self._clock.now()
         new = self._next_calls()
+        held_s = [now - call.arrived_at for call in new.values()]
         request = _exchange_messages.ExchangeRequest(
             self._sender,
             tuple(call.aged(now) for call in new.values()),
@@ -228,6 +258,7 @@
             )
         except wire.ServingError as error:
             return self._on_failed(request, error)
+        self._times.add(held_s, self._clock.now() - now)
         if reply.receiver != self._receiver:
             self._lose_sent(new)
             self._receiver = reply.receiver
@@ -264,6 +295,25 @@
         self._lose_sent(())
         return LEADERLESS_PAUSE_S
 
+    def _log_state(self) -> None:
+        """Log how long calls wait here and what exchanges take."""
+        now, times = self._clock.now(), self._times
+        if now - self._logged_at < STATE_LOG_INTERVAL_S:
+            return
+        observe.log_event(
+            "exchange",
+            "state",
+            over_s=round(now - self._logged_at, 3),
+            calls=times.calls,
+            held_s=round(times.held_s / max(times.calls, 1), 4),
+            most_held_s=round(times.most_held_s, 4),
+            exchanges=times.exchanges,
+            took_s=round(times.took_s / max(times.exchanges, 1), 4),
+            unsent=len(self._unsent),
+            sent=len(self._sent),
+        )
+        self._logged_at, self._times = now, _ExchangeTimes()
+
     def _log_failed(
         self,
         request: _exchange_messages.ExchangeRequest,
