Placement: replicas share the placement of many engines

Cause: one replica placed all requests and ordered all loads, 0.5 to 0.7 of each second on a machine with 0.645 of a core (vitals work: calls 1.51 s, passes 1.07 s, orders 0.63 s of 6.5 s), beside five that are idle.

Change: with more than 30 engines they form groups, one less than voters. The leader gives each group to a replica under a lease of 1 s, which runs the scheduler for its engines. Its fencing numbers come from the term and from how often the group was given in it; the log has the holders of each group, and refuses a record with an older number. Daemons choose the group by their request's adapter, or the next one if requests wait longer there, and ask its holder. Holders debit budgets at the leader before they place. Up to 30 engines the leader holds all of them, as before. Daemons ask at the rate that a holder serves in time, measured from its loop's delay, in place of 600 a second.

Why it works: the work that grows with the requests is done by as many processes as may hold groups, and a slower machine is asked less.

Failed on the way: a number of groups that follows the number of engines (no loads for 3 s after an election, since engines changed groups); a single group that followers took over; calls asked anew whenever any group moved.

Tests that were changed: the holders' histories ask through the new front of the placers, which waits until engines are known; the report delay of the large fleet is measured at each holder, from its lease.

--- a/features/support/decisions.py
+++ b/features/support/decisions.py
@@ -467,6 +467,7 @@
     session.leader.moved = asyncio.Event()
     session.boot = "b"
     session.silent_s.return_value = 0.0
+    session.holders = control.HolderTable("b", wire.LoopClock())
     session.digest.target_by_id = {}
     notices = control.TargetNotices()
     session.takes_work = lambda info: notices.takes_work(info, 0.0)
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -311,36 +311,46 @@
         await asyncio.sleep(TRAFFIC_S + fleet.rng.uniform(0.0, 1.0))
         loop = asyncio.get_running_loop()
         old_leader = (await fleet.leader()).member.address
-        reported_at: dict[tuple[str, str], float] = {}
-        for address, replica in fleet.replica_by_address.items():
-            _record_first_reports(replica.placer, address, reported_at)
         await fleet.cut_power(old_leader)
-        new_leader = (await fleet.leader()).member.address
-        leads_at = loop.time()
-        await asyncio.sleep(LEASE.lease_s)
-        await traffic
-        report_times = [
-            at for (by, _), at in reported_at.items() if by == new_leader
-        ]
-        if len(report_times) < size.entries:
-            return float("inf")
-        return max(report_times) - leads_at
+        with _recorded_first_reports() as reported_at:
+            new_leader = await fleet.leader()
+            leads_at = loop.time()
+            await asyncio.sleep(LEASE.lease_s)
+            await traffic
+        replica = fleet.replica_by_address[new_leader.member.address]
+        if replica.groups.holds(""):
+            return _last_report(replica.placer, reported_at, size, leads_at)
+        return max(
+            _last_report(placer, reported_at, size, placer._term_at)
+            for replica in fleet.replica_by_address.values()
+            for _, placer in replica.groups._held_placers()
+        )
 
 
-def _record_first_reports(
+def _last_report(
     placer: placement.Placer,
-    address: str,
-    reported_at: dict[tuple[str, str], float],
-) -> None:
-    """Record when each daemon first reports its requests to a replica."""
-    take_uses = placer.take_uses
-
-    def take(boot: str, uses) -> None:
+    reported_at: dict[tuple[int, str], float],
+    size: Size,
+    since: float,
+) -> float:
+    """Return how long after *since* the last daemon reported to a placer."""
+    times = [at for (by, _), at in reported_at.items() if by == id(placer)]
+    return max(times) - since if len(times) == size.entries else math.inf
+
+
+@contextlib.contextmanager
+def _recorded_first_reports():
+    """Record when each daemon first reports its requests to a placer."""
+    reported_at: dict[tuple[int, str], float] = {}
+    take_uses = placement.Placer.take_uses
+
+    def take(placer: placement.Placer, boot: str, uses) -> None:
         now = asyncio.get_running_loop().time()
-        reported_at.setdefault((address, boot), now)
-        take_uses(boot, uses)
+        reported_at.setdefault((id(placer), boot), now)
+        take_uses(placer, boot, uses)
 
-    placer.take_uses = take
+    with unittest.mock.patch.object(placement.Placer, "take_uses", take):
+        yield reported_at
 
 
 async def _check_report_delay(size: Size, seeds: range) -> list[str]:
--- a/features/support/holders.py
+++ b/features/support/holders.py
@@ -255,11 +255,11 @@
             "mnl-a",
         )
         try:
-            place = await process.replica.placer.on_place(request)
+            place = await process.replica.groups.on_place(request)
             ended = placement.EndedUse(
                 name, place.target, placement.UseOutcome.DONE
             )
-            await process.replica.placer.on_release(
+            await process.replica.groups.on_release(
                 placement.ReleaseRequest(ENTRY, (ended,))
             )
         except wire.ServingError:
--- a/libs/catalogue/src/bergamotsail/catalogue/_commands.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_commands.py
@@ -209,11 +209,13 @@
         fence: fencing token of its orders.
         alone: whether no other instance can have given orders within the
             last lease, so that earlier holders are forgotten.
+        group: id of the group of engines, empty for all engines.
     """
 
     holder: str
     fence: int
     alone: bool = False
+    group: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -7,6 +7,7 @@
 from bergamotsail.catalogue import _commands
 from bergamotsail.catalogue import _entries
 from bergamotsail.catalogue import _members
+from bergamotsail.catalogue import _order_holders
 from bergamotsail.catalogue import _routes
 from bergamotsail.catalogue import _view
 from bergamotsail import quorum
@@ -17,10 +18,6 @@
 MAX_EFFECTS = 4_000
 # Adapter copies remembered for each engine; an engine stores about as many.
 MAX_COPIES_PER_ENGINE = 64
-# Instances that have given orders to engines. Dropping the oldest is unsafe
-# only if it gives orders again within one lease, during which this many
-# others would have had to take over.
-MAX_ORDER_HOLDERS = 32
 
 Command = _commands.Command
 State = _commands.ClaimState
@@ -55,6 +52,10 @@
     document: str | None = None
     copies: _commands.Copies | None = None
     order_holders: tuple[str, ...] = ()
+    holders_by_group: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    fence_by_group: dict[str, int] = dataclasses.field(default_factory=dict)
     # Written by earlier releases, which stored only the boots.
     sharers: tuple[str, ...] = ()
     share_notes: tuple[_commands.Sharer, ...] = ()
@@ -73,8 +74,7 @@
         self.floor_ms = 0
         self.routes_document: str | None = None
         self.copies_by_target: dict[str, tuple[str, ...]] = {}
-        # Instances that have given orders to engines, most recent last.
-        self.order_holders: tuple[str, ...] = ()
+        self._holders = _order_holders.OrderHolders()
         # Daemons that may hold shares of limits, by boot.
         self.sharer_by_boot: dict[str, _commands.Sharer] = {}
         self.changes: collections.deque[_commands.Change] = collections.deque(
@@ -90,6 +90,19 @@
         self._index_by_versioned_key: dict[tuple[_entries.Kind, str], int] = {}
         self._last_dropped_index = 0
 
+    @property
+    def order_holders(self) -> tuple[str, ...]:
+        """Who gave orders to all engines as one group, the latest last."""
+        return self.former_holders("")
+
+    def former_holders(self, group: str) -> tuple[str, ...]:
+        """Return who gave orders to a group of engines, the latest last."""
+        return self._holders.former(group)
+
+    def order_groups(self) -> int:
+        """Return the number of groups that were ordered last, 0 if none."""
+        return self._holders.groups
+
     @property
     def claims(self) -> int:
         """The number of stored claims."""
@@ -117,7 +130,7 @@
         elif parsed.note_copies is not None:
             self._note_copies(parsed.note_copies)
         elif parsed.take_orders is not None:
-            self._take_orders(parsed.take_orders)
+            result = self._holders.take(parsed.take_orders)
         elif parsed.note_sharers is not None:
             self._note_sharers(parsed.note_sharers)
         self.view.index = index
@@ -335,12 +348,6 @@
             names = (*older, *copies.names)[-MAX_COPIES_PER_ENGINE:]
             self.copies_by_target[copies.target] = names
 
-    def _take_orders(self, take: _commands.TakeOrders) -> None:
-        others = [name for name in self.order_holders if name != take.holder]
-        if take.alone:
-            others = []
-        self.order_holders = (*others, take.holder)[-MAX_ORDER_HOLDERS:]
-
     def _note_sharers(self, note: _commands.NoteSharers) -> None:
         for boot in note.gone:
             self.sharer_by_boot.pop(boot, None)
@@ -391,7 +398,9 @@
             _SnapshotLine(
                 floor_ms=self.floor_ms,
                 document=self.routes_document,
-                order_holders=self.order_holders,
+                order_holders=self._holders.elsewhere,
+                holders_by_group=dict(self._holders.by_group),
+                fence_by_group=dict(self._holders.fence_by_group),
                 share_notes=tuple(self.sharer_by_boot.values()),
             ),
             dict(self.copies_by_target),
@@ -420,7 +429,11 @@
             elif line.floor_ms is not None:
                 self.floor_ms = line.floor_ms
                 self.routes_document = line.document
-                self.order_holders = line.order_holders
+                self._holders = _order_holders.OrderHolders(
+                    line.holders_by_group,
+                    line.order_holders,
+                    line.fence_by_group,
+                )
                 self._note_sharers(
                     _commands.NoteSharers(
                         joined=line.sharers, sharers=line.share_notes
--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -11,6 +11,8 @@
 from bergamotsail.control import _fleet
 from bergamotsail.control import _floor
 from bergamotsail.control import _gatherer_choice
+from bergamotsail.control import _groups
+from bergamotsail.control import _holders
 from bergamotsail.control import _ledger
 from bergamotsail.control import _messages
 from bergamotsail.control import _relay
@@ -33,9 +35,18 @@
 Ledger = _ledger.Ledger
 StoreQueue = _turns.StoreQueue
 rendezvous = _fleet.rendezvous
+HolderTable = _holders.HolderTable
+count_groups = _groups.count_groups
+group_id = _groups.group_id
+group_of = _groups.group_of
+ranked_groups = _groups.ranked_groups
 
 DaemonInfo = _messages.DaemonInfo
 TargetInfo = _messages.TargetInfo
+DigestDelta = _messages.DigestDelta
+GroupHolder = _messages.GroupHolder
+RateNotice = _messages.RateNotice
+StreamNote = _messages.StreamNote
 StreamOrigin = _messages.StreamOrigin
 FIND_STREAM = _messages.FIND_STREAM
 FindStream = _messages.FindStream
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -76,6 +76,10 @@
     ) -> None:
         """Process a change of the known targets."""
 
+    def holders(self) -> tuple[_messages.GroupHolder, ...]:
+        """Return the replicas that place requests on groups of targets."""
+        return ()
+
     def on_new_start(
         self, callback: collections.abc.Callable[[str, int], None]
     ) -> None:
@@ -274,10 +278,17 @@
             self._record_spending(term, request),
             self._rates.permits(request.wanted_permits, self._clock.now()),
             self._gatherers(daemon),
+            self._use_tracker.holders() if self._use_tracker else (),
         )
         await self._steps.reach(wire.Step.HEARTBEAT, wire.Phase.AFTER)
         return reply
 
+    def digest_delta(
+        self, digest_term: int, digest_version: int
+    ) -> _messages.DigestDelta:
+        """Return the changes of the digest since a version of a term."""
+        return self._current_term().digest.delta(digest_term, digest_version)
+
     def _gatherers(self, daemon: _messages.DaemonInfo) -> tuple[str, ...]:
         """Return the replicas that may gather a daemon's calls."""
         followers = self._node.answering_followers()
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -244,6 +244,22 @@
     wanted_permits: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupHolder:
+    """The replica that places requests on a group of engines.
+
+    Args:
+        address: empty if the group has no holder.
+        wait_s: mean wait for a place there in the last second or so.
+        calls_per_s: placement calls of all daemons that it has time for;
+            None if it is not known.
+    """
+
+    address: str = ""
+    wait_s: float = 0.0
+    calls_per_s: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeartbeatReply:
     """The leader's reply that renews a session.
@@ -261,6 +277,8 @@
         permits: targets to each of which one request may be sent soon.
         gatherers: replicas that pass calls of this daemon on to the leader,
             those of its data centre if there are any.
+        holders: of the groups of engines, in their order; the leader alone
+            while the engines form a single group.
     """
 
     leader: str
@@ -278,6 +296,7 @@
     )
     permits: tuple[str, ...] = ()
     gatherers: tuple[str, ...] = ()
+    holders: tuple[GroupHolder, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/control/src/bergamotsail/control/_session.py
+++ b/libs/control/src/bergamotsail/control/_session.py
@@ -13,6 +13,7 @@
 from bergamotsail.control import _daemon_view
 from bergamotsail.control import _digest
 from bergamotsail.control import _gatherer_choice
+from bergamotsail.control import _holders
 from bergamotsail.control import _messages
 from bergamotsail.control import _streams
 from bergamotsail.control import _target_notices
@@ -291,6 +292,7 @@
         self.digest = _digest.Digest()
         self.leader = leader
         self.gatherer = _gatherer_choice.GathererChoice(daemon.boot, clock)
+        self.holders = _holders.HolderTable(daemon.boot, clock)
         self.observations = quarantine.Observations(clock)
         self.streams = _streams.StreamNotes(clock)
         self.notices = _target_notices.TargetNotices()
@@ -567,6 +569,7 @@
                 lambda: self._renew_after_fetch(sent_at),
             )
         self.take_digest(reply.digest)
+        self.holders.update(reply.holders)
         self.gatherer.update(reply.gatherers, len(self.daemon_by_boot))
         if reply.digest.more:
             self.kick()
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -123,7 +123,7 @@
 
 
 class _NodeLeadership(placement.Leadership):
-    """Leadership of the placer, based on the leader lease of the log."""
+    """Leadership of the log, based on its leader lease."""
 
     def __init__(self, node: quorum.Node) -> None:
         self._node = node
@@ -139,6 +139,62 @@
         return self._node.not_leader()
 
 
+class _NodeLog(placement.GroupLog):
+    """The log as the engine groups see it."""
+
+    def __init__(
+        self,
+        settings: RoleSettings,
+        node: quorum.Node,
+        machine: catalogue.CatalogueMachine,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._machine = machine
+
+    @property
+    def name(self) -> str:
+        return self._settings.name
+
+    @property
+    def address(self) -> str:
+        return self._settings.address
+
+    @property
+    def term(self) -> int:
+        return self._node.term
+
+    def holds(self) -> bool:
+        return self._node.holds_lease()
+
+    def refusal(self) -> wire.ServingError:
+        return self._node.not_leader()
+
+    def leader_address(self) -> str:
+        node = self._node
+        if node.leader is None or not node.has_leader_contact:
+            raise node.not_leader()
+        return node.leader.address
+
+    def answering(self) -> dict[str, str]:
+        return {
+            member.name: member.address
+            for member in self._node.answering_followers()
+        }
+
+    def former_holder(self, group: str) -> str:
+        former = self._machine.former_holders(group)
+        return former[-1] if former else ""
+
+    @property
+    def holders(self) -> int:
+        # The leader has the sessions, so it holds no group if all others run.
+        return self._settings.voters - 1
+
+    def former_groups(self) -> int:
+        return self._machine.order_groups()
+
+
 async def _propose(node: quorum.Node, command: catalogue.Command) -> object:
     """Commit a command.
 
@@ -150,33 +206,66 @@
         return await node.propose(wire.encode(command))
 
 
+class _Committer:
+    """Commits commands of this replica, also while another one leads."""
+
+    def __init__(
+        self,
+        node: quorum.Node,
+        log: _NodeLog,
+        transport: wire.PeerTransport,
+    ) -> None:
+        self._node = node
+        self._log = log
+        self._transport = transport
+
+    async def commit(self, command: catalogue.Command) -> bool:
+        """Commit a command; return whether the state machine took it.
+
+        Raises:
+            ServingError: it is unknown whether it was committed.
+            TimeoutError: likewise.
+        """
+        if self._node.holds_lease():
+            return bool(await _propose(self._node, command))
+        reply = await self._transport.call(
+            self._log.leader_address(),
+            control.COMMAND,
+            control.CommandRequest(command, relayed=True),
+            PROPOSE_TIMEOUT_S,
+        )
+        return bool(reply.done)
+
+
 class _LogCopyRegistry(placement.CopyRegistry):
     """Persists adapter copies in the log, so that the next leader has them."""
 
     def __init__(
-        self, node: quorum.Node, machine: catalogue.CatalogueMachine
+        self, committer: _Committer, machine: catalogue.CatalogueMachine
     ) -> None:
-        self._node = node
+        self._committer = committer
         self._machine = machine
 
     def names(self, target: str) -> tuple[str, ...]:
         return self._machine.copies_by_target.get(target, ())
 
     async def note(self, note: catalogue.NoteCopies) -> None:
-        await _propose(self._node, catalogue.Command(note_copies=note))
+        await self._committer.commit(catalogue.Command(note_copies=note))
 
 
 class _LogHolderRegistry(placement.HolderRegistry):
-    """Persists in the log which instances gave orders to engines."""
+    """Persists in the log which instances gave orders to a group."""
 
     def __init__(
         self,
         name: str,
-        node: quorum.Node,
+        group: str,
+        committer: _Committer,
         machine: catalogue.CatalogueMachine,
     ) -> None:
         self._name = name
-        self._node = node
+        self._group = group
+        self._committer = committer
         self._machine = machine
 
     @property
@@ -184,11 +273,96 @@
         return self._name
 
     def former(self) -> tuple[str, ...]:
-        return self._machine.order_holders
+        return self._machine.former_holders(self._group)
 
     async def note(self, fence: int, alone: bool) -> None:
-        take = catalogue.TakeOrders(self._name, fence, alone)
-        await _propose(self._node, catalogue.Command(take_orders=take))
+        take = catalogue.TakeOrders(self._name, fence, alone, self._group)
+        if not await self._committer.commit(
+            catalogue.Command(take_orders=take)
+        ):
+            raise wire.ConflictError(
+                "Another replica gives orders to these engines since. Wait "
+                "for the next lease."
+            )
+
+
+class _PlacerParts:
+    """Makes the placers of engine groups.
+
+    Args:
+        started_at: when this process started.
+    """
+
+    def __init__(
+        self,
+        settings: RoleSettings,
+        machine: catalogue.CatalogueMachine,
+        make_engine: collections.abc.Callable[
+            [targets.Instance], targets.AdapterEngine
+        ],
+        metrics: observe.Metrics,
+        clock: wire.Clock,
+        committer: _Committer,
+        rates: control.TargetRates,
+        started_at: float,
+    ) -> None:
+        self._settings = settings
+        self._machine = machine
+        self._make_engine = make_engine
+        self._metrics = metrics
+        self._clock = clock
+        self._committer = committer
+        self._rates = rates
+        self._started_at = started_at
+        self._tenures: list[placement.Tenure] = []
+
+    def make(
+        self,
+        group: str,
+        leadership: placement.Leadership,
+        debits: placement.Debits,
+        streams: control.StreamTable,
+    ) -> placement.Placer:
+        """Return the placer of a group of engines."""
+        places = self._settings.places
+        return placement.Placer(
+            leadership,
+            lambda: self._machine.view,
+            self._make_engine,
+            placement.CopyAffinityPolicy(
+                store_price_s=places.store_price_s,
+                other_datacentre_s=places.other_datacentre_s,
+            ),
+            self._metrics,
+            self._clock,
+            _LogCopyRegistry(self._committer, self._machine),
+            settings=places,
+            holder_registry=_LogHolderRegistry(
+                self._settings.name, group, self._committer, self._machine
+            ),
+            tenure=self._make_tenure(),
+            streams=streams,
+            rates=self._rates,
+            debits=debits,
+            group=group,
+        )
+
+    def _make_tenure(self) -> placement.Tenure:
+        """Return the tenure of a group that this process has not held.
+
+        It may have ordered the same engines in a group of another number.
+        """
+        ordered_at = max(
+            (tenure.ordered_at(self._clock.now()) for tenure in self._tenures),
+            default=self._started_at,
+        )
+        tenure = placement.Tenure(
+            self._settings.order_lease_s,
+            ordered_at,
+            self._settings.initial_order_delay_s,
+        )
+        self._tenures.append(tenure)
+        return tenure
 
 
 class Replica:
@@ -254,30 +428,35 @@
         )
         streams = control.StreamTable(clock)
         rates = control.TargetRates()
-        self.placer = placement.Placer(
-            _NodeLeadership(self.node),
-            lambda: self.machine.view,
+        leadership = _NodeLeadership(self.node)
+        log = _NodeLog(settings, self.node, self.machine)
+        debits = placement.LeaderDebits(
+            leadership, lambda: self.machine.view, budgets, self.metrics, clock
+        )
+        self._placer_parts = _PlacerParts(
+            settings,
+            self.machine,
             make_engine,
-            placement.CopyAffinityPolicy(
-                store_price_s=settings.places.store_price_s,
-                other_datacentre_s=settings.places.other_datacentre_s,
-            ),
             self.metrics,
             clock,
-            _LogCopyRegistry(self.node, self.machine),
-            settings=settings.places,
-            holder_registry=_LogHolderRegistry(
-                settings.name, self.node, self.machine
-            ),
-            tenure=placement.Tenure(
-                settings.order_lease_s,
-                clock.now() if started_at is None else started_at,
-                settings.initial_order_delay_s,
-            ),
-            budgets=budgets,
-            streams=streams,
-            rates=rates,
+            _Committer(self.node, log, transport),
+            rates,
+            clock.now() if started_at is None else started_at,
+        )
+        self.groups = placement.EngineGroups(
+            log,
+            transport,
+            self._placer_parts.make,
+            lambda: self.machine.view,
+            debits,
+            streams,
+            rates,
+            lambda term, version: self.coordinator.digest_delta(term, version),
+            self.lag.mean_s,
+            clock,
         )
+        # The placer of all engines while they form a single group.
+        self.placer = self.groups.placer()
         self.coordinator = control.Coordinator(
             settings.address,
             self.node,
@@ -287,7 +466,7 @@
             settings.lease,
             list_interval_s,
             clock=clock,
-            use_tracker=self.placer,
+            use_tracker=self.groups,
             metrics=self.metrics,
             budgets=budgets,
             streams=streams,
@@ -300,16 +479,16 @@
             clock,
         )
         self._exchange = placement.CallExchange(
-            self.placer.on_place,
-            self.placer.on_release,
+            self.groups.on_place,
+            self.groups.on_release,
             self.coordinator.on_heartbeat,
-            _NodeLeadership(self.node),
+            leadership,
             self.metrics,
             clock,
         )
         self.node.serve(self.server)
         self.coordinator.serve(self.server)
-        self.placer.serve(self.server)
+        self.groups.serve(self.server)
         self._serve_gathered()
         self._stack = contextlib.AsyncExitStack()
 
@@ -319,7 +498,7 @@
             self.process_monitor,
             self.node,
             self.coordinator,
-            self.placer,
+            self.groups,
             self.gatherer,
         )
         for component in components:
@@ -364,7 +543,7 @@
     ) -> placement.PlaceReply:
         """Place a request, through the leader unless this replica leads."""
         if self.node.holds_lease():
-            return await self.placer.on_place(request)
+            return await self.groups.on_place(request)
         return await self.gatherer.place(request)
 
     async def _on_release(
@@ -372,7 +551,7 @@
     ) -> placement.Released:
         """Release requests, through the leader unless this one leads."""
         if self.node.holds_lease():
-            return await self.placer.on_release(request)
+            return await self.groups.on_release(request)
         return await self.gatherer.release(request)
 
     def _leader_address(self) -> str:
--- a/libs/placement/src/bergamotsail/placement/__init__.py
+++ b/libs/placement/src/bergamotsail/placement/__init__.py
@@ -7,11 +7,14 @@
 """
 
 from bergamotsail.placement import _counter
+from bergamotsail.placement import _debits
+from bergamotsail.placement import _engine_groups
 from bergamotsail.placement import _engine_orders
 from bergamotsail.placement import _engine_record
 from bergamotsail.placement import _exchange
 from bergamotsail.placement import _exchange_messages
 from bergamotsail.placement import _gatherer
+from bergamotsail.placement import _group_log
 from bergamotsail.placement import _leadership
 from bergamotsail.placement import _place_messages
 from bergamotsail.placement import _place_policy
@@ -23,10 +26,16 @@
 DecayingCounter = _counter.DecayingCounter
 
 EngineOrders = _engine_orders.EngineOrders
+FENCES_PER_TERM = _engine_orders.FENCES_PER_TERM
 StoreLoadLock = _engine_orders.StoreLoadLock
 EngineRecord = _engine_record.EngineRecord
 CopyAffinityPolicy = _place_policy.CopyAffinityPolicy
 CopyRegistry = _placer.CopyRegistry
+EngineGroups = _engine_groups.EngineGroups
+group_key = _engine_groups.group_key
+GroupLog = _group_log.GroupLog
+Debits = _debits.Debits
+LeaderDebits = _debits.LeaderDebits
 Leadership = _leadership.Leadership
 HolderRegistry = _tenure.HolderRegistry
 Tenure = _tenure.Tenure
--- a/libs/placement/src/bergamotsail/placement/_leadership.py
+++ b/libs/placement/src/bergamotsail/placement/_leadership.py
@@ -1,4 +1,4 @@
-"""The scheduler's interface to the leadership of the replicated log."""
+"""The scheduler's interface to the right to place requests on engines."""
 
 import abc
 
@@ -6,16 +6,24 @@
 
 
 class Leadership(abc.ABC):
-    """Whether this process is the leader, and under which term."""
+    """Whether this process may place and order now, and under which term.
+
+    It is the leader of the replicated log, or holds a group of engines.
+    """
 
     @property
     @abc.abstractmethod
     def term(self) -> int:
         """The current term, from which fencing numbers are derived."""
 
+    @property
+    def log_term(self) -> int:
+        """The term of the replicated log in which *term* was given."""
+        return self.term
+
     @abc.abstractmethod
     def holds(self) -> bool:
-        """Whether this process leads and no other can lead at this moment."""
+        """Whether this process may, and no other can at this moment."""
 
     @abc.abstractmethod
     def refusal(self) -> wire.ServingError:
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -73,6 +73,8 @@
         software: version that the engine's software must have, None for any.
         stream: name of the stream that it begins or resumes, empty for none.
         stream_keep_s: how long its caller may resume that stream.
+        group: id of the group of engines to place it on, if the replica that
+            is called holds that; empty to ask the leader.
     """
 
     boot: str
@@ -97,6 +99,7 @@
     software: str | None = None
     stream: str = ""
     stream_keep_s: float = 0.0
+    group: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -19,6 +19,7 @@
 from bergamotsail import limits
 from bergamotsail import observe
 from bergamotsail.placement import _counter
+from bergamotsail.placement import _debits
 from bergamotsail.placement import _decisions
 from bergamotsail.placement import _engine_orders
 from bergamotsail.placement import _engine_record
@@ -28,6 +29,7 @@
 from bergamotsail.placement import _place_messages
 from bergamotsail.placement import _place_policy
 from bergamotsail.placement import _place_settings
+from bergamotsail.placement import _recent_mean
 from bergamotsail.placement import _reserved_loads
 from bergamotsail.placement import _rights
 from bergamotsail.placement import _tenure
@@ -77,6 +79,8 @@
 # one place is left for other adapters.
 MAX_LOADS_TO_REPLACE_BUSY = _decisions.MAX_CONCURRENT_LOADS - 1
 RETRY_AFTER_S = 0.5
+# Time constant of the mean wait for a place.
+WAIT_WINDOW_S = 1.0
 
 State = _engine_record.SlotState
 Outcome = _place_messages.UseOutcome
@@ -110,6 +114,8 @@
         budgets: what members spend of their budgets.
         streams: where streams began; grants are noted there.
         rates: limits of targets; grants are taken from them.
+        debits: debits requests in place of *budgets*.
+        group: id of the group of engines that it places requests on.
     """
 
     def __init__(
@@ -131,12 +137,22 @@
         budgets: limits.LeaderBudgets | None = None,
         streams: control.StreamTable | None = None,
         rates: control.TargetRates | None = None,
+        debits: _debits.Debits | None = None,
+        group: str = "",
     ) -> None:
         self._rates = rates or control.TargetRates()
         # Targets with a limit at the last decision.
         self._limited: tuple[str, ...] = ()
         self._streams = streams or control.StreamTable(clock)
-        self._budgets = budgets or limits.LeaderBudgets()
+        self._debits = debits or _debits.LeaderDebits(
+            leadership,
+            view,
+            budgets or limits.LeaderBudgets(),
+            metrics,
+            clock,
+        )
+        self._group = group
+        self._wait_mean = _recent_mean.RecentMean(WAIT_WINDOW_S)
         self._settings = settings
         self._rights = _rights.OrderRights(
             leadership,
@@ -199,18 +215,29 @@
         )
 
     async def __aenter__(self) -> "Placer":
-        self._background.start(self._tick, self._note_copies)
+        self.start()
         return self
 
+    def start(self) -> None:
+        """Start the background tasks, as entering the context does."""
+        self._background.start(self._tick, self._note_copies)
+
     async def __aexit__(self, *_: object) -> None:
         await self._background.stop()
         self._rights.stop()
         self._reset()
 
-    def serve(self, server: wire.PeerServer) -> None:
-        """Register the handlers of the calls from entries."""
-        server.serve(_place_messages.PLACE, self.on_place, PLACE_SHED_S)
-        server.serve(_place_messages.RELEASE, self.on_release, RELEASE_SHED_S)
+    def daemons(self) -> tuple[str, ...]:
+        """Return the boots of the daemons with grants."""
+        return tuple(
+            boot
+            for boot, target_by_request in self._target_by_request.items()
+            if target_by_request
+        )
+
+    def wait_s(self) -> float:
+        """Return the mean wait of the last requests for a place."""
+        return self._wait_mean.value(self._clock.now())
 
     # Calls from entries.
 
@@ -227,11 +254,13 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         self._check_software(request)
-        self._debit(request)
+        await self._debits.take(request)
+        self._check_leading()
         done = asyncio.get_running_loop().create_future()
         arrived_at = self._clock.now() - request.waited_s
         waiter = _waiting.Waiter(request, arrived_at, done)
         self._waiters.add(waiter)
+        began_at = self._clock.now()
         try:
             now = self._clock.now()
             granted = self._try_grant(waiter, now)
@@ -242,6 +271,8 @@
             return await self._wait(waiter)
         finally:
             self._waiters.discard(waiter)
+            now = self._clock.now()
+            self._wait_mean.add(now - began_at, now)
 
     def _check_software(self, request: _place_messages.PlaceRequest) -> None:
         """Refuse a request at once if no engine has the software it needs.
@@ -273,34 +304,6 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
-    def _debit(self, request: _place_messages.PlaceRequest) -> None:
-        """Debit a request from its member's budget.
-
-        Raises:
-            LimitError: the member is above its limit.
-        """
-        budget = self._view().budget(request.member)
-        if budget is None or not request.cost:
-            return
-        now = self._clock.now()
-        ledger = self._budgets.of_term(self._leadership.term, now)
-        wait_s = ledger.take(request.member, budget, request.cost, now)
-        if wait_s == 0.0:
-            self._metrics.count("budget_debits", member=request.member)
-            return
-        self._metrics.count("budget_refusals", member=request.member)
-        observe.log_event(
-            "limit",
-            "refuse",
-            request=request.request,
-            member=request.member,
-            cost=request.cost,
-            level=round(ledger.level(request.member, budget, now)),
-            per_s=budget.per_s,
-            term=self._leadership.term,
-        )
-        raise limits.limit_error(request.member, wait_s)
-
     def _check_tenure(self, waiter: _waiting.Waiter) -> None:
         """Refuse a request at once if its load can't be ordered in time.
 
@@ -627,6 +630,7 @@
             "place",
             "state",
             term=self._term,
+            group=self._group or None,
             waiting=len(self._waiters),
             oldest_s=round(
                 max(
@@ -1017,13 +1021,13 @@
                 waited_s,
                 reason,
                 record.info.software,
-                self._term,
+                self._leadership.log_term,
             )
         )
         self._waiters.discard(waiter)
         if request.stream:
             self._streams.note(
-                self._term,
+                self._leadership.log_term,
                 request.stream,
                 control.StreamOrigin(request.pool, record.info.software),
                 request.stream_keep_s,
--- a/libs/placement/src/bergamotsail/placement/_tenure.py
+++ b/libs/placement/src/bergamotsail/placement/_tenure.py
@@ -149,6 +149,10 @@
             self._in_flight -= 1
             self._ordered_at = max(self._ordered_at, now())
 
+    def ordered_at(self, now: float) -> float:
+        """Return when the last order was in flight."""
+        return now if self._in_flight else self._ordered_at
+
     def wait_s(self, fence: int, now: float) -> float:
         """Return the expected wait until orders may be sent."""
         if self._noted or fence != self.fence:
@@ -158,6 +162,6 @@
     def _wait_s(self, now: float) -> float:
         allowed_at = self._delayed_until
         if self._is_former_holder:
-            last_at = now if self._in_flight else self._ordered_at
+            last_at = self.ordered_at(now)
             allowed_at = max(allowed_at, last_at + self._lease_s)
         return max(0.0, allowed_at - now)
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -21,8 +21,8 @@
 # Approximate limit of release messages of all daemons together; the leader
 # needs about 0.4 ms to process a release.
 MAX_RELEASES_PER_S = 300.0
-# Approximate limit for all daemons together, so that a new leader is not
-# flooded with placement requests.
+# Limit for all daemons together until a replica says how many calls it has
+# time for, so that a new leader is not flooded with placement requests.
 MAX_ASKS_PER_S = 600.0
 # Minimum burst size of a daemon, however small its share of the rate is.
 MIN_BURST = 2.0
@@ -50,6 +50,23 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Way:
+    """Where a request is asked for a place, or releases are sent.
+
+    Args:
+        address: of the replica to call, or the leader's.
+        call: the call to make.
+        holds: whether the replica is called as a holder of engines.
+        group: the group of engines to place a request on.
+    """
+
+    address: str
+    call: wire.Call = placement.PLACE
+    holds: bool = False
+    group: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _CachedPlacement:
     reply: placement.PlaceReply
@@ -146,9 +163,28 @@
         self._retry_now = asyncio.Event()
         # A daemon that has just started has not lost its leader.
         self._leader_heard_at = clock.now()
-        self._limiter = AskRateLimiter(
-            lambda: MAX_ASKS_PER_S / self._daemon_count(), clock
-        )
+        # Rates of asks, by the group of engines; None for the leader.
+        self._limiter_by_group: dict[int | None, AskRateLimiter] = {}
+
+    def _limiter(self, group: int | None) -> AskRateLimiter:
+        """Return the limiter of asks for a group of engines."""
+        if group not in self._limiter_by_group:
+            self._limiter_by_group[group] = AskRateLimiter(
+                lambda: self._asks_per_s(group), self._clock
+            )
+        return self._limiter_by_group[group]
+
+    def _asks_per_s(self, group: int | None) -> float:
+        """Return this daemon's part of the calls that a replica takes."""
+        holders = self._session.holders
+        per_s = None
+        if group is None and len(holders) == 1:
+            per_s = holders.holder(0).calls_per_s
+        elif group is not None and group < len(holders):
+            per_s = holders.holder(group).calls_per_s
+        if per_s is None:
+            per_s = MAX_ASKS_PER_S
+        return per_s / self._daemon_count()
 
     def _daemon_count(self) -> int:
         """Return the number of daemons, including this one, at least 1."""
@@ -189,6 +225,7 @@
         pause_s = ASK_RETRY_S
         last: wire.ServingError | None = None
         may_be_granted = False
+        refused: set[int] = set()
         while (left_s := deadline - self._clock.now()) > 0:
             found = self._place_without_leader(request, left_s, may_be_granted)
             if found is not None:
@@ -199,14 +236,13 @@
                 await self._clock.sleep(min(SURVEY_POLL_S, left_s))
                 continue
             waited_s = request.waited_s + self._clock.now() - started_at
-            if (
-                waited_s > request.objective_s
-                and not self._limiter.has_token()
-            ):
+            way = self._way(request, refused)
+            limiter = self._limiter(way.group)
+            if waited_s > request.objective_s and not limiter.has_token():
                 # Requests that can still meet their objective go first.
                 await self._clock.sleep(min(LATE_POLL_S, left_s))
                 continue
-            delay_s = self._limiter.reserve(left_s)
+            delay_s = limiter.reserve(left_s)
             if delay_s is None:
                 break
             if delay_s > 0.0:
@@ -217,12 +253,13 @@
                     max(deadline - self._clock.now(), 0.0), ASK_TIMEOUT_S
                 ),
                 waited_s=request.waited_s + self._clock.now() - started_at,
-                releases=self._take_releases(),
+                releases=self._take_releases(way),
                 member=debit.member,
                 cost=debit.due,
+                group=self._group_id(way),
             )
             try:
-                reply = await self._ask(call_request)
+                reply = await self._ask(way, call_request)
                 debit.mark_taken()
                 self._on_leader_reply()
                 return self._register_use(request, reply)
@@ -236,7 +273,9 @@
             except wire.NoCapacityError:
                 debit.mark_taken()
                 self._leader_heard_at = self._clock.now()
-                raise
+                if not self._may_ask_others(request, way, refused):
+                    raise
+                continue
             except wire.LimitError:
                 self._leader_heard_at = self._clock.now()
                 raise
@@ -262,15 +301,89 @@
             retry_after_s=1.0,
         ) from last
 
-    def _take_releases(self) -> placement.ReleaseRequest | None:
-        """Take the queued releases, to be sent with the next call."""
-        if not self._ended and not self._begun:
+    def _way(
+        self,
+        request: placement.PlaceRequest,
+        refused: collections.abc.Container[int] = (),
+    ) -> _Way:
+        """Return where to ask for a place.
+
+        Args:
+            refused: groups of engines that have refused the request.
+        """
+        session = self._session
+        if session.goes_through_neighbour:
+            return _Way(session.leader.address)
+        if len(session.holders) > 1:
+            group = session.holders.choose(
+                placement.group_key(request), refused
+            )
+            if group is not None:
+                address = session.holders.address(group)
+                return _Way(address, holds=True, group=group)
+        gatherer = session.gatherer.address()
+        if gatherer is not None:
+            return _Way(gatherer, placement.PLACE_INDIRECT)
+        return _Way(session.leader.address)
+
+    def _group_id(self, way: _Way) -> str:
+        if way.group is None:
+            return ""
+        return control.group_id(way.group, len(self._session.holders))
+
+    def _may_ask_others(
+        self, request: placement.PlaceRequest, way: _Way, refused: set[int]
+    ) -> bool:
+        """Whether a refused request may be asked for at another group.
+
+        Only some engines run the software that a resumed stream needs, and
+        the group that refused may have none of them.
+        """
+        if way.group is None or request.software is None:
+            return False
+        refused.add(way.group)
+        return len(refused) < len(self._session.holders)
+
+    def _take_releases(
+        self, way: _Way | None = None
+    ) -> placement.ReleaseRequest | None:
+        """Take the queued releases, to be sent with the next call.
+
+        Args:
+            way: takes only those of the engines that this replica holds;
+                None for all.
+        """
+        ended, begun = tuple(self._ended), tuple(self._begun)
+        if way is not None and way.holds:
+            address_for = self._session.holders.address_for
+            ended = tuple(
+                e for e in ended if address_for(e.target) == way.address
+            )
+            begun = tuple(
+                b for b in begun if address_for(b.target) == way.address
+            )
+        if not ended and not begun:
             return None
-        ended = tuple(self._ended)
-        begun = tuple(self._begun)
+        self._drop_queued(ended, begun)
+        return placement.ReleaseRequest(self._session.boot, ended, begun)
+
+    def _drop_queued(
+        self,
+        ended: tuple[placement.EndedUse, ...],
+        begun: tuple[placement.BegunUse, ...],
+    ) -> None:
+        """Remove releases that are sent from the queues."""
+        if len(ended) == len(self._ended) and len(begun) == len(self._begun):
+            self._ended.clear()
+            self._begun.clear()
+            return
+        taken: set[object] = {*ended, *begun}
+        kept_ended = [each for each in self._ended if each not in taken]
+        kept_begun = [each for each in self._begun if each not in taken]
         self._ended.clear()
+        self._ended.extend(kept_ended)
         self._begun.clear()
-        return placement.ReleaseRequest(self._session.boot, ended, begun)
+        self._begun.extend(kept_begun)
 
     def _requeue_releases(
         self,
@@ -411,13 +524,14 @@
         self._retry_now = asyncio.Event()
 
     async def _ask(
-        self, call_request: placement.PlaceRequest
+        self, way: _Way, call_request: placement.PlaceRequest
     ) -> placement.PlaceReply:
-        """Ask the presumed leader, following redirects to the actual one."""
-        gatherer = self._gatherer_address()
-        if gatherer is not None:
-            return await self._ask_through(gatherer, call_request)
-        address: str | None = self._session.leader.address
+        """Ask for a place; redirects to the actual leader are followed."""
+        if way.group is not None:
+            return await self._ask_holder(way, call_request)
+        if way.call is placement.PLACE_INDIRECT:
+            return await self._ask_through(way.address, call_request)
+        address: str | None = way.address
         last: wire.ServingError | None = None
         for _ in range(MAX_REDIRECTS + 1):
             try:
@@ -432,11 +546,31 @@
         assert last is not None
         raise last
 
-    def _gatherer_address(self) -> str | None:
-        """Return the replica that passes calls on; None to call directly."""
-        if self._session.goes_through_neighbour:
-            return None
-        return self._session.gatherer.address()
+    async def _ask_holder(
+        self, way: _Way, call_request: placement.PlaceRequest
+    ) -> placement.PlaceReply:
+        """Ask the holder of a group, which is left out for a while on failure.
+
+        Raises:
+            LeaderMovedError: another replica holds the group now.
+        """
+        assert way.group is not None
+        holders = self._session.holders
+        try:
+            return await self._ask_at(way.address, way.call, call_request)
+        except (wire.NotLeaderError, *control.GATHERER_ERRORS) as error:
+            if holders.address(way.group) == way.address:
+                holders.avoid(way.group)
+            observe.log_event(
+                "route",
+                "avoid_holder",
+                request=call_request.request,
+                holder=way.address,
+                group=call_request.group,
+                code=error.code,
+                leader_silent_s=round(self._session.silent_s(), 3),
+            )
+            raise
 
     async def _ask_through(
         self, gatherer: str, call_request: placement.PlaceRequest
@@ -472,9 +606,12 @@
         """Ask one replica; abandon the call if it can't be answered.
 
         Raises:
-            LeaderMovedError: the leader changed before the reply came, or it
-                no longer hears the gathering replica.
+            LeaderMovedError: the leader, or the holder of a group, changed
+                before the reply came, or the leader no longer hears the
+                gathering replica.
         """
+        if call_request.group:
+            return await self._ask_until_moved(address, call, call_request)
         asked = asyncio.ensure_future(
             self._transport.call(
                 address,
@@ -502,6 +639,43 @@
             for waiting in moved:
                 waiting.cancel()
 
+    async def _ask_until_moved(
+        self,
+        address: str,
+        call: wire.Call,
+        call_request: placement.PlaceRequest,
+    ) -> placement.PlaceReply:
+        """Ask a holder; abandon the call once it no longer is one.
+
+        Raises:
+            LeaderMovedError: the group has another holder, or none.
+        """
+        holders = self._session.holders
+        asked = asyncio.ensure_future(
+            self._transport.call(
+                address,
+                call,
+                call_request,
+                call_request.patience_s + ASK_MARGIN_S,
+            )
+        )
+        try:
+            while holders.holds(address, call_request.group):
+                moved = asyncio.ensure_future(holders.moved.wait())
+                try:
+                    await asyncio.wait(
+                        (asked, moved), return_when=asyncio.FIRST_COMPLETED
+                    )
+                finally:
+                    moved.cancel()
+                if asked.done():
+                    return asked.result()
+            raise LeaderMovedError(
+                "Another replica holds these engines. Ask again."
+            )
+        finally:
+            asked.cancel()
+
     def _register_use(
         self, request: placement.PlaceRequest, reply: placement.PlaceReply
     ) -> placement.PlaceReply:
@@ -585,22 +759,37 @@
             spacing_s = self._daemon_count() / MAX_RELEASES_PER_S
             await self._clock.sleep(max(RELEASE_SPACING_S, spacing_s))
             self._wake.clear()
-            message = self._take_releases()
-            if message is None:
-                continue
-            gatherer = self._gatherer_address()
-            try:
-                await self._transport.call(
-                    gatherer or self._session.leader.address,
-                    (
-                        placement.RELEASE_INDIRECT
-                        if gatherer
-                        else placement.RELEASE
-                    ),
-                    message,
-                    RELEASE_TIMEOUT_S,
-                )
-            except wire.ServingError as error:
-                if gatherer and isinstance(error, control.GATHERER_ERRORS):
-                    self._avoid_gatherer(gatherer, error)
-                self._requeue_releases(error, message)
+            for way in self._release_ways():
+                await self._send_releases(way)
+
+    def _release_ways(self) -> list[_Way]:
+        """Return the replicas to which queued releases are to be sent."""
+        session = self._session
+        if session.goes_through_neighbour:
+            return [_Way(session.leader.address, placement.RELEASE)]
+        if len(session.holders) > 1:
+            targets = {each.target for each in (*self._ended, *self._begun)}
+            addresses = {session.holders.address_for(t) for t in targets}
+            return [
+                _Way(address, placement.RELEASE, holds=True)
+                for address in sorted(addresses - {""})
+            ]
+        gatherer = session.gatherer.address()
+        if gatherer is not None:
+            return [_Way(gatherer, placement.RELEASE_INDIRECT)]
+        return [_Way(session.leader.address, placement.RELEASE)]
+
+    async def _send_releases(self, way: _Way) -> None:
+        """Send the queued releases of the engines that a replica holds."""
+        message = self._take_releases(way)
+        if message is None:
+            return
+        try:
+            await self._transport.call(
+                way.address, way.call, message, RELEASE_TIMEOUT_S
+            )
+        except wire.ServingError as error:
+            indirect = way.call is placement.RELEASE_INDIRECT
+            if indirect and isinstance(error, control.GATHERER_ERRORS):
+                self._avoid_gatherer(way.address, error)
+            self._requeue_releases(error, message)
