Routing: name the wait for the next call when a request can't be asked for

A request that a daemon may not ask for in time was refused with a Retry-After of 1 s, whatever the rate of calls. Callers came back before the daemon might ask, and were refused again. It is now the wait for the next permitted call, at least 1 s. features/decisions.feature: 28 passed.

--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -17,6 +17,7 @@
 ASK_MARGIN_S = 0.15
 ASK_RETRY_S = 0.05
 MAX_RETRY_PAUSE_S = 0.3
+RETRY_AFTER_S = 1.0
 RELEASE_SPACING_S = 0.01
 # Approximate limit of release messages of all daemons together; the leader
 # needs about 0.4 ms to process a release.
@@ -102,6 +103,12 @@
         since_s = self._clock.now() - self._refilled_at
         return self._tokens + since_s * self._per_s() >= 1.0
 
+    def wait_s(self) -> float:
+        """Return the wait for the next token, in seconds."""
+        since_s = self._clock.now() - self._refilled_at
+        per_s = self._per_s()
+        return max(0.0, (1.0 - self._tokens - since_s * per_s) / per_s)
+
     def reserve(self, max_wait_s: float) -> float | None:
         """Take a token and return how long to wait before using it.
 
@@ -226,6 +233,7 @@
         last: wire.ServingError | None = None
         may_be_granted = False
         refused: set[int] = set()
+        retry_after_s = RETRY_AFTER_S
         while (left_s := deadline - self._clock.now()) > 0:
             found = self._place_without_leader(request, left_s, may_be_granted)
             if found is not None:
@@ -244,6 +252,7 @@
                 continue
             delay_s = limiter.reserve(left_s)
             if delay_s is None:
+                retry_after_s = limiter.wait_s()
                 break
             if delay_s > 0.0:
                 await self._clock.sleep(delay_s)
@@ -298,7 +307,7 @@
             pause_s = min(pause_s * 2, MAX_RETRY_PAUSE_S)
         raise wire.OverloadError(
             "No placement was granted in time. Retry later.",
-            retry_after_s=1.0,
+            retry_after_s=max(retry_after_s, RETRY_AFTER_S),
         ) from last
 
     def _way(
