--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -476,8 +476,8 @@
         asked_at, now = now, now + pause_s
         if what == "assign":
             assignments.assign({}, now)
-            continue
-        held = assignments.renew(replica, now)
+        else:
+            held = assignments.renew(replica, now)
         if what == "ask":
             until = {key: at for key, at in until.items() if key[0] != replica}
             for group in held:
