Routing: ask only groups that have engines of a request's pool

Engines form groups by their names alone, so a small pool may have engines in one group only. Entries and the leader leave out groups without an engine of the pool, or of the software that a resumed stream needs.

--- a/features/engine_groups.feature
+++ b/features/engine_groups.feature
@@ -19,6 +19,7 @@
       | holder_cut_from_leader     |
       | lost_group_is_held_again   |
       | budget_holds_over_groups   |
+      | small_pool_is_served       |
       | new_holder_knows_what_runs |
 
   Scenario: Random faults of replicas never give an engine two holders
--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 import unittest.mock
 
@@ -47,6 +48,7 @@
 # The same if the call fails at once. The adapter may have to be loaded there.
 MAX_FAILED_WAIT_S = 0.8
 SETTLED_S = 4.0
+SMALL_POOL = "small"
 # Time that requests run for which a new holder has to learn of.
 LONG_RUN_S = 6.0
 # Budget of a member, in units a second, and what each of its requests costs.
@@ -311,6 +313,44 @@
         return []
 
 
+async def small_pool_is_served() -> list[str]:
+    """A pool with engines in one group only gets its requests placed there."""
+    async with GroupFleet() as f:
+        name = next(iter(f.engine_by_name))
+        pools = tuple(
+            catalogue.RoutePool(pool, "/health", 64, f.spec)
+            for pool in (fleet.POOL, SMALL_POOL)
+        )
+        table = catalogue.RouteTable(2, (), pools)
+        await growth._replace_table(f, table)
+        f.instances._instances = tuple(
+            (
+                dataclasses.replace(each, pool=SMALL_POOL)
+                if each.id == name
+                else each
+            )
+            for each in f.instances._instances
+        )
+        await f.warm_up()
+        outcomes = await asyncio.gather(
+            *(_place(f, number, SMALL_POOL) for number in range(5))
+        )
+        return [] if set(outcomes) == {"placed"} else [f"{outcomes}"]
+
+
+async def _place(f: GroupFleet, number: int, pool: str) -> str:
+    """Ask for a place; return how that ends."""
+    entry = f.entries[number % len(f.entries)]
+    request = dataclasses.replace(
+        _request(entry, f"small-{number}", number), pool=pool
+    )
+    try:
+        await entry.placements.acquire(request)
+    except wire.ServingError as error:
+        return error.code
+    return "placed"
+
+
 async def budget_holds_over_groups() -> list[str]:
     """A member spends its budget once, whichever holders it asks."""
     budget = catalogue.Budget(BUDGET_PER_S, BUDGET_PER_S)
@@ -334,12 +374,13 @@
     return [] if placed + refused == 60 else [f"{outcomes}"]
 
 
-async def _place_debited(f: GroupFleet, number: int) -> str:
-    """Ask for a place that costs a part of the member's budget."""
-    entry = f.entries[number % len(f.entries)]
-    request = placement.PlaceRequest(
+def _request(
+    entry: fleet._Entry, name: str, number: int
+) -> placement.PlaceRequest:
+    """Return a small request for one of the adapters."""
+    return placement.PlaceRequest(
         entry.session.boot,
-        f"budget-{number}",
+        name,
         fleet.POOL,
         ledger.MODEL,
         f"a{number % ADAPTERS}",
@@ -350,6 +391,12 @@
         fleet.PATIENCE_S,
         entry.datacentre,
     )
+
+
+async def _place_debited(f: GroupFleet, number: int) -> str:
+    """Ask for a place that costs a part of the member's budget."""
+    entry = f.entries[number % len(f.entries)]
+    request = _request(entry, f"budget-{number}", number)
     debit = _budget_admission.Debit(entry.session.budgets, "m", COST)
     try:
         await entry.placements.acquire(request, debit)
@@ -598,6 +645,7 @@
         holder_cut_from_leader,
         lost_group_is_held_again,
         budget_holds_over_groups,
+        small_pool_is_served,
         new_holder_knows_what_runs,
     )
 }
@@ -639,6 +687,15 @@
         "budget_holds_over_groups",
         (_engine_groups.EngineGroups, "debit", _debit_nothing),
     ),
+    (
+        "ask groups with engines of the pool",
+        "small_pool_is_served",
+        (
+            _placements.PlacementClient,
+            "_unsuitable_groups",
+            lambda self, request: frozenset(),
+        ),
+    ),
     (
         "wait until a lease has ended",
         "run_leases",
--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -39,6 +39,7 @@
 count_groups = _groups.count_groups
 group_id = _groups.group_id
 group_of = _groups.group_of
+groups_with = _groups.groups_with
 ranked_groups = _groups.ranked_groups
 
 DaemonInfo = _messages.DaemonInfo
--- a/libs/control/src/bergamotsail/control/_groups.py
+++ b/libs/control/src/bergamotsail/control/_groups.py
@@ -9,6 +9,7 @@
 
 import mmh3
 
+from bergamotsail.control import _messages
 from bergamotsail import targets
 
 # Number of engines that one process places requests on without help.
@@ -49,6 +50,26 @@
     return _ranked(targets.Incarnation.of(target).name, groups)[0]
 
 
+def groups_with(
+    known: collections.abc.Iterable[_messages.TargetInfo],
+    pool: str,
+    software: str | None,
+    groups: int,
+) -> frozenset[int]:
+    """Return the groups with engines of a pool that take new work.
+
+    Args:
+        software: version that an engine's software must have, None for any.
+    """
+    return frozenset(
+        group_of(info.id, groups)
+        for info in known
+        if info.pool == pool
+        and not info.leaving
+        and software in (None, info.software)
+    )
+
+
 def ranked_groups(key: str, groups: int) -> collections.abc.Sequence[int]:
     """Return the groups in the order in which a key prefers them.
 
--- a/libs/placement/src/bergamotsail/placement/_engine_groups.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_groups.py
@@ -332,12 +332,15 @@
         """Have a request placed by the holder of its adapter's group.
 
         Raises:
-            NotLeaderError: no group has a holder.
+            NotLeaderError: no group with engines for it has a holder.
         """
         lead = self._current_lead()
+        suitable = control.groups_with(
+            self._known, request.pool, request.software, groups
+        )
         for group in control.ranked_groups(group_key(request), groups):
             address = lead.address(group)
-            if not address:
+            if not address or group not in suitable:
                 continue
             sent = dataclasses.replace(
                 request, group=control.group_id(group, groups)
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -173,6 +173,13 @@
         # Rates of asks, by the group of engines; None for the leader.
         self._limiter_by_group: dict[int | None, AskRateLimiter] = {}
 
+        # Groups without an engine for a pool and software, for a version of
+        # the digest and a number of groups.
+        self._suitable_at = (0, 0, 0)
+        self._unsuitable_by_need: dict[
+            tuple[str, str | None], frozenset[int]
+        ] = {}
+
     def _limiter(self, group: int | None) -> AskRateLimiter:
         """Return the limiter of asks for a group of engines."""
         if group not in self._limiter_by_group:
@@ -325,7 +332,8 @@
             return _Way(session.leader.address)
         if len(session.holders) > 1:
             group = session.holders.choose(
-                placement.group_key(request), refused
+                placement.group_key(request),
+                {*refused, *self._unsuitable_groups(request)},
             )
             if group is not None:
                 address = session.holders.address(group)
@@ -335,6 +343,25 @@
             return _Way(gatherer, placement.PLACE_INDIRECT)
         return _Way(session.leader.address)
 
+    def _unsuitable_groups(
+        self, request: placement.PlaceRequest
+    ) -> frozenset[int]:
+        """Return the groups that have no engine for a request."""
+        digest, groups = self._session.digest, len(self._session.holders)
+        at = (digest.term, digest.version, groups)
+        if at != self._suitable_at:
+            self._suitable_at = at
+            self._unsuitable_by_need.clear()
+        need = (request.pool, request.software)
+        if need not in self._unsuitable_by_need:
+            suitable = control.groups_with(
+                digest.target_by_id.values(), *need, groups
+            )
+            self._unsuitable_by_need[need] = (
+                frozenset(range(groups)) - suitable
+            )
+        return self._unsuitable_by_need[need]
+
     def _group_id(self, way: _Way) -> str:
         if way.group is None:
             return ""
