Placement: fail debits that no renewal can bring an outcome for

By reading: a holder that becomes the leader left the debits that it had asked the former one for without an outcome, so their requests waited until their calls timed out, 1.5 s. The same after an unexpected error. They are asked for again at once now. Daemons whose sessions have ended are dropped from all groups of a holder at the same time.

--- a/libs/placement/src/bergamotsail/placement/_engine_groups.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_groups.py
@@ -505,6 +505,9 @@
                 logging.debug("groups: Round aborted. %s", error.message)
             except Exception:
                 logging.exception("groups: Unexpected error.")
+                self._fail_debits(
+                    wire.InternalError("Internal error. See the log.")
+                )
             await self._clock.sleep(RENEW_SPACING_S)
             await wire.wait_event(self._wake, RENEW_INTERVAL_S)
             self._wake.clear()
@@ -516,6 +519,11 @@
             await self._renew()
             return
         self._lease = _Lease()
+        self._fail_debits(
+            wire.UnknownOutcomeError(
+                "The leader that had this debit was replaced. Ask again."
+            )
+        )
         lead = self._current_lead()
         before = self._own_epochs()
         lead.assign(self._clock.now())
@@ -625,18 +633,18 @@
     def _drop_absent_daemons(self) -> None:
         """Release the grants of daemons whose sessions have ended."""
         now = self._clock.now()
-        listed = self._digest.daemon_by_boot
-        for group, placer in self._held_placers():
-            for boot in placer.daemons():
-                if boot in listed:
-                    self._absent_since_by_boot.pop(boot, None)
-                    continue
-                since = self._absent_since_by_boot.setdefault(boot, now)
-                if now - since > ABSENT_S:
-                    placer.drop_uses(boot)
-                    observe.log_event(
-                        "groups", "daemon_gone", group=group, boot=boot
-                    )
+        placers = [placer for _, placer in self._held_placers()]
+        granted = {boot for placer in placers for boot in placer.daemons()}
+        self._absent_since_by_boot = {
+            boot: self._absent_since_by_boot.get(boot, now)
+            for boot in granted - self._digest.daemon_by_boot.keys()
+        }
+        for boot, since in self._absent_since_by_boot.items():
+            if now - since <= ABSENT_S:
+                continue
+            for placer in placers:
+                placer.drop_uses(boot)
+            observe.log_event("groups", "daemon_gone", boot=boot)
 
     def _resolve(self, outcome: _group_messages.DebitOutcome) -> None:
         pending = self._sent_debits.pop(outcome.number, None)
