--- a/features/engine_groups.feature
+++ b/features/engine_groups.feature
@@ -36,6 +36,7 @@
       | check_unclear_former_holder |
       | check_holders_by_group      |
       | check_call_rate             |
+      | check_choice_of_groups      |
 
   Scenario: Every guard of engine groups that is switched off is noticed
     When each guard of engine groups is switched off
--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -15,6 +15,7 @@
 
 from bergamotsail import catalogue
 from bergamotsail import control
+from bergamotsail.control import _holders
 from bergamotsail import placement
 from bergamotsail.placement import _assignments
 from bergamotsail.placement import _call_rate
@@ -592,6 +593,39 @@
     return faults
 
 
+async def _choose_groups() -> list[str]:
+    holder, empty = control.GroupHolder, control.GroupHolder()
+    table = control.HolderTable("entry-1#1", wire.LoopClock())
+
+    def shares(*holders: control.GroupHolder) -> dict[int | None, float]:
+        table.update(holders)
+        chosen = [table.choose("base/a1") for _ in range(1_000)]
+        return {group: chosen.count(group) / 1_000 for group in set(chosen)}
+
+    first, second = control.ranked_groups("base/a1", 2)
+    holders = [holder("r1", 0.1), holder("r2", 0.1)]
+    faults = []
+    if shares(*holders) != {first: 1.0}:
+        faults.append("requests leave a group that is not busier")
+    holders[first] = holder(holders[first].address, 5.0)
+    if not 0.4 < shares(*holders).get(second, 0.0) < 0.6:
+        faults.append(f"of a busy group: {shares(*holders)}")
+    table.avoid(first)
+    if shares(*holders) != {second: 1.0}:
+        faults.append("a holder that failed a call is asked again")
+    holders[first] = empty
+    if shares(*holders) != {second: 1.0}:
+        faults.append("a group without a holder is asked")
+    if shares(empty, empty) != {None: 1.0}:
+        faults.append("a group is asked though none has a holder")
+    return faults
+
+
+def check_choice_of_groups() -> list[str]:
+    """Requests leave a group that is busier, or has no usable holder."""
+    return ledger.run(_choose_groups())
+
+
 def check_call_rate() -> list[str]:
     """The rate of calls follows the machine, however fast that is.
 
@@ -631,6 +665,7 @@
         check_unclear_former_holder,
         check_holders_by_group,
         check_call_rate,
+        check_choice_of_groups,
     )
 }
 
@@ -706,6 +741,11 @@
         "check_unclear_former_holder",
         (_assignments.Assignments, "_is_free", lambda *_: True),
     ),
+    (
+        "leave a group in which requests wait",
+        "check_choice_of_groups",
+        (_holders, "MAX_LEAVING_SHARE", 0.0),
+    ),
     (
         "follow the lag of the process",
         "check_call_rate",
--- a/libs/routing/src/bergamotsail/routing/_placements.py
+++ b/libs/routing/src/bergamotsail/routing/_placements.py
@@ -172,7 +172,6 @@
         self._leader_heard_at = clock.now()
         # Rates of asks, by the group of engines; None for the leader.
         self._limiter_by_group: dict[int | None, AskRateLimiter] = {}
-
         # Groups without an engine for a pool and software, for a version of
         # the digest and a number of groups.
         self._suitable_at = (0, 0, 0)
