--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -35,6 +35,9 @@
 # As many engines and requests as one process has no time for.
 SIZE = fleet.Size(32, 32, 120.0, 5)
 TRAFFIC_S = 3.0
+WARM_UP_S = 2.0
+# By then the log is formed, engines are known and groups have holders.
+FORMED_S = 3.0
 # Adapters that are asked for; all fit into the slots, so that a request waits
 # for a decision rather than for a slot.
 ADAPTERS = 40
@@ -98,8 +101,8 @@
 
     async def warm_up(self) -> None:
         """Run traffic until all adapters are resident."""
-        await asyncio.sleep(fleet.SETTLE_S)
-        await self.generate_traffic(TRAFFIC_S)
+        await asyncio.sleep(FORMED_S)
+        await self.generate_traffic(WARM_UP_S)
         await asyncio.sleep(1.0)
         self.outcomes.clear()
 
