--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -53,6 +53,8 @@
 MAX_FAILED_WAIT_S = 0.8
 SETTLED_S = 4.0
 SMALL_POOL = "small"
+# Longest time that a replica is away in a random series of faults.
+MAX_AWAY_S = 1.6
 # Time that requests run for which a new holder has to learn of.
 LONG_RUN_S = 6.0
 # Budget of a member, in units a second, and what each of its requests costs.
@@ -235,7 +237,7 @@
     async with GroupFleet() as f:
         await f.warm_up()
         await asyncio.sleep(SETTLED_S)
-        leader = (await f.leader()).member.address
+        leader = await f.leader_address()
         addresses = [address for address, _ in f.held().values()]
         faults = f.group_faults()
         if leader in addresses or len(set(addresses)) < len(addresses):
@@ -249,7 +251,7 @@
         await f.warm_up()
         await asyncio.sleep(SETTLED_S)
         held = f.held()
-        leader = (await f.leader()).member.address
+        leader = await f.leader_address()
         if set(held) != {""} or held[""][0] != leader:
             return [f"groups are held: {held}"]
         return f.slow_faults(fleet.PATIENCE_S) + f.group_faults()
@@ -295,7 +297,7 @@
     """A holder that can't reach the leader stops before another begins."""
 
     async def cut(f: GroupFleet) -> None:
-        leader = (await f.leader()).member.address
+        leader = await f.leader_address()
         f.network.cut(leader, await f.a_holder())
 
     return await _beside(cut)
@@ -439,9 +441,6 @@
             return [f"{unknown} of {len(running)} runs"] if unknown else []
 
 
-FAULTS = ("kill", "power", "cut", "leader_kill", "leader_power", "calm")
-
-
 async def random_faults(seed: int, kinds: list[str]) -> list[str]:
     """Apply faults in series, heal, and check that nothing is left.
 
@@ -453,21 +452,7 @@
         traffic = asyncio.create_task(
             f.generate_traffic(len(kinds) * 1.5 + 0.5)
         )
-        for kind in kinds:
-            await asyncio.sleep(rng.uniform(0.1, 0.6))
-            leader = (await f.leader()).member.address
-            followers = [a for a in f.node_by_address if a != leader]
-            away = leader if "leader" in kind else rng.choice(followers)
-            if kind.endswith("kill"):
-                await f.stop(away)
-            elif kind.endswith("power"):
-                await f.cut_power(away)
-            elif kind == "cut":
-                f.network.cut(leader, away)
-            await asyncio.sleep(rng.uniform(0.3, 1.6))
-            f.network.heal()
-            if away not in f.node_by_address:
-                await f.start(away)
+        await f.apply_faults(kinds, rng, MAX_AWAY_S)
         await traffic
         await asyncio.sleep(SETTLED_S)
         f.outcomes.clear()
@@ -491,7 +476,7 @@
     @hypothesis.given(
         strategies.integers(1, 10_000),
         strategies.lists(
-            strategies.sampled_from(FAULTS), min_size=1, max_size=3
+            strategies.sampled_from(fleet.FAULTS), min_size=1, max_size=3
         ),
     )
     def check(seed: int, kinds: list[str]) -> None:
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -11,6 +11,7 @@
 import contextlib
 import dataclasses
 import math
+import random
 import unittest.mock
 
 from bergamotsail import catalogue
@@ -49,6 +50,8 @@
 SETTLE_S = 8.0
 TRAFFIC_S = 2.0
 POOL = ledger.POOL
+# Faults of replicas for random series.
+FAULTS = ("kill", "power", "cut", "leader_kill", "leader_power", "calm")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -265,6 +268,38 @@
         absent = outcome is placement.UseOutcome.ABSENT
         return "absent" if absent else "placed"
 
+    async def leader_address(self) -> str:
+        """Return the address of the leader."""
+        return (await self.leader()).member.address
+
+    async def apply_faults(
+        self, kinds: list[str], rng: random.Random, max_away_s: float
+    ) -> None:
+        """Apply faults of replicas in series, and heal each.
+
+        At most one replica of five is away at a time, as the settings
+        tolerate.
+
+        Args:
+            kinds: some of FAULTS.
+            max_away_s: how long a replica is away at most.
+        """
+        for kind in kinds:
+            await asyncio.sleep(rng.uniform(0.1, 0.6))
+            leader = await self.leader_address()
+            followers = [a for a in self.node_by_address if a != leader]
+            away = leader if "leader" in kind else rng.choice(followers)
+            if kind.endswith("kill"):
+                await self.stop(away)
+            elif kind.endswith("power"):
+                await self.cut_power(away)
+            elif kind == "cut":
+                self.network.cut(leader, away)
+            await asyncio.sleep(rng.uniform(0.3, max_away_s))
+            self.network.heal()
+            if away not in self.node_by_address:
+                await self.start(away)
+
     async def cut_power(self, address: str) -> None:
         """Cut a replica's power: calls to it hang instead of failing."""
         self.network.isolate(address)
--- a/features/support/gathering.py
+++ b/features/support/gathering.py
@@ -37,6 +37,8 @@
 MAX_FAILED_WAIT_S = 0.4
 # Without a leader requests wait for the next one.
 MAX_ELECTION_WAIT_S = 2.2
+# Longest time that a replica is away in a random series of faults.
+MAX_AWAY_S = 0.9
 # By then the grants of lost replies are released.
 RELEASED_S = 3.0
 CALLS = ("place", "release", "heartbeat", "exchange")
@@ -62,10 +64,6 @@
         await asyncio.sleep(1.0)
         self.outcomes.clear()
 
-    async def leader_address(self) -> str:
-        """Return the address of the leader."""
-        return (await self.leader()).member.address
-
     async def gatherer_address(self) -> str:
         """Return the address of the replica that most entries call."""
         counts = collections.Counter(
@@ -257,9 +255,6 @@
     )
 
 
-FAULTS = ("kill", "power", "cut", "leader_kill", "leader_power", "calm")
-
-
 async def random_faults(seed: int, kinds: list[str]) -> list[str]:
     """Apply faults in series, heal, and check that nothing is left.
 
@@ -271,21 +266,7 @@
         traffic = asyncio.create_task(
             f.generate_traffic(len(kinds) * 1.5 + 0.5)
         )
-        for kind in kinds:
-            await asyncio.sleep(rng.uniform(0.1, 0.6))
-            leader = await f.leader_address()
-            followers = [a for a in f.node_by_address if a != leader]
-            away = leader if "leader" in kind else rng.choice(followers)
-            if kind.endswith("kill"):
-                await f.stop(away)
-            elif kind.endswith("power"):
-                await f.cut_power(away)
-            elif kind == "cut":
-                f.network.cut(leader, away)
-            await asyncio.sleep(rng.uniform(0.3, 0.9))
-            f.network.heal()
-            if away not in f.node_by_address:
-                await f.start(away)
+        await f.apply_faults(kinds, rng, MAX_AWAY_S)
         await traffic
         await asyncio.sleep(MAX_ELECTION_WAIT_S)
         faults = []
@@ -318,7 +299,7 @@
     @hypothesis.given(
         strategies.integers(1, 10_000),
         strategies.lists(
-            strategies.sampled_from(FAULTS), min_size=1, max_size=3
+            strategies.sampled_from(fleet.FAULTS), min_size=1, max_size=3
         ),
     )
     def check(seed: int, kinds: list[str]) -> None:
