--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -1,7 +1,8 @@
 """The two process roles of a deployment with a route table.
 
-A *replica* stores the replicated log. While it leads, it places requests
-and sends orders (load and evict commands) to all engines. An *entry* is a
+A *replica* stores the replicated log. While it leads, or holds a group of
+engines, it places requests and sends orders (load and evict commands) to its
+engines. An *entry* is a
 stateless gateway: it accepts callers' requests and forwards them directly
 to targets. Both discover the other processes through the addresses of the
 replicas.
--- a/libs/placement/src/bergamotsail/placement/__init__.py
+++ b/libs/placement/src/bergamotsail/placement/__init__.py
@@ -1,7 +1,8 @@
 """Placement of requests and adapters on engines.
 
-For engines that check each request themselves, the scheduler (Placer) on the
-leader grants targets and orders loads. Any other engine is owned by one
+For engines that check each request themselves, a scheduler (Placer) grants
+targets and orders loads. It runs on the leader, or with many engines on the
+holder of each group of them (EngineGroups). Any other engine is owned by one
 daemon at a time, which sees every request for it and so decides locally what
 to load, what to evict and which request runs next (EngineOwner).
 """
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -1,9 +1,9 @@
 """The scheduler that places requests on engines and orders adapter loads.
 
-It is active on the leader of the replicated log and derives its fencing
-numbers from the leader's term. Entries ask it for a target and send the
-request directly to that engine; the engine refuses a request for an adapter
-that it does not hold.
+It is active on the leader of the replicated log, or on the holder of a group
+of engines, and derives its fencing numbers from the term under which it is.
+Entries ask it for a target and send the request directly to that engine; the
+engine refuses a request for an adapter that it does not hold.
 """
 
 import abc
