Placement: a holder gives its groups up before a planned stop

A replica that was stopped as planned kept its groups until its lease had ended, so nothing was placed on their engines for 1.1 s. It now tells the leader, which gives them to others at once, then hands over the lead if it has it. features/engine_groups.feature, holder_stops: held by others within 0.4 s; its mutant is noticed. platform/features/platform.feature: 41 passed.

--- a/features/engine_groups.feature
+++ b/features/engine_groups.feature
@@ -15,6 +15,7 @@
       | groups_are_spread          |
       | few_engines_form_one_group |
       | holder_killed              |
+      | holder_stops               |
       | holder_silent              |
       | holder_cut_from_leader     |
       | lost_group_is_held_again   |
--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -55,6 +55,8 @@
 SMALL_POOL = "small"
 # Longest time that a replica is away in a random series of faults.
 MAX_AWAY_S = 1.6
+# A group that is given up has another holder within this time.
+GIVEN_UP_S = 0.4
 # Time that requests run for which a new holder has to learn of.
 LONG_RUN_S = 6.0
 # Budget of a member, in units a second, and what each of its requests costs.
@@ -284,6 +286,24 @@
     return await _beside(kill, MAX_FAILED_WAIT_S)
 
 
+async def holder_stops() -> list[str]:
+    """A holder that is stopped as planned gives its group up first."""
+
+    async def stop(f: GroupFleet) -> None:
+        address = await f.a_holder()
+        await f.replica_by_address[address].hand_over()
+        await asyncio.sleep(GIVEN_UP_S)
+        others = [g for g, (by, _) in f.held().items() if by != address]
+        if len(others) != f.groups:
+            raise AssertionError(f"others hold only {sorted(others)}")
+        await f.stop(address)
+
+    try:
+        return await _beside(stop, MAX_FAILED_WAIT_S)
+    except AssertionError as error:
+        return [str(error)]
+
+
 async def holder_silent() -> list[str]:
     """The same with a holder that loses its power."""
 
@@ -664,6 +684,7 @@
         groups_are_spread,
         few_engines_form_one_group,
         holder_killed,
+        holder_stops,
         holder_silent,
         holder_cut_from_leader,
         lost_group_is_held_again,
@@ -678,6 +699,10 @@
     """Stands in for a debit at the leader."""
 
 
+async def _give_up_nothing(groups) -> None:
+    """Stands in for the end of a holder that tells nobody."""
+
+
 # Each mutant switches off a guard: its name, the scenario that must fail, and
 # the arguments of mock.patch.object.
 MUTANTS = (
@@ -710,6 +735,11 @@
         "budget_holds_over_groups",
         (_engine_groups.EngineGroups, "debit", _debit_nothing),
     ),
+    (
+        "give groups up before a planned stop",
+        "holder_stops",
+        (_engine_groups.EngineGroups, "give_up", _give_up_nothing),
+    ),
     (
         "ask groups with engines of the pool",
         "small_pool_is_served",
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -565,6 +565,11 @@
             raise self.node.not_leader()
         return self.node.leader.address
 
+    async def hand_over(self) -> None:
+        """Give up engines and the lead, before a planned stop."""
+        await self.groups.give_up()
+        await self.node.transfer()
+
     async def wait_failed(self) -> None:
         """Wait until the disk fails; the process must then restart."""
         while self.node.role is not quorum.Role.FAILED:
--- a/libs/placement/src/bergamotsail/placement/_assignments.py
+++ b/libs/placement/src/bergamotsail/placement/_assignments.py
@@ -107,6 +107,13 @@
         self._groups[group].holder = ""
         self._groups[group].withdrawn = False
 
+    def remove(self, replica: str) -> None:
+        """Free the groups of a replica that has given up all of them."""
+        self._heard_at_by_replica.pop(replica, None)
+        for group in self._groups:
+            if group.holder == replica:
+                group.holder, group.withdrawn = "", False
+
     def heard(self) -> collections.abc.Set[str]:
         """Return the replicas that asked for a lease in this term."""
         return self._heard_at_by_replica.keys()
--- a/libs/placement/src/bergamotsail/placement/_engine_groups.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_groups.py
@@ -187,6 +187,7 @@
         self._wake = asyncio.Event()
         self._background = wire.BackgroundTasks()
         self._running = False
+        self._leaving = False
 
     async def __aenter__(self) -> "EngineGroups":
         for placer in self.placer_by_group.values():
@@ -202,6 +203,22 @@
         for placer in self.placer_by_group.values():
             await placer.__aexit__()
 
+    async def give_up(self) -> None:
+        """Give up all groups, so that others get them before a planned stop.
+
+        Without it they wait until the lease of this replica has ended.
+        """
+        held = list(self._lease.epoch_by_group)
+        self._leaving = True
+        if self._log.holds() or not held:
+            return
+        try:
+            await self._renew()
+        except wire.ServingError as error:
+            logging.info("groups: Could not give up. %s", error.message)
+            return
+        observe.log_event("groups", "give_up", groups=held)
+
     def serve(self, server: wire.PeerServer) -> None:
         """Register the handlers of calls from entries and holders."""
         server.serve(
@@ -240,7 +257,8 @@
             return group in self._own_epochs()
         lease = self._lease
         return (
-            lease.term == self._log.term
+            not self._leaving
+            and lease.term == self._log.term
             and self._clock.now() < lease.until
             and group in lease.epoch_by_group
         )
@@ -516,7 +534,8 @@
         """Assign groups as the leader, or else renew the lease."""
         self._rate.update(self._lag_s(), self._clock.now())
         if not self._log.holds():
-            await self._renew()
+            if not self._leaving:
+                await self._renew()
             return
         self._lease = _Lease()
         self._fail_debits(
@@ -559,7 +578,7 @@
             self._log.address,
             self._sender,
             self._sequence,
-            tuple(self._lease.epoch_by_group),
+            () if self._leaving else tuple(self._lease.epoch_by_group),
             self._digest.term,
             self._digest.version,
             self._wait_s_by_group(),
@@ -567,6 +586,7 @@
             tuple(pending.debit for pending in self._debits.values()),
             tuple(self._notes),
             tuple(self._new_starts),
+            self._leaving,
         )
         self._sent_debits.update(self._debits)
         self._debits.clear()
--- a/libs/placement/src/bergamotsail/placement/_group_lead.py
+++ b/libs/placement/src/bergamotsail/placement/_group_lead.py
@@ -151,8 +151,7 @@
             )
         epochs: dict[int, int] = {}
         if self.assignments is not None and self.groups > 1:
-            self._free_given_up(request)
-            epochs = self.assignments.renew(request.name, now)
+            epochs = self._renew_groups(request, now)
         uses, holder.uses_by_boot = holder.uses_by_boot, {}
         return _group_messages.HoldReply(
             self.term,
@@ -169,6 +168,18 @@
             tuple(self._debit(debit) for debit in request.debits),
         )
 
+    def _renew_groups(
+        self, request: _group_messages.HoldRequest, now: float
+    ) -> dict[int, int]:
+        """Renew the leases of a replica; return its groups and epochs."""
+        assert self.assignments is not None
+        if request.leaving:
+            self.assignments.remove(request.name)
+            self.assign(now)
+            return {}
+        self._free_given_up(request)
+        return self.assignments.renew(request.name, now)
+
     def _free_given_up(self, request: _group_messages.HoldRequest) -> None:
         """Free the groups that a replica was told to give up, and has."""
         assert self.assignments is not None
--- a/libs/placement/src/bergamotsail/placement/_group_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_group_messages.py
@@ -59,6 +59,7 @@
             by the group's id.
         calls_per_s: placement calls that it has time for.
         streams: where streams began that it placed since the last call.
+        leaving: it stops, and has given up all groups.
     """
 
     name: str
@@ -73,6 +74,7 @@
     debits: tuple[DebitRequest, ...] = ()
     streams: tuple[control.StreamNote, ...] = ()
     new_starts: tuple[NewStart, ...] = ()
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
