Connections: a table of what a process holds for its clients

Nothing adds up what the listeners of a process keep for those who connect to it. The table does, without I/O: each connection is charged for its objects, read-ahead, body and untaken answer. Where the next bytes or connection don't fit, the connections without progress for longest give way; fewer than 16 KiB are no progress. A request that is being served never gives way; if nothing else may, the newcomer is refused (503, not run). The limits follow from the memory and descriptors of the process.

--- /dev/null
+++ b/features/connections.feature
@@ -0,0 +1,23 @@
+Feature: The connection table of a process
+  What a process holds for its clients stays within its limits, and clients
+  without progress give way to those with it. Nothing here uses a network.
+
+  Scenario Outline: <check>
+    When the check <check> of the connection table runs
+    Then no guarantee is violated
+
+    Examples:
+      | check               |
+      | random_use          |
+      | honest_among_silent |
+      | single_bytes        |
+      | calm                |
+      | timeouts            |
+      | running             |
+      | unread              |
+      | trusted             |
+      | process_limits      |
+
+  Scenario: Every guard of the connection table that is switched off is noticed
+    When each guard of the connection table is switched off
+    Then each disabled guard is detected
--- /dev/null
+++ b/libs/connections/src/bergamotsail/connections/_limits.py
@@ -0,0 +1,60 @@
+"""Limits of a connection table."""
+
+import dataclasses
+
+# Share of a process's memory that is charged to clients. As much again is
+# left for what the kernel receives for them.
+CLIENT_SHARE = 0.25
+# Receive buffer of a client's connection. A process's memory includes what
+# the kernel holds unread, and a client can always send this much unread.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+# Descriptors that are left to files.
+FILE_FDS = 200
+# Descriptors of listeners, of connections to other daemons and of idle ones
+# to targets.
+OWN_FDS = 128
+# A client's connection, and one to the target that serves its request.
+FDS_PER_CLIENT = 2
+MIN_CONNECTIONS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableLimits:
+    """What all clients of a process together may use.
+
+    Args:
+        max_bytes: bytes that the process holds for them.
+        max_connections: their open connections.
+    """
+
+    max_bytes: int
+    max_connections: int
+
+    @classmethod
+    def of_process(cls, memory_bytes: int, max_fds: int) -> "TableLimits":
+        """Return the limits for a process, given all that it may use."""
+        max_bytes = int(memory_bytes * CLIENT_SHARE)
+        by_fds = (max_fds - FILE_FDS - OWN_FDS) // FDS_PER_CLIENT
+        by_kernel_memory = max_bytes // RECEIVE_BUFFER_BYTES
+        return cls(
+            max_bytes, max(min(by_fds, by_kernel_memory), MIN_CONNECTIONS)
+        )
+
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest body that fits, as a body is copied once."""
+        return self.max_bytes // 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timeouts:
+    """Timeouts of the connections to a listener, in seconds.
+
+    Args:
+        head_s: from the first byte of a request's head to its last.
+        idle_s: without a request, without a byte of the body of one, or
+            without a byte of the answer being taken.
+    """
+
+    head_s: float
+    idle_s: float
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -165,6 +165,19 @@
     code = "behind"
 
 
+class NoRoomError(OverloadError):
+    """The process has no memory or connections left for more clients."""
+
+    code = "no_room"
+
+
+class RequestTimeoutError(ServingError):
+    """A request was not received in time and has not run."""
+
+    code = "request_timeout"
+    status = 408
+
+
 class QuarantinedError(ServingError):
     """Targets that ran this request crashed, so it is not sent to others."""
 
