Listeners: clients share one account of memory and descriptors

What callers saw: clients that sent most of a body and stopped, or bodies without end, or many connections, took a process beyond the memory of its machine, which ends it, or took all descriptors, after which nobody is served.

Cause: each listener kept what it was sent, up to 16 MB (64 MB before other daemons' token was checked) a request, for as long as the sender liked, and nothing added it up; idle connections stayed for an hour. `limits.memory_mb` and `max_fds` of the settings file were not read.

The stream charges what is read and what is not taken, the handlers their bodies, in one buffer in place of a list of pieces. Look-ups, readiness, and metrics take no body; the token of a call between daemons is checked before its body. Who gives way while a body is received gets 503, or 408 after the idle timeout; neither has run. At most 32 KiB of an answer, in place of 256, wait for a client that does not read. New settings process.memory_mb, process.max_fds, http.head_s.

--- a/libs/daemon/src/bergamotsail/daemon/__init__.py
+++ b/libs/daemon/src/bergamotsail/daemon/__init__.py
@@ -7,6 +7,7 @@
 
 from bergamotsail.daemon import _access_log
 from bergamotsail.daemon import _bounded_body
+from bergamotsail.daemon import _client_server
 from bergamotsail.daemon import _peer_endpoint
 from bergamotsail.daemon import _process
 from bergamotsail.daemon import _process_monitor
@@ -28,7 +29,11 @@
 metrics_application = _roles.metrics_application
 PEER_BODY_BYTES = _process.PEER_BODY_BYTES
 ignore_reload_signal = _process.ignore_reload_signal
-listen = _process.listen
+ClientListeners = _client_server.ClientListeners
+Listener = _client_server.Listener
+ListenerLimits = _client_server.ListenerLimits
+MAX_HEADER_BYTES = _client_server.MAX_HEADER_BYTES
+process_limits = _client_server.process_limits
 reloads = _process.reloads
 wait_for_stop_signal = _process.wait_for_stop_signal
 LoopLag = _peer_endpoint.LoopLag
--- a/libs/daemon/src/bergamotsail/daemon/_admin_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_admin_handlers.py
@@ -147,7 +147,7 @@
         catalogue.check_id(entry_id)
         value = None
         if not delete:
-            parsed = catalogue.parse_value(kind, self.body)
+            parsed = catalogue.parse_value(kind, self.take_body())
             value = wire.encode(parsed).decode()
         operation_id = self.request.headers.get("X-Operation-Id")
         put = catalogue.Put(
--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -25,7 +25,7 @@
     def initialize(self, daemon: "_assembly.Daemon") -> None:
         """Store the daemon, an argument of the route."""
         self.daemon = daemon
-        self.init_body(daemon.settings.http.max_body_bytes)
+        self.init_body(daemon.max_body_bytes)
         self._task: asyncio.Task | None = None
 
     def send_refusal(self) -> None:
@@ -95,9 +95,15 @@
         return wire.encode({"error": error.body()})
 
     def send_json(self, value: object) -> None:
-        """Send a value as JSON."""
+        """Send a value as JSON.
+
+        Raises:
+            NoRoomError: there is no room for it.
+        """
+        data = wire.encode(value)
+        self.check_room(len(data))
         self.set_header("Content-Type", "application/json")
-        self.finish(wire.encode(value))
+        self.finish(data)
 
     def write_error(self, status_code: int, **_: typing.Any) -> None:
         """Send a typed error instead of tornado's error page."""
--- a/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
+++ b/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
@@ -2,6 +2,7 @@
 
 from tornado import web
 
+from bergamotsail.daemon import _client_stream
 from bergamotsail import wire
 
 # Default limit of a request body.
@@ -32,42 +33,93 @@
         """Initialize the buffer; call this in ``initialize``."""
         self.max_body_bytes = max_body_bytes
         self.refused: wire.ServingError | None = None
-        self._chunks: list[bytes] = []
+        # Small pieces in a list would take many times their size.
+        self._buffer = bytearray()
         self._size = 0
+        self._record = _client_stream.record_of(self.request)
+        if self._record is not None:
+            self._record.owner.receiver = self
+            try:
+                self._record.begin_request()
+            except wire.NoRoomError as error:
+                self.refused = error
 
     def prepare(self) -> None:
         """Refuse a body whose Content-Length exceeds the limit."""
         length = self.request.headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > self.max_body_bytes:
-            self._refuse()
+            self._reject(self._too_large())
             if int(length) > MAX_DISCARDED_BYTES:
                 self.send_refusal()
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body, up to the limit."""
         self._size += len(chunk)
-        if self._size <= self.max_body_bytes and self.refused is None:
-            self._chunks.append(chunk)
-            return
-        self._refuse()
+        if self.refused is None:
+            self._buffer_chunk(chunk)
         if self._size > MAX_DISCARDED_BYTES and not self._finished:
             self.send_refusal()
 
-    def _refuse(self) -> None:
-        self._chunks.clear()
-        self.refused = wire.TooLargeError(
+    def _buffer_chunk(self, chunk: bytes) -> None:
+        if self._size > self.max_body_bytes:
+            self._reject(self._too_large())
+            return
+        try:
+            if self._record is not None:
+                self._record.add_body(len(chunk))
+        except wire.NoRoomError as error:
+            self._reject(error)
+            return
+        self._buffer += chunk
+
+    def give_way(self, error: wire.ServingError) -> None:
+        """Drop the body and respond with the error at once."""
+        if self._finished:
+            return
+        if self.refused is None:
+            self._reject(error)
+        self.send_refusal()
+
+    def _too_large(self) -> wire.ServingError:
+        return wire.TooLargeError(
             f"Send a body of at most {self.max_body_bytes} bytes."
         )
 
+    def _reject(self, error: wire.ServingError) -> None:
+        self._drop_body()
+        self.refused = error
+
+    def _drop_body(self) -> None:
+        self._buffer = bytearray()
+        if self._record is not None:
+            self._record.drop_body()
+
     def send_refusal(self) -> None:
         """Send the error response for a refused body."""
         raise NotImplementedError
 
-    @property
-    def body(self) -> bytes:
-        """The buffered body."""
-        return b"".join(self._chunks)
+    def trust_connection(self) -> None:
+        """Exempt the connection from the limits for clients."""
+        if self._record is not None:
+            self._record.trust()
+
+    def check_room(self, size: int) -> None:
+        """Make room for a response body of this size.
+
+        Raises:
+            NoRoomError: there is none; nothing was sent.
+        """
+        if self._record is not None:
+            self._record.check_room(size)
+
+    def take_body(self) -> bytes:
+        """Return the body, once; the buffer is freed."""
+        body = bytes(self._buffer)
+        self._buffer = bytearray()
+        return body
 
     def on_finish(self) -> None:
         """Free the buffer when the request has ended."""
-        self._chunks.clear()
+        self._buffer = bytearray()
+        if self._record is not None:
+            self._record.owner.receiver = None
--- a/libs/daemon/src/bergamotsail/daemon/_caller_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_caller_handlers.py
@@ -176,7 +176,7 @@
     async def _answer(self, chat: bool) -> None:
         caller = self.authenticate()
         self.daemon.check_accepting()
-        body = wire.decode(self.body, CompletionBody)
+        body = wire.decode(self.take_body(), CompletionBody)
         completion = self._make_completion(caller, body, chat)
         self.set_header("X-Request-Id", completion.request)
         parts = self.daemon.completions.complete(caller, completion)
@@ -310,7 +310,7 @@
             self.request.method or "GET",
             path + query,
             headers,
-            self.body,
+            self.take_body(),
             self.deadline_s(),
             self.request.headers.get("Idempotency-Key"),
             non_idempotent.lower() == "true",
--- a/libs/daemon/src/bergamotsail/daemon/_peer_endpoint.py
+++ b/libs/daemon/src/bergamotsail/daemon/_peer_endpoint.py
@@ -17,6 +17,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from bergamotsail.daemon import _client_stream
 from bergamotsail import observe
 from bergamotsail import wire
 
@@ -82,9 +83,12 @@
             self._samples.append((now, self.latest_s))
 
 
-class PeerEndpoint:
+class PeerEndpoint(httputil.HTTPServerConnectionDelegate):
     """Dispatches requests of other daemons to the handlers of a server.
 
+    A request without the token is refused before its body is read. With the
+    token its connection is exempt from the limits for clients.
+
     Sheds load: a call registered with ``shed_after_s`` is refused, before
     its body is parsed, while the loop lag is larger than that. This leaves
     time for the calls without which the leader would be replaced, such as
@@ -107,8 +111,29 @@
         self._logged_shed_count = 0
         self._next_shed_log_at = float("-inf")
 
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        return _PeerRequest(self, request_conn)
+
+    def check(self, request: httputil.HTTPServerRequest) -> None:
+        """Check the path and the token of a request.
+
+        Raises:
+            NotFoundError: the path is not that of a call.
+            UnauthenticatedError: the token is missing or invalid.
+        """
+        if not request.path.startswith(wire.PEER_PATH):
+            raise NOT_FOUND
+        given = request.headers.get(wire.TOKEN_HEADER, "").encode()
+        if not hmac.compare_digest(given, self._token):
+            raise wire.UnauthenticatedError(
+                "Missing or invalid peer token. Check that all daemons have "
+                "the same peer token."
+            )
+
     def __call__(self, request: httputil.HTTPServerRequest) -> None:
-        """Handle a request; the HTTP server calls this."""
+        """Handle a whole request."""
         name = request.path.removeprefix(wire.PEER_PATH)
         if name not in self._server.by_name:
             name = OTHER_CALLS
@@ -131,14 +156,7 @@
             _send(request, error.status, wire.encode(error.body()))
 
     async def _dispatch(self, request: httputil.HTTPServerRequest) -> None:
-        if not request.path.startswith(wire.PEER_PATH):
-            raise NOT_FOUND
-        given = request.headers.get(wire.TOKEN_HEADER, "").encode()
-        if not hmac.compare_digest(given, self._token):
-            raise wire.UnauthenticatedError(
-                "Missing or invalid peer token. Check that all daemons have "
-                "the same peer token."
-            )
+        self.check(request)
         name = request.path.removeprefix(wire.PEER_PATH)
         call, handler = self._server.find(name)
         self._check_lag(name)
@@ -181,6 +199,49 @@
         )
 
 
+class _PeerRequest(httputil.HTTPMessageDelegate):
+    """One request to an endpoint, while it is received."""
+
+    def __init__(
+        self, endpoint: PeerEndpoint, connection: httputil.HTTPConnection
+    ) -> None:
+        self._endpoint = endpoint
+        self._connection = connection
+        self._request: httputil.HTTPServerRequest | None = None
+        self._body = bytearray()
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        request = httputil.HTTPServerRequest(
+            connection=self._connection, start_line=start_line, headers=headers
+        )
+        try:
+            self._endpoint.check(request)
+        except wire.ServingError as error:
+            # The server closes the connection, as the body was not read.
+            _send(request, error.status, wire.encode(error.body()))
+            return
+        record = _client_stream.record_of(request)
+        if record is not None:
+            record.trust()
+        self._request = request
+
+    def data_received(self, chunk: bytes) -> None:
+        self._body += chunk
+
+    def finish(self) -> None:
+        if self._request is not None:
+            self._request.body = bytes(self._body)
+            self._body = bytearray()
+            self._endpoint(self._request)
+
+    def on_connection_close(self) -> None:
+        self._body = bytearray()
+
+
 def _send(
     request: httputil.HTTPServerRequest, status: int, body: bytes
 ) -> None:
--- a/libs/daemon/src/bergamotsail/daemon/_peer_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_peer_handlers.py
@@ -18,20 +18,28 @@
     # The peer gets the reason of a refusal, and logs it if it matters there.
     refusal_level = logging.DEBUG
 
-    async def post(self, name: str) -> None:
-        """Handle the call of this name."""
-        await self.serve(self._answer(name))
-
-    async def _answer(self, name: str) -> None:
+    def prepare(self) -> None:
+        """Refuse a request without the token before its body is read."""
         token = self.request.headers.get(TOKEN_HEADER, "")
         secret = self.daemon.settings.peer_token
-        if not hmac.compare_digest(token.encode(), secret.encode()):
-            raise wire.UnauthenticatedError(
+        if hmac.compare_digest(token.encode(), secret.encode()):
+            self.trust_connection()
+            super().prepare()
+            return
+        self.send_error_response(
+            wire.UnauthenticatedError(
                 "Missing or invalid peer token. Check that all daemons have "
                 "the same peer token."
             )
+        )
+
+    async def post(self, name: str) -> None:
+        """Handle the call of this name."""
+        await self.serve(self._answer(name))
+
+    async def _answer(self, name: str) -> None:
         call, handler = self.daemon.server.find(name)
-        message = wire.decode(self.body, call.request)
+        message = wire.decode(self.take_body(), call.request)
         if call.streams:
             await self._send_stream(handler(message))
             return
--- a/libs/daemon/src/bergamotsail/daemon/main.py
+++ b/libs/daemon/src/bergamotsail/daemon/main.py
@@ -8,11 +8,11 @@
 from absl import app
 from absl import flags
 from absl import logging
-from tornado import httpserver
-from tornado import netutil
 
+from bergamotsail import connections
 from bergamotsail.daemon import _assembly
 from bergamotsail.daemon import _bounded_body
+from bergamotsail.daemon import _client_server
 from bergamotsail.daemon import _http_server
 from bergamotsail import quorum
 from bergamotsail import settings as settings_lib
@@ -41,7 +41,19 @@
             disk,
         )
         daemon = _assembly.Daemon(settings, dependencies)
-        server = _listen(daemon)
+        process = settings.process
+        clients = await stack.enter_async_context(
+            _client_server.ClientListeners(
+                _client_server.process_limits(
+                    process.memory_mb, process.max_fds
+                ),
+                daemon.metrics,
+            )
+        )
+        daemon.max_body_bytes = min(
+            daemon.max_body_bytes, clients.table.limits.max_body_bytes
+        )
+        server = _listen(daemon, clients)
         await stack.enter_async_context(daemon)
         logging.info("main: Serving at %s.", settings.address)
         loop = asyncio.get_running_loop()
@@ -52,18 +64,20 @@
         await server.close_all_connections()
 
 
-def _listen(daemon: _assembly.Daemon) -> httpserver.HTTPServer:
+def _listen(
+    daemon: _assembly.Daemon, clients: _client_server.ClientListeners
+) -> _client_server.Listener:
     limits = daemon.settings.http
-    server = httpserver.HTTPServer(
+    return clients.listen(
         _http_server.application(daemon),
-        idle_connection_timeout=limits.idle_s,
-        body_timeout=limits.body_s,
-        # The handlers limit bodies themselves, to send a typed error.
-        max_body_size=_bounded_body.SERVER_BODY_BYTES,
+        daemon.settings.address,
+        _client_server.ListenerLimits(
+            # The handlers limit bodies themselves, to send a typed error.
+            _bounded_body.SERVER_BODY_BYTES,
+            timeouts=connections.Timeouts(limits.head_s, limits.idle_s),
+            body_s=limits.body_s,
+        ),
     )
-    host, _, port = daemon.settings.address.rpartition(":")
-    server.add_sockets(netutil.bind_sockets(int(port), host.strip("[]")))
-    return server
 
 
 def _main(_: list[str]) -> None:
--- a/libs/observe/src/bergamotsail/observe/_metrics.py
+++ b/libs/observe/src/bergamotsail/observe/_metrics.py
@@ -43,6 +43,10 @@
         """Add to a counter."""
         self._counter_by_name[full_name(name, labels)] += by
 
+    def set(self, name: str, value: int, **labels: str) -> None:
+        """Set a value that may also fall; daemons' values are added up."""
+        self._counter_by_name[full_name(name, labels)] = value
+
     def counters(
         self, names: collections.abc.Collection[str]
     ) -> dict[str, int]:
--- a/libs/settings/src/bergamotsail/settings/_model.py
+++ b/libs/settings/src/bergamotsail/settings/_model.py
@@ -144,6 +144,9 @@
     idle_s: float = _number_field(
         120.0, 1, 3600, "Seconds after which an idle connection is closed."
     )
+    head_s: float = _number_field(
+        10.0, 1, 3600, "Seconds in which a request's head must arrive."
+    )
     body_s: float = _number_field(
         30.0, 1, 3600, "Seconds in which a request's body must arrive."
     )
@@ -173,6 +176,24 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessFields:
+    """What the process may use; a quarter of it is for its clients."""
+
+    memory_mb: int = _number_field(
+        0,
+        0,
+        1_000_000,
+        "Memory of the process, in MB; 0 means that of the instance.",
+    )
+    max_fds: int = _number_field(
+        0,
+        0,
+        1_000_000,
+        "Descriptors of the process; 0 means its resource limit.",
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DaemonSettings:
     """Settings of one ``bergamotsaild``."""
@@ -225,6 +246,9 @@
     http: HttpFields = _described_field(
         "The HTTP server.", default=HttpFields()
     )
+    process: ProcessFields = _described_field(
+        "What the process may use.", default=ProcessFields()
+    )
     stop: StopFields = _described_field(
         "Graceful shutdown.", default=StopFields()
     )
--- a/libs/wire/src/bergamotsail/wire/_curl.py
+++ b/libs/wire/src/bergamotsail/wire/_curl.py
@@ -19,7 +19,8 @@
 from bergamotsail.wire import _errors
 from bergamotsail.wire import _http
 
-MAX_BUFFERED_BYTES = 256 * 1024
+# The table of connections has room for this much of each answer.
+MAX_BUFFERED_BYTES = 32 * 1024
 # Bound of a reply's head, with all interim replies before it.
 MAX_HEAD_BYTES = 256 * 1024
 MAX_CACHED_CONNECTIONS = 64
