Entry: the limits of callers that a configuration sets are in force

What operators saw: max_body_bytes, header_timeout_ms and idle_timeout_ms of a configuration changed nothing; they were parsed, checked, stored and applied nowhere.

--- a/libs/daemon/src/bergamotsail/daemon/_client_server.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_server.py
@@ -103,6 +103,14 @@
                 netutil.add_accept_handler(sock, self._accept)
             )
 
+    def change_limits(self, limits: ListenerLimits) -> None:
+        """Apply other limits, to open connections from the next request on.
+
+        The body limit stays as it was.
+        """
+        self._server.conn_params.max_header_size = limits.max_header_bytes
+        self._timeouts = limits.timeouts
+
     def stop(self) -> None:
         """Accept no more connections."""
         self._stack.close()
