Handlers: free the body of a caller that left in the middle of it

What callers saw: nothing by itself; callers that send most of a body and leave keep an entry's memory high.

Cause: two handlers overrode on_connection_close without calling tornado's, which ends the wait for the rest of the body. Handler, buffer and task stayed until the next garbage collection, while the table charged nothing any more.

Change: the buffer is freed and the wait ends when the connection closes.

--- a/features/clients.feature
+++ b/features/clients.feature
@@ -16,6 +16,7 @@
       | short_of_length      |
       | announced_over_limit |
       | sent_over_limit      |
+      | left_early           |
       | sent_ahead           |
       | unread_answers       |
       | endless_heads        |
@@ -33,6 +34,7 @@
       | short_of_length      |
       | announced_over_limit |
       | sent_over_limit      |
+      | left_early           |
       | sent_ahead           |
       | unread_answers       |
       | endless_heads        |
@@ -50,6 +52,7 @@
       | short_of_length      |
       | announced_over_limit |
       | sent_over_limit      |
+      | left_early           |
       | sent_ahead           |
       | unread_answers       |
       | endless_heads        |
@@ -67,6 +70,7 @@
       | short_of_length      |
       | announced_over_limit |
       | sent_over_limit      |
+      | left_early           |
       | sent_ahead           |
       | unread_answers       |
       | endless_heads        |
--- a/features/connections.feature
+++ b/features/connections.feature
@@ -21,3 +21,7 @@
   Scenario: Every guard of the connection table that is switched off is noticed
     When each guard of the connection table is switched off
     Then each disabled guard is detected
+
+  Scenario: A request whose caller left while it was received is freed at once
+    When a caller leaves in the middle of a body without a garbage collection
+    Then no guarantee is violated
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -3,6 +3,8 @@
 import behave
 
 from features.support import connections
+from features.support import freed
+from features.support import ledger
 
 
 @behave.when("the check {name} of the connection table runs")
@@ -17,3 +19,15 @@
         connections.run_mutant(number)
         for number in range(len(connections.MUTANTS))
     ]
+
+
+@behave.when("a request is {outcome} without a garbage collection")
+def request_without_collection(context, outcome: str) -> None:
+    context.faults = ledger.run(freed.CHECKS[outcome]())
+
+
+@behave.when(
+    "a caller leaves in the middle of a body without a garbage collection"
+)
+def left_without_collection(context) -> None:
+    context.faults = freed.check_left_early()
--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -35,6 +35,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the work for a caller that closed the connection."""
+        super().on_connection_close()
         if self._task is not None:
             self._task.cancel()
 
--- a/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
+++ b/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
@@ -118,6 +118,11 @@
         self._buffer = bytearray()
         return body
 
+    def on_connection_close(self) -> None:
+        """Free the buffer of a request that will not become complete."""
+        self._buffer = bytearray()
+        super().on_connection_close()
+
     def on_finish(self) -> None:
         """Free the buffer when the request has ended."""
         self._buffer = bytearray()
--- a/libs/daemon/src/bergamotsail/daemon/_relay_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_relay_handler.py
@@ -29,6 +29,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel relaying when the caller leaves, to free the target."""
+        super().on_connection_close()
         if self.task is not None:
             self.task.cancel()
 
