Forwarding: free a request and its body when it ends

What callers saw: an entry's memory grew with each large body although it had answered, until it was ended: clients that sent requests with bodies of 1 MB ahead took it to 300 MB of 150, and with the connection table alone to 210 MB.

Cause: each request was in cycles of references (found by gc.get_referrers). The request tracked for crashed targets referred to its attempt through a closure; errors in local variables refer to their frames through their tracebacks; a handler kept its task and so the task's error. Such a cycle stays until the next full garbage collection.

Change: the closure has a weak reference, tracebacks are removed from errors that end or repeat an attempt, and handlers drop their tasks. Clearing frames instead (traceback.clear_frames) was tried and taken back, as it would end a suspended coroutine whose frame is in a traceback.

--- a/features/clients.feature
+++ b/features/clients.feature
@@ -18,6 +18,7 @@
       | sent_over_limit      |
       | left_early           |
       | sent_ahead           |
+      | bodies_sent_ahead    |
       | unread_answers       |
       | endless_heads        |
       | silent               |
@@ -36,6 +37,7 @@
       | sent_over_limit      |
       | left_early           |
       | sent_ahead           |
+      | bodies_sent_ahead    |
       | unread_answers       |
       | endless_heads        |
       | silent               |
@@ -54,6 +56,7 @@
       | sent_over_limit      |
       | left_early           |
       | sent_ahead           |
+      | bodies_sent_ahead    |
       | unread_answers       |
       | endless_heads        |
       | silent               |
@@ -72,6 +75,7 @@
       | sent_over_limit      |
       | left_early           |
       | sent_ahead           |
+      | bodies_sent_ahead    |
       | unread_answers       |
       | endless_heads        |
       | silent               |
--- a/features/connections.feature
+++ b/features/connections.feature
@@ -22,6 +22,16 @@
     When each guard of the connection table is switched off
     Then each disabled guard is detected
 
+  Scenario Outline: A request that was <outcome> is freed at once
+    When a request is <outcome> without a garbage collection
+    Then no guarantee is violated
+
+    Examples:
+      | outcome |
+      | served  |
+      | crashed |
+      | refused |
+
   Scenario: A request whose caller left while it was received is freed at once
     When a caller leaves in the middle of a body without a garbage collection
     Then no guarantee is violated
--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -78,6 +78,9 @@
             self.send_error_response(
                 wire.InternalError("Internal error. See the log.")
             )
+        finally:
+            # Its error refers to the request, and so to its body.
+            self._task = None
 
     def send_error_response(self, error: wire.ServingError) -> None:
         """Send a typed error as the response, unless one is complete."""
--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import weakref
 
 from bergamotsail import catalogue
 from bergamotsail import control
@@ -55,7 +56,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, weakref_slot=True)
 class Attempt:
     """State of one attempt of a caller, across all its sends.
 
@@ -104,14 +105,15 @@
 
     def __post_init__(self) -> None:
         request = self.request
+        # A cycle of references would keep the request's body until the next
+        # garbage collection.
+        attempt = weakref.ref(self)
         self.tracked = _fatal.TrackedRequest(
             request.id,
             request.member,
             self.pool.name,
             lambda: request.identity,
-            lambda: (
-                wire.RunStatus.UNKNOWN if self.runs else wire.RunStatus.NOT_RUN
-            ),
+            lambda: _ran(attempt()),
             request.model.shared_parts if request.model is not None else (),
         )
 
@@ -142,6 +144,13 @@
         self.answer.abort()
 
 
+def _ran(attempt: Attempt | None) -> wire.RunStatus:
+    """Return whether an attempt may have run; None has ended."""
+    if attempt is None or attempt.runs:
+        return wire.RunStatus.UNKNOWN
+    return wire.RunStatus.NOT_RUN
+
+
 def abort_or_raise(
     attempt: Attempt,
     reason: str,
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -148,9 +148,11 @@
                 code = ABORTED
         except wire.ServingError as error:
             code = error.code
+            wire.drop_tracebacks(error)
             raise
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
             code = "caller_left"
+            wire.drop_tracebacks(error)
             raise
         finally:
             self.active -= 1
@@ -322,6 +324,7 @@
                 return
             except _attempt.RetryableError as error:
                 last = error
+                wire.drop_tracebacks(error)
         self._abort_or_refuse(attempt, last)
 
     async def _try(self, attempt: _attempt.Attempt) -> None:
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -106,4 +106,5 @@
 UnknownOutcomeError = _errors.UnknownOutcomeError
 WithdrawnError = _errors.WithdrawnError
 WrongAdapterError = _errors.WrongAdapterError
+drop_tracebacks = _errors.drop_tracebacks
 error_from_body = _errors.error_from_body
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -357,3 +357,21 @@
         use=body.use,
         ran=body.ran,
     )
+
+
+def drop_tracebacks(error: BaseException) -> None:
+    """Remove the tracebacks of an error and of those that it came from.
+
+    A function's variable that refers to an error is in a cycle of references
+    with the error's traceback. That keeps all of the function's variables
+    until the next garbage collection.
+    """
+    seen: set[int] = set()
+    pending: list[BaseException | None] = [error]
+    while pending:
+        current = pending.pop()
+        if current is None or id(current) in seen:
+            continue
+        seen.add(id(current))
+        current.__traceback__ = None
+        pending += (current.__cause__, current.__context__)
