Connections: requests being served leave room to connect

Requests that are being served never give way, so enough of them could take all connections or bytes; then no other daemon, look-up or readiness check could connect until one ended (found by reading). Requests are accepted up to seven eighths of the connections and bytes only.

Evidence: check many_requests fails without the limit (its mutant), and check running notices the mutant for the bytes. "keep the total" was noticed by random draws that depend on the source; check bodies notices it always.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -9,11 +9,13 @@
     Examples:
       | check               |
       | random_use          |
+      | bodies              |
       | honest_among_silent |
       | single_bytes        |
       | calm                |
       | timeouts            |
       | running             |
+      | many_requests       |
       | unread              |
       | trusted             |
       | process_limits      |
--- a/features/support/connections.py
+++ b/features/support/connections.py
@@ -123,7 +123,7 @@
             faults.update(_bound_faults(table, clients))
         for client in clients:
             client.connection.close()
-        if table.charged_bytes or len(table):
+        if table.charged_bytes or len(table) or table.requests:
             faults.add("charges remain after the last client has left")
 
     use()
@@ -147,6 +147,23 @@
     return faults
 
 
+def check_bodies() -> list[str]:
+    """Bodies that arrive side by side stay within the total."""
+    clock = Clock()
+    table = _table_with(clock)
+    clients = [Client(table) for _ in range(MAX_CONNECTIONS // 2)]
+    faults: set[str] = set()
+    for client in clients:
+        client.begin()
+    for _ in range(10):
+        for client in clients:
+            clock.now_s += 0.001
+            if client.reason is None:
+                client.send(PIECE)
+            faults |= _bound_faults(table, clients)
+    return sorted(faults)
+
+
 def check_honest_among_silent() -> list[str]:
     """A body gets through, however many clients have stopped sending."""
     faults: set[str] = set()
@@ -272,19 +289,21 @@
 
 def check_running() -> list[str]:
     """Requests that are being served stay; others are told when to retry."""
-    clock = Clock()
-    table = _table_with(clock)
+    limits = connections.TableLimits(MAX_BYTES, 10 * MAX_CONNECTIONS)
+    table = connections.ConnectionTable(limits, Clock())
     running = []
     refusal = wire.NoRoomError("", ran=wire.RunStatus.UNKNOWN)
-    try:
-        for _ in range(2 * MAX_CONNECTIONS):
-            client = Client(table)
-            client.begin()
-            client.send(PIECE)
-            client.run()
-            running.append(client)
-    except wire.NoRoomError as error:
-        refusal = error
+    for size in (8 * PIECE, PIECE, KIB, 1):
+        try:
+            for _ in range(MAX_CONNECTIONS):
+                client = Client(table)
+                client.begin()
+                client.send(size)
+                client.run()
+                running.append(client)
+        except wire.NoRoomError as error:
+            refusal = error
+            client.connection.close()
     faults = []
     if any(client.reason for client in running):
         faults.append("a request that was being served was closed")
@@ -292,7 +311,35 @@
         faults.append(f"refused with {refusal.status}")
     if refusal.ran is not wire.RunStatus.NOT_RUN:
         faults.append("the refusal does not say that nothing has run")
-    return faults
+    return faults + _connect_fault(table)
+
+
+def check_many_requests() -> list[str]:
+    """Small requests, too, leave room to connect."""
+    table = connections.ConnectionTable(
+        connections.TableLimits(100 * MAX_BYTES, MAX_CONNECTIONS), Clock()
+    )
+    try:
+        for _ in range(2 * MAX_CONNECTIONS):
+            client = Client(table)
+            client.begin()
+            client.run()
+    except wire.NoRoomError:
+        return _connect_fault(table)
+    return ["no request was refused"]
+
+
+def _connect_fault(table: connections.ConnectionTable) -> list[str]:
+    """Return a fault if others can't connect and send a head."""
+    others = []
+    try:
+        for _ in range(4):
+            others.append(Client(table))
+            others[-1].connection.receive(20_000, 20_000)
+    except wire.NoRoomError:
+        return ["nobody can connect"]
+    closed = sum(client.reason is not None for client in others)
+    return [f"{closed} of 4 others are closed"] if closed else []
 
 
 def check_unread() -> list[str]:
@@ -373,13 +420,25 @@
     ),
     (
         "keep the total",
-        "random_use",
+        "bodies",
         (
             _table.ConnectionTable,
             "reserve",
-            lambda table, connection, cost: table.charge(connection, cost),
+            lambda table, connection, cost, limit=None: table.charge(
+                connection, cost
+            ),
         ),
     ),
+    (
+        "leave room to connect",
+        "running",
+        (connections.TableLimits, "max_request_bytes", MAX_BYTES),
+    ),
+    (
+        "leave connections to others",
+        "many_requests",
+        (connections.TableLimits, "max_requests", MAX_CONNECTIONS),
+    ),
     (
         "release what a connection was charged for",
         "random_use",
--- a/libs/connections/src/bergamotsail/connections/_limits.py
+++ b/libs/connections/src/bergamotsail/connections/_limits.py
@@ -16,6 +16,12 @@
 # A client's connection, and one to the target that serves its request.
 FDS_PER_CLIENT = 2
 MIN_CONNECTIONS = 16
+# Requests that are being served never give way. They may not take the last
+# part of the room, so that other daemons, look-ups and readiness checks can
+# still connect.
+SPARE_SHARE = 0.125
+# Of a request beside its body.
+HEAD_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,10 +46,20 @@
             max_bytes, max(min(by_fds, by_kernel_memory), MIN_CONNECTIONS)
         )
 
+    @property
+    def max_request_bytes(self) -> int:
+        """Bytes up to which requests are accepted."""
+        return int(self.max_bytes * (1 - SPARE_SHARE))
+
+    @property
+    def max_requests(self) -> int:
+        """Requests that may be served at once."""
+        return int(self.max_connections * (1 - SPARE_SHARE))
+
     @property
     def max_body_bytes(self) -> int:
         """The largest body that fits, as a body is copied once."""
-        return self.max_bytes // 2
+        return max(self.max_request_bytes - HEAD_BYTES, 0) // 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/connections/src/bergamotsail/connections/_table.py
+++ b/libs/connections/src/bergamotsail/connections/_table.py
@@ -118,7 +118,8 @@
         if buffered is not None:
             self._buffered = buffered
         if stage is Stage.IDLE:
-            self._request = self._body = 0
+            self._body = 0
+            self.end_request()
         if stage is not self.stage:
             self.stage = stage
             self._table.renew(self)
@@ -148,11 +149,17 @@
         Raises:
             NoRoomError: there is no room for it; it is not charged.
         """
-        if self.closed:
+        if self.closed or self._request:
             return
-        self._table.reserve(self, self._cost() + REQUEST_BYTES)
+        self._table.reserve_request(self, self._cost() + REQUEST_BYTES)
         self._request = REQUEST_BYTES
 
+    def end_request(self) -> None:
+        """Stop charging the request."""
+        if self._request:
+            self._request = 0
+            self._table.requests -= 1
+
     def add_body(self, size: int) -> None:
         """Charge bytes of a request's body.
 
@@ -162,8 +169,9 @@
         if self.closed:
             return
         self._body += size
+        limit = self._table.limits.max_request_bytes
         try:
-            self._table.reserve(self, self._cost())
+            self._table.reserve(self, self._cost(), limit)
         except wire.NoRoomError:
             self._body -= size
             raise
@@ -291,6 +299,7 @@
         self._clock = clock
         self._observer = observer or TableObserver()
         self.charged_bytes = 0
+        self.requests = 0
         # The one without progress for the longest time first.
         self._by_progress: collections.OrderedDict[Connection, None]
         self._by_progress = collections.OrderedDict()
@@ -336,16 +345,33 @@
 
     # Called by connections.
 
-    def reserve(self, connection: Connection, cost: int) -> None:
+    def reserve_request(self, connection: Connection, cost: int) -> None:
+        """Charge a connection with a request, once there is room for it.
+
+        Raises:
+            NoRoomError: there are too many requests, or no room.
+        """
+        if self.requests >= self.limits.max_requests:
+            raise self._refuse()
+        self.reserve(connection, cost, self.limits.max_request_bytes)
+        self.requests += 1
+
+    def reserve(
+        self, connection: Connection, cost: int, limit: int | None = None
+    ) -> None:
         """Charge a connection, once there is room for it.
 
+        Args:
+            limit: of the bytes of all connections; the table's when None.
+
         Raises:
             NoRoomError: there is no room; the charge is as it was.
         """
         if connection.trusted:
             return
         added = cost - connection.charged
-        while added > 0 and self.charged_bytes + added > self.limits.max_bytes:
+        max_bytes = self.limits.max_bytes if limit is None else limit
+        while added > 0 and self.charged_bytes + added > max_bytes:
             self._close_first(connection, Reason.MEMORY)
         self.charge(connection, cost)
 
@@ -365,6 +391,7 @@
     def release(self, connection: Connection) -> None:
         """Remove a connection and its charge."""
         self._by_progress.pop(connection, None)
+        connection.end_request()
         self.charged_bytes -= connection.charged
         connection.charged = 0
 
@@ -379,8 +406,11 @@
             if connection is not spared and connection.may_give_way(now):
                 self._make_give_way(connection, reason)
                 return
+        raise self._refuse()
+
+    def _refuse(self) -> wire.NoRoomError:
         self._observer.refused()
-        raise no_room_error()
+        return no_room_error()
 
     def _make_give_way(self, connection: Connection, reason: Reason) -> None:
         self._observer.gave_way(connection, reason)
