Own interface: only reads are refused for want of room

An answer for which there was no room was replaced by 503, also that of a completion or change which had run, although 503 promises that nothing has (found by reading, before it was released). Only answers to reads are checked. A call with the peer token is served although its connection found no room before the token was checked.

--- a/libs/daemon/src/bergamotsail/daemon/_admin_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_admin_handlers.py
@@ -113,7 +113,7 @@
     async def _answer(self, kind: str) -> None:
         self.authenticate()
         by_id = self.fresh_view().by_kind[self.parse_kind(kind)]
-        self.send_json([_entry_view(by_id[name]) for name in sorted(by_id)])
+        self.send_read([_entry_view(by_id[name]) for name in sorted(by_id)])
 
 
 class EntryHandler(AdminHandler):
@@ -137,7 +137,7 @@
         if entry is None:
             raise wire.NotFoundError(f"There is no {kind} {entry_id}.")
         self.set_header("ETag", f'"{entry.revision}"')
-        self.send_json(_entry_view(entry))
+        self.send_read(_entry_view(entry))
 
     async def _change(
         self, kind_name: str, entry_id: str, delete: bool
@@ -223,7 +223,7 @@
                 "Only replicas keep the history. Ask a replica.",
                 use=self.daemon.leader.address,
             )
-        self.send_json(list(machine.changes))
+        self.send_read(list(machine.changes))
 
 
 class WatchHandler(AdminHandler):
@@ -250,7 +250,7 @@
             ]
             if found:
                 found.sort(key=lambda entry: entry.revision)
-                self.send_json(found)
+                self.send_read(found)
                 return
             await asyncio.sleep(WATCH_POLL_S)
             waited_s += WATCH_POLL_S
@@ -284,7 +284,7 @@
             owner = ownership.owner if ownership is not None else None
             epoch = ownership.epoch if ownership is not None else 0
             target_views.append(TargetView(info, owner, epoch))
-        self.send_json(
+        self.send_read(
             StatusView(
                 self.daemon.settings.name,
                 session.fresh(),
@@ -307,9 +307,9 @@
         self.authenticate()
         snapshot = self.daemon.metrics.snapshot()
         if self.get_query_argument("form", "encoded") == "readable":
-            self.send_json(observe.readable(snapshot))
+            self.send_read(observe.readable(snapshot))
             return
-        self.send_json(snapshot)
+        self.send_read(snapshot)
 
 
 class FormHandler(AdminHandler):
--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -99,13 +99,20 @@
         return wire.encode({"error": error.body()})
 
     def send_json(self, value: object) -> None:
-        """Send a value as JSON.
+        """Send a value as JSON."""
+        self._send_data(wire.encode(value))
+
+    def send_read(self, value: object) -> None:
+        """Send what was read as JSON; the request changed nothing.
 
         Raises:
             NoRoomError: there is no room for it.
         """
         data = wire.encode(value)
         self.check_room(len(data))
+        self._send_data(data)
+
+    def _send_data(self, data: bytes) -> None:
         self.set_header("Content-Type", "application/json")
         self.finish(data)
 
--- a/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
+++ b/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
@@ -102,6 +102,7 @@
         """Exempt the connection from the limits for clients."""
         if self._record is not None:
             self._record.trust()
+            self.refused = None
 
     def check_room(self, size: int) -> None:
         """Make room for a response body of this size.
--- a/libs/daemon/src/bergamotsail/daemon/_caller_handlers.py
+++ b/libs/daemon/src/bergamotsail/daemon/_caller_handlers.py
@@ -163,7 +163,7 @@
             if member in (entry.value.owner, *entry.value.callers)
             for version in entry.value.versions
         ]
-        self.send_json({"object": "list", "data": data})
+        self.send_read({"object": "list", "data": data})
 
 
 class CompletionHandler(CallerHandler):
--- a/libs/daemon/src/bergamotsail/daemon/_client_server.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_server.py
@@ -23,10 +23,10 @@
 MAX_HEADER_BYTES = 64 * 1024
 # Read at once, beyond a head that is not complete.
 READ_BYTES = 64 * 1024
-TIMEOUTS = connections.Timeouts(head_s=10.0, idle_s=60.0)
+TIMEOUTS = connections.Timeouts(head_s=10.0, idle_s=300.0)
 # Tornado's timeout covers the idle time and the head, and can't be changed
-# later. The table has a timeout for each.
-NO_TIMEOUT_S = 86_400.0
+# later. The table has a timeout for each, and none for other daemons.
+TORNADO_TIMEOUT_S = 3600.0
 SWEEP_INTERVAL_S = 0.5
 
 
@@ -81,7 +81,7 @@
         self._timeouts = limits.timeouts
         self._server = httpserver.HTTPServer(
             _client_stream.ClientRequests(application),
-            idle_connection_timeout=NO_TIMEOUT_S,
+            idle_connection_timeout=TORNADO_TIMEOUT_S,
             max_header_size=limits.max_header_bytes,
             max_body_size=limits.max_body_bytes,
             body_timeout=limits.body_s,
