--- a/features/support/clients.py
+++ b/features/support/clients.py
@@ -93,8 +93,7 @@
         found += self._unanswered(process, "after")
         if process.popen.poll() is not None:
             found.append(f"ended with code {process.popen.returncode}")
-        if "Traceback" in process.log.read_text():
-            found.append("an exception was not handled")
+        found += crowd.log_faults(process.log.read_text())
         return found + watch.faults()
 
     def _restart(self, name: str) -> bench.Process:
--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -309,3 +309,11 @@
         self._rest_by_socket[sock] = rest[sent:]
         self.sent_bytes += sent
         return sent > 0
+
+
+def log_faults(text: str) -> list[str]:
+    """Return a fault with the first exception in a log that was logged."""
+    before, marker, after = text.partition("Traceback")
+    if not marker:
+        return []
+    return [f"an exception was not handled: {before[-300:]}{after[:2000]}"]
