Handlers: give way before tornado handles a request by closing

Cause: a connection may have to give way after its head was read and before tornado calls prepare(). No response can be sent then; trying raised an AssertionError in whichever connection needed the room.

Change: a handler can be asked to refuse from prepare() on; before that the connection is closed. A refusal that ends the connection says so in its header. With this: receive buffers are set on connections in place of the listening socket, and widened for other daemons, whose messages may come from another region; a process without a limit of descriptors has one million instead of -1 (both found by reading).

--- a/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
+++ b/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
@@ -36,16 +36,18 @@
         # Small pieces in a list would take many times their size.
         self._buffer = bytearray()
         self._size = 0
-        self._record = _client_stream.record_of(self.request)
-        if self._record is not None:
-            self._record.owner.receiver = self
+        self._stream = _client_stream.stream_of(self.request)
+        if self._stream is not None:
             try:
-                self._record.begin_request()
+                self._stream.record.begin_request()
             except wire.NoRoomError as error:
                 self.refused = error
 
     def prepare(self) -> None:
         """Refuse a body whose Content-Length exceeds the limit."""
+        if self._stream is not None:
+            # Tornado can't send a response before it calls this method.
+            self._stream.receiver = self
         length = self.request.headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > self.max_body_bytes:
             self._reject(self._too_large())
@@ -65,8 +67,8 @@
             self._reject(self._too_large())
             return
         try:
-            if self._record is not None:
-                self._record.add_body(len(chunk))
+            if self._stream is not None:
+                self._stream.record.add_body(len(chunk))
         except wire.NoRoomError as error:
             self._reject(error)
             return
@@ -78,6 +80,7 @@
             return
         if self.refused is None:
             self._reject(error)
+        self.set_header("Connection", "close")
         self.send_refusal()
 
     def _too_large(self) -> wire.ServingError:
@@ -91,8 +94,8 @@
 
     def _drop_body(self) -> None:
         self._buffer = bytearray()
-        if self._record is not None:
-            self._record.drop_body()
+        if self._stream is not None:
+            self._stream.record.drop_body()
 
     def send_refusal(self) -> None:
         """Send the error response for a refused body."""
@@ -100,8 +103,8 @@
 
     def trust_connection(self) -> None:
         """Exempt the connection from the limits for clients."""
-        if self._record is not None:
-            self._record.trust()
+        if self._stream is not None:
+            self._stream.trust()
             self.refused = None
 
     def check_room(self, size: int) -> None:
@@ -110,8 +113,8 @@
         Raises:
             NoRoomError: there is none; nothing was sent.
         """
-        if self._record is not None:
-            self._record.check_room(size)
+        if self._stream is not None:
+            self._stream.record.check_room(size)
 
     def take_body(self) -> bytes:
         """Return the body, once; the buffer is freed."""
@@ -127,5 +130,5 @@
     def on_finish(self) -> None:
         """Free the buffer when the request has ended."""
         self._buffer = bytearray()
-        if self._record is not None:
-            self._record.owner.receiver = None
+        if self._stream is not None:
+            self._stream.receiver = None
--- a/libs/daemon/src/bergamotsail/daemon/_client_server.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_server.py
@@ -28,6 +28,8 @@
 # later. The table has a timeout for each, and none for other daemons.
 TORNADO_TIMEOUT_S = 3600.0
 SWEEP_INTERVAL_S = 0.5
+# Descriptors of a process without a limit.
+MAX_FDS = 1_000_000
 
 
 def process_limits(memory_mb: float, max_fds: int) -> connections.TableLimits:
@@ -43,6 +45,8 @@
         memory_bytes = pages * os.sysconf("SC_PAGE_SIZE")
     if max_fds == 0:
         max_fds = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if max_fds == resource.RLIM_INFINITY:
+            max_fds = MAX_FDS
     return connections.TableLimits.of_process(memory_bytes, max_fds)
 
 
@@ -93,12 +97,6 @@
         )
         for sock in sockets:
             self._stack.callback(sock.close)
-            # Connections inherit it.
-            sock.setsockopt(
-                socket.SOL_SOCKET,
-                socket.SO_RCVBUF,
-                connections.RECEIVE_BUFFER_BYTES,
-            )
             self._stack.callback(
                 netutil.add_accept_handler(sock, self._accept)
             )
@@ -183,8 +181,9 @@
 
     Example::
 
-        async with ClientListeners(process_limits(300, 4096), metrics) as all:
-            all.listen(application, "127.0.0.1:7001")
+        limits = process_limits(300, 4096)
+        async with ClientListeners(limits, metrics) as clients:
+            clients.listen(application, "127.0.0.1:7001")
     """
 
     def __init__(
--- a/libs/daemon/src/bergamotsail/daemon/_client_stream.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_stream.py
@@ -10,6 +10,9 @@
 from bergamotsail import wire
 
 Stage = connections.Stage
+# Receive buffer of a connection from another daemon, whose messages are large
+# and may come from another region. The kernel may allow less.
+TRUSTED_RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 
 class RequestReceiver(typing.Protocol):
@@ -45,6 +48,16 @@
         except wire.NoRoomError:
             self.close()
             raise
+        self._set_receive_buffer(connections.RECEIVE_BUFFER_BYTES)
+
+    def trust(self) -> None:
+        """Exempt the connection, which is from another daemon."""
+        if not self.record.trusted:
+            self.record.trust()
+            self._set_receive_buffer(TRUSTED_RECEIVE_BUFFER_BYTES)
+
+    def _set_receive_buffer(self, size: int) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
     def enter(self, stage: Stage) -> None:
         """Record the stage of the connection's request."""
@@ -136,12 +149,10 @@
         self._request.on_connection_close()
 
 
-def record_of(
-    request: httputil.HTTPServerRequest,
-) -> connections.Connection | None:
-    """Return the record of a request's connection, if it has one."""
+def stream_of(request: httputil.HTTPServerRequest) -> ClientStream | None:
+    """Return the connection of a request, if it is in the table."""
     stream = getattr(request.connection, "stream", None)
-    return getattr(stream, "record", None)
+    return stream if isinstance(stream, ClientStream) else None
 
 
 def _error_of(reason: connections.Reason) -> wire.ServingError:
--- a/libs/daemon/src/bergamotsail/daemon/_peer_endpoint.py
+++ b/libs/daemon/src/bergamotsail/daemon/_peer_endpoint.py
@@ -224,9 +224,9 @@
             # The server closes the connection, as the body was not read.
             _send(request, error.status, wire.encode(error.body()))
             return
-        record = _client_stream.record_of(request)
-        if record is not None:
-            record.trust()
+        stream = _client_stream.stream_of(request)
+        if stream is not None:
+            stream.trust()
         self._request = request
 
     def data_received(self, chunk: bytes) -> None:
