Streams: close a connection that gives way even if it takes no response

A connection that gave way is no longer in the table; if its client took none of the refusal it stayed open, uncounted (found by reading). It is closed after a second.

--- a/libs/daemon/src/bergamotsail/daemon/_client_stream.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_stream.py
@@ -13,6 +13,8 @@
 # Receive buffer of a connection from another daemon, whose messages are large
 # and may come from another region. The kernel may allow less.
 TRUSTED_RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+# How long a connection that gives way stays open for its response.
+REFUSAL_S = 1.0
 
 
 class RequestReceiver(typing.Protocol):
@@ -66,6 +68,8 @@
     def give_way(self, reason: connections.Reason) -> None:
         if self.record.stage is Stage.BODY and self.receiver is not None:
             self.receiver.give_way(_error_of(reason))
+            # The client may not take the response.
+            self.io_loop.call_later(REFUSAL_S, self.close)
         else:
             self.close()
 
