Connections: a trusted connection has left the table

Each read, write and stage of a call between daemons was still looked at for the table, which charges nothing for it. What the change gains was not measured.

--- a/libs/connections/src/bergamotsail/connections/_table.py
+++ b/libs/connections/src/bergamotsail/connections/_table.py
@@ -67,6 +67,8 @@
         stage: what it is doing; set by :meth:`enter`.
         since: when it last made progress, or entered its stage.
         active_at: when it last sent or took a byte, or entered its stage.
+        trusted: whether it is from another daemon.
+        closed: whether it has left the table, being closed or trusted.
     """
 
     __slots__ = (
@@ -223,9 +225,9 @@
 
     def trust(self) -> None:
         """Exempt the connection of another daemon from all limits."""
-        if not self.trusted and not self.closed:
+        if not self.closed:
             self._table.release(self)
-            self.trusted = True
+            self.closed = self.trusted = True
 
     def close(self) -> None:
         """Release all that the connection is charged for."""
@@ -241,7 +243,7 @@
 
     def expired(self, now: float) -> Reason | None:
         """Return which timeout of the connection has passed, if any."""
-        if self.trusted or self.stage is Stage.RUNNING:
+        if self.stage is Stage.RUNNING:
             return None
         if self.stage is Stage.HEAD:
             late = now - self.since > self.timeouts.head_s
@@ -367,8 +369,6 @@
         Raises:
             NoRoomError: there is no room; the charge is as it was.
         """
-        if connection.trusted:
-            return
         added = cost - connection.charged
         max_bytes = self.limits.max_bytes if limit is None else limit
         while added > 0 and self.charged_bytes + added > max_bytes:
@@ -377,7 +377,7 @@
 
     def charge(self, connection: Connection, cost: int) -> None:
         """Charge a connection for bytes that it already holds."""
-        if connection.trusted or connection.closed:
+        if connection.closed:
             return
         self.charged_bytes += cost - connection.charged
         connection.charged = cost
