Daemon: limits of listeners move from the platform's package to the product

The entry applies the limits of the route table itself, handlers their process's memory, and a process's listeners for daemons and metrics are opened in one place. A body that was refused can't be taken.

--- a/features/support/freed.py
+++ b/features/support/freed.py
@@ -9,7 +9,6 @@
 import gc
 import socket
 
-from bergamotsail import connections
 from bergamotsail import daemon
 from bergamotsail import observe
 from bergamotsail import routing
@@ -84,7 +83,7 @@
 
 
 async def _keep_after_leaving() -> list[str]:
-    limits = connections.TableLimits(10 * MAX_BODY_BYTES, 10)
+    limits = daemon.ProcessLimits(40 * MAX_BODY_BYTES / 1e6, 500)
     clients = daemon.ClientListeners(limits, observe.Metrics())
     app = daemon.application_without_access_log([(r".*", _Handler)])
     with socket.socket() as free:
--- a/libs/connections/src/bergamotsail/connections/_table.py
+++ b/libs/connections/src/bergamotsail/connections/_table.py
@@ -213,6 +213,11 @@
             self.enter(Stage.RUNNING)
         self._table.charge(self, self._cost())
 
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest body that the process has memory for."""
+        return self._table.limits.max_body_bytes
+
     @property
     def unsent(self) -> int:
         """Bytes of the answer that the connection has yet to take."""
--- a/libs/daemon/src/bergamotsail/daemon/_assembly.py
+++ b/libs/daemon/src/bergamotsail/daemon/_assembly.py
@@ -92,8 +92,6 @@
         self, settings: settings_lib.DaemonSettings, dependencies: Dependencies
     ) -> None:
         self.settings = settings
-        # The process may have memory for less than the settings allow.
-        self.max_body_bytes = settings.http.max_body_bytes
         self.server = wire.PeerServer()
         self.metrics = observe.Metrics()
         self.stopping = False
--- a/libs/daemon/src/bergamotsail/daemon/_base_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_base_handler.py
@@ -25,7 +25,7 @@
     def initialize(self, daemon: "_assembly.Daemon") -> None:
         """Store the daemon, an argument of the route."""
         self.daemon = daemon
-        self.init_body(daemon.max_body_bytes)
+        self.init_body(daemon.settings.http.max_body_bytes)
         self._task: asyncio.Task | None = None
 
     def send_refusal(self) -> None:
--- a/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
+++ b/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
@@ -30,7 +30,10 @@
     max_body_bytes = 0
 
     def init_body(self, max_body_bytes: int) -> None:
-        """Initialize the buffer; call this in ``initialize``."""
+        """Initialize the buffer; call this in ``initialize``.
+
+        The process may have memory for less than *max_body_bytes*.
+        """
         self.max_body_bytes = max_body_bytes
         self.refused: wire.ServingError | None = None
         # Small pieces in a list would take many times their size.
@@ -38,6 +41,8 @@
         self._size = 0
         self._stream = _client_stream.stream_of(self.request)
         if self._stream is not None:
+            limit = self._stream.record.max_body_bytes
+            self.max_body_bytes = min(max_body_bytes, limit)
             try:
                 self._stream.record.begin_request()
             except wire.NoRoomError as error:
@@ -117,7 +122,13 @@
             self._stream.record.check_room(size)
 
     def take_body(self) -> bytes:
-        """Return the body, once; the buffer is freed."""
+        """Return the body, once; the buffer is freed.
+
+        Raises:
+            ServingError: the body was refused.
+        """
+        if self.refused is not None:
+            raise self.refused
         body = bytes(self._buffer)
         self._buffer = bytearray()
         return body
--- a/libs/daemon/src/bergamotsail/daemon/_client_server.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_server.py
@@ -7,6 +7,7 @@
 import os
 import resource
 import socket
+import typing
 
 from absl import logging
 from tornado import httpserver
@@ -14,7 +15,10 @@
 from tornado import netutil
 
 from bergamotsail import connections
+from bergamotsail.daemon import _bounded_body
 from bergamotsail.daemon import _client_stream
+from bergamotsail.daemon import _metrics_application
+from bergamotsail.daemon import _process
 from bergamotsail import observe
 from bergamotsail import wire
 
@@ -32,22 +36,30 @@
 MAX_FDS = 1_000_000
 
 
-def process_limits(memory_mb: float, max_fds: int) -> connections.TableLimits:
-    """Return what clients may use of this process.
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessLimits:
+    """What a process may use.
 
     Args:
-        memory_mb: memory of the process; 0 means that of the instance.
-        max_fds: descriptors of the process; 0 means its resource limit.
+        memory_mb: its memory; 0 means that of the instance.
+        max_fds: its descriptors; 0 means its resource limit.
     """
-    memory_bytes = int(memory_mb * 1e6)
-    if memory_bytes == 0:
-        pages = os.sysconf("SC_PHYS_PAGES")
-        memory_bytes = pages * os.sysconf("SC_PAGE_SIZE")
-    if max_fds == 0:
-        max_fds = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+    memory_mb: float = 0
+    max_fds: int = 0
+
+    def of_clients(self) -> connections.TableLimits:
+        """Return what all clients of the process together may use."""
+        memory_bytes = int(self.memory_mb * 1e6)
+        if memory_bytes == 0:
+            pages = os.sysconf("SC_PHYS_PAGES")
+            memory_bytes = pages * os.sysconf("SC_PAGE_SIZE")
+        max_fds = self.max_fds
+        if max_fds == 0:
+            max_fds = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         if max_fds == resource.RLIM_INFINITY:
             max_fds = MAX_FDS
-    return connections.TableLimits.of_process(memory_bytes, max_fds)
+        return connections.TableLimits.of_process(memory_bytes, max_fds)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,6 +186,13 @@
         self._oldest_s = 0.0
 
 
+class PeerRole(typing.Protocol):
+    """A role of a process that other daemons call."""
+
+    peer_endpoint: httputil.HTTPServerConnectionDelegate
+    peer_address: str
+
+
 class ClientListeners:
     """The listeners of a process; an async context manager.
 
@@ -181,20 +200,22 @@
 
     Example::
 
-        limits = process_limits(300, 4096)
+        limits = ProcessLimits(300, 4096)
         async with ClientListeners(limits, metrics) as clients:
             clients.listen(application, "127.0.0.1:7001")
     """
 
     def __init__(
         self,
-        limits: connections.TableLimits,
+        limits: ProcessLimits,
         metrics: observe.Metrics,
         clock: wire.Clock = wire.LoopClock(),
     ) -> None:
         self._observer = _CountingObserver(metrics)
         self._metrics = metrics
-        self.table = connections.ConnectionTable(limits, clock, self._observer)
+        self.table = connections.ConnectionTable(
+            limits.of_clients(), clock, self._observer
+        )
         self._clock = clock
         self._background = wire.BackgroundTasks()
 
@@ -214,6 +235,25 @@
         """Serve an application at HOST:PORT."""
         return Listener(application, address, limits, self.table)
 
+    def listen_bounded(
+        self,
+        application: httputil.HTTPServerConnectionDelegate,
+        address: str,
+    ) -> Listener:
+        """Serve an application whose handlers limit bodies themselves."""
+        limits = ListenerLimits(_bounded_body.SERVER_BODY_BYTES)
+        return self.listen(application, address, limits)
+
+    def listen_internally(self, role: PeerRole, metrics_port: str) -> None:
+        """Listen for other daemons, and for readers of the metrics."""
+        limits = ListenerLimits(_process.PEER_BODY_BYTES)
+        self.listen(role.peer_endpoint, role.peer_address, limits)
+        host = role.peer_address.rpartition(":")[0]
+        self.listen(
+            _metrics_application.metrics_application(self._metrics),
+            f"{host}:{metrics_port}",
+        )
+
     async def _sweep(self) -> None:
         while True:
             await self._clock.sleep(SWEEP_INTERVAL_S)
--- a/libs/daemon/src/bergamotsail/daemon/_relay_handler.py
+++ b/libs/daemon/src/bergamotsail/daemon/_relay_handler.py
@@ -32,10 +32,17 @@
         super().on_connection_close()
         if self.task is not None:
             self.task.cancel()
+            self.task = None
+
+    def on_finish(self) -> None:
+        """Drop the task, whose error refers to the request and its body."""
+        super().on_finish()
+        self.task = None
 
     def close_connection(self) -> None:
         """Close the connection so that the response can't look complete."""
         self._finished = True
+        self.task = None
         stream = getattr(self.request.connection, "stream", None)
         if stream is None:
             return
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -17,8 +17,10 @@
 from tornado import web
 
 from bergamotsail import catalogue
+from bergamotsail import connections
 from bergamotsail import control
-from bergamotsail.daemon import _access_log
+from bergamotsail.daemon import _bounded_body
+from bergamotsail.daemon import _client_server
 from bergamotsail.daemon import _peer_endpoint
 from bergamotsail.daemon import _process_monitor
 from bergamotsail import limits
@@ -103,26 +105,6 @@
     return wire.HttpPeerTransport(http, token, count_call)
 
 
-class MetricsHandler(web.RequestHandler):
-    """Serves counters, histograms and the count of dropped log lines."""
-
-    def initialize(self, metrics: observe.Metrics) -> None:
-        """Store the metrics, an argument of the route."""
-        self._metrics = metrics
-
-    def get(self) -> None:
-        """Respond with one line of text for each value."""
-        self.set_header("Content-Type", "text/plain")
-        text = observe.as_text(self._metrics.snapshot())
-        self.finish(f"{text}log_lines_dropped {observe.lines_dropped()}\n")
-
-
-def metrics_application(metrics: observe.Metrics) -> web.Application:
-    """Return an application that serves the metrics of this process."""
-    routes = [(r"/metrics", MetricsHandler, {"metrics": metrics})]
-    return _access_log.application_without_access_log(routes)
-
-
 class _NodeLeadership(placement.Leadership):
     """Leadership of the log, based on its leader lease."""
 
@@ -398,6 +380,7 @@
         self.process_monitor = _process_monitor.ProcessMonitor(
             self.lag, self.metrics, clock
         )
+        self.peer_address = settings.address
         self.peer_endpoint = _peer_endpoint.PeerEndpoint(
             self.server, settings.peer_token, self.lag, self.metrics
         )
@@ -660,7 +643,6 @@
 
     Args:
         caller_address: where callers reach this daemon.
-        on_change: called when the routes may have changed.
         make_engine: returns a client of a target's engine, to ask which
             adapters it holds while there is no leader.
     """
@@ -673,7 +655,6 @@
         transport: wire.PeerTransport,
         dialect: routing.Dialect,
         budget: ResendBudgetSettings,
-        on_change: collections.abc.Callable[[], None],
         make_engine: collections.abc.Callable[
             [targets.Instance], targets.AdapterEngine
         ],
@@ -693,6 +674,7 @@
         )
         self.server = wire.PeerServer()
         self.lag = _peer_endpoint.LoopLag(clock)
+        self.peer_address = settings.address
         self.peer_endpoint = _peer_endpoint.PeerEndpoint(
             self.server, settings.peer_token, self.lag, self.metrics
         )
@@ -725,7 +707,10 @@
         self._placements = routing.PlacementClient(
             self.session, transport, clock, survey
         )
-        self.session.attach(_EntryParticipant(self._placements, on_change))
+        self.session.attach(
+            _EntryParticipant(self._placements, self._apply_limits)
+        )
+        self._listener: _client_server.Listener | None = None
         self._address = caller_address
         reach = routing.Reach(clock)
         self._relay = routing.RelayService(
@@ -775,6 +760,42 @@
     async def __aexit__(self, *_: object) -> None:
         await self._stack.aclose()
 
+    def listen(
+        self,
+        clients: _client_server.ClientListeners,
+        application: web.Application,
+        address: str,
+    ) -> _client_server.Listener:
+        """Serve callers; the limits of the route table apply."""
+        self._listener = clients.listen(
+            application, address, self._listener_limits()
+        )
+        return self._listener
+
+    @property
+    def max_body_bytes(self) -> int:
+        """The limit of a body; without routes no request is served."""
+        table = self.session.view.routes.table
+        if table.version == 0:
+            return _bounded_body.BODY_BYTES
+        return table.limits.max_body_bytes
+
+    def _listener_limits(self) -> _client_server.ListenerLimits:
+        limits = self.session.view.routes.table.limits
+        return _client_server.ListenerLimits(
+            # The handlers limit bodies, to send a response.
+            _bounded_body.SERVER_BODY_BYTES,
+            max(limits.max_header_bytes, _client_server.MAX_HEADER_BYTES),
+            connections.Timeouts(
+                limits.header_timeout_s, limits.idle_timeout_s
+            ),
+        )
+
+    def _apply_limits(self) -> None:
+        """Apply the limits of the current route table."""
+        if self._listener is not None:
+            self._listener.change_limits(self._listener_limits())
+
     @property
     def active(self) -> int:
         """Requests in progress, also those relayed for other entries."""
--- a/libs/daemon/src/bergamotsail/daemon/main.py
+++ b/libs/daemon/src/bergamotsail/daemon/main.py
@@ -44,15 +44,12 @@
         process = settings.process
         clients = await stack.enter_async_context(
             _client_server.ClientListeners(
-                _client_server.process_limits(
+                _client_server.ProcessLimits(
                     process.memory_mb, process.max_fds
                 ),
                 daemon.metrics,
             )
         )
-        daemon.max_body_bytes = min(
-            daemon.max_body_bytes, clients.table.limits.max_body_bytes
-        )
         server = _listen(daemon, clients)
         await stack.enter_async_context(daemon)
         logging.info("main: Serving at %s.", settings.address)
