Listeners: changed timeouts hold for open connections, too

What operators saw: an idle or head timeout that was lowered held only for connections opened after it; the docstring said otherwise (found in the read-through).

Cause: a connection kept the timeouts of the moment at which it was accepted.

Change: it asks its listener for those in force. The read buffer's own limit, also taken at that moment, goes: heads are bounded by their limit, and what a connection holds is charged.

--- a/features/support/connections.py
+++ b/features/support/connections.py
@@ -39,7 +39,7 @@
 
     def __init__(self, table: connections.ConnectionTable) -> None:
         self.reason: connections.Reason | None = None
-        self.connection = table.open(self, TIMEOUTS)
+        self.connection = table.open(self, lambda: TIMEOUTS)
 
     def give_way(self, reason: connections.Reason) -> None:
         self.reason = reason
--- a/libs/connections/src/bergamotsail/connections/_table.py
+++ b/libs/connections/src/bergamotsail/connections/_table.py
@@ -64,6 +64,8 @@
     """An open connection of a client.
 
     Attributes:
+        owner: what holds its bytes.
+        charged: bytes that the table counts for it.
         stage: what it is doing; set by :meth:`enter`.
         since: when it last made progress, or entered its stage.
         active_at: when it last sent or took a byte, or entered its stage.
@@ -77,6 +79,7 @@
         "_progress",
         "_request",
         "_table",
+        "_timeouts",
         "_unsent",
         "active_at",
         "charged",
@@ -84,7 +87,6 @@
         "owner",
         "since",
         "stage",
-        "timeouts",
         "trusted",
     )
 
@@ -92,12 +94,12 @@
         self,
         table: "ConnectionTable",
         owner: Owner,
-        timeouts: _limits.Timeouts,
+        timeouts: collections.abc.Callable[[], _limits.Timeouts],
         now: float,
     ) -> None:
         self._table = table
         self.owner = owner
-        self.timeouts = timeouts
+        self._timeouts = timeouts
         self.stage = Stage.IDLE
         self.since = self.active_at = now
         self.trusted = False
@@ -251,9 +253,9 @@
         if self.stage is Stage.RUNNING:
             return None
         if self.stage is Stage.HEAD:
-            late = now - self.since > self.timeouts.head_s
+            late = now - self.since > self._timeouts().head_s
             return Reason.HEAD_TIMEOUT if late else None
-        late = now - self.active_at > self.timeouts.idle_s
+        late = now - self.active_at > self._timeouts().idle_s
         return Reason.IDLE_TIMEOUT if late else None
 
     def _note_progress(self, size: int, counts: bool) -> None:
@@ -321,9 +323,16 @@
         """Return the time in seconds."""
         return self._clock.now()
 
-    def open(self, owner: Owner, timeouts: _limits.Timeouts) -> Connection:
+    def open(
+        self,
+        owner: Owner,
+        timeouts: collections.abc.Callable[[], _limits.Timeouts],
+    ) -> Connection:
         """Add a connection.
 
+        Args:
+            timeouts: returns those in force.
+
         Raises:
             NoRoomError: there are too many, and none may give way.
         """
--- a/libs/daemon/src/bergamotsail/daemon/_client_server.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_server.py
@@ -25,8 +25,6 @@
 # Listen backlog, large because all callers may reconnect at once.
 LISTEN_BACKLOG = 1024
 MAX_HEADER_BYTES = 64 * 1024
-# Read at once, beyond a head that is not complete.
-READ_BYTES = 64 * 1024
 TIMEOUTS = connections.Timeouts(head_s=10.0, idle_s=300.0)
 # Tornado's timeout covers the idle time and the head, and can't be changed
 # later. The table has a timeout for each, and none for other daemons.
@@ -114,9 +112,10 @@
             )
 
     def change_limits(self, limits: ListenerLimits) -> None:
-        """Apply other limits, to open connections from the next request on.
+        """Apply other limits, also to open connections.
 
-        The body limit stays as it was.
+        A head that is being received keeps its limit. The limits of bodies
+        stay as they were.
         """
         self._server.conn_params.max_header_size = limits.max_header_bytes
         self._timeouts = limits.timeouts
@@ -132,10 +131,7 @@
     def _accept(self, sock: socket.socket, address: tuple) -> None:
         try:
             stream = _client_stream.ClientStream(
-                sock,
-                self._table,
-                self._timeouts,
-                self._server.conn_params.max_header_size + 2 * READ_BYTES,
+                sock, self._table, lambda: self._timeouts
             )
         except wire.NoRoomError:
             return
--- a/libs/daemon/src/bergamotsail/daemon/_client_stream.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_stream.py
@@ -1,5 +1,6 @@
 """Connections to clients, charged to the connection table of the process."""
 
+import collections.abc
 import socket
 import typing
 
@@ -39,10 +40,9 @@
         self,
         sock: socket.socket,
         table: connections.ConnectionTable,
-        timeouts: connections.Timeouts,
-        max_buffer_size: int,
+        timeouts: collections.abc.Callable[[], connections.Timeouts],
     ) -> None:
-        super().__init__(sock, max_buffer_size=max_buffer_size)
+        super().__init__(sock)
         self.receiver: RequestReceiver | None = None
         self.record: connections.Connection | None = None
         try:
