--- a/features/clients.feature
+++ b/features/clients.feature
@@ -80,3 +80,12 @@
       | endless_heads        |
       | silent               |
       | all_kinds            |
+
+  Scenario Outline: <scenario>
+    Then the limit scenario <scenario> passes at a daemon
+
+    Examples:
+      | scenario                   |
+      | largest_body_is_served     |
+      | slow_sender_is_served      |
+      | refused_body_keeps_promise |
--- a/features/steps/clients.py
+++ b/features/steps/clients.py
@@ -2,6 +2,7 @@
 
 import behave
 
+from features.support import client_limits
 from features.support import clients
 
 
@@ -18,3 +19,9 @@
 def no_harm(context, kind: str, listener: str, role: str) -> None:
     faults = context.feature.crowded.faults(kind, role, listener)
     assert not faults, faults
+
+
+@behave.then("the limit scenario {name} passes at a daemon")
+def limit_scenario_passes(context, name: str) -> None:
+    address = context.feature.crowded.fresh_address(client_limits.ROLE)
+    client_limits.SCENARIOS[name](address)
--- a/features/support/clients.py
+++ b/features/support/clients.py
@@ -96,6 +96,10 @@
         found += crowd.log_faults(process.log.read_text())
         return found + watch.faults()
 
+    def fresh_address(self, role: str) -> str:
+        """Start the daemon of a role anew and return its address."""
+        return self._restart(NAME_BY_ROLE[role]).address
+
     def _restart(self, name: str) -> bench.Process:
         self._system.kill(name)
         self._system.by_name[name].log.unlink()
