Connections: count what the kernel holds unread as it is

What callers saw: nothing in the crowds, as an entry reads what arrives at once. Worked out: with all connections of an instance of 200 MB unread the kernel holds up to 98 MB where 50 are left for it.

Cause: Linux doubles the receive buffer that is asked for, and the limit of connections counted what was asked for.

Change: 32 KiB are asked for, and 80 KiB counted for a connection, so that 300 MB give 915 connections and 200 MB 610. Connections that wait to be accepted have 8 KiB, but where daemons call: there the window would stay small for good.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -37,3 +37,7 @@
   Scenario: A request whose caller left while it was received is freed at once
     When a caller leaves in the middle of a body without a garbage collection
     Then no guarantee is violated
+
+  Scenario: The kernel holds a bounded number of bytes that are not read
+    When clients send bytes that a listener does not read
+    Then no guarantee is violated
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -5,6 +5,7 @@
 from features.support import connections
 from features.support import freed
 from features.support import ledger
+from features.support import unread
 
 
 @behave.when("the check {name} of the connection table runs")
@@ -31,3 +32,8 @@
 )
 def left_without_collection(context) -> None:
     context.faults = freed.check_left_early()
+
+
+@behave.when("clients send bytes that a listener does not read")
+def bytes_not_read(context) -> None:
+    context.faults = unread.check_unread()
--- a/libs/connections/src/bergamotsail/connections/__init__.py
+++ b/libs/connections/src/bergamotsail/connections/__init__.py
@@ -27,6 +27,7 @@
 TableObserver = _table.TableObserver
 no_room_error = _table.no_room_error
 Stage = _table.Stage
+ASKED_RECEIVE_BUFFER_BYTES = _limits.ASKED_RECEIVE_BUFFER_BYTES
 RECEIVE_BUFFER_BYTES = _limits.RECEIVE_BUFFER_BYTES
 TableLimits = _limits.TableLimits
 Timeouts = _limits.Timeouts
--- a/libs/connections/src/bergamotsail/connections/_limits.py
+++ b/libs/connections/src/bergamotsail/connections/_limits.py
@@ -5,9 +5,11 @@
 # Share of a process's memory that is charged to clients. As much again is
 # left for what the kernel receives for them.
 CLIENT_SHARE = 0.25
-# Receive buffer of a client's connection. A process's memory includes what
-# the kernel holds unread, and a client can always send this much unread.
-RECEIVE_BUFFER_BYTES = 64 * 1024
+# What the kernel holds unread of a client at most, which is part of the memory
+# of the process. It follows from the receive buffer that is asked for: Linux
+# doubles that, and takes the segment that crosses the end.
+RECEIVE_BUFFER_BYTES = 80 * 1024
+ASKED_RECEIVE_BUFFER_BYTES = 32 * 1024
 # Descriptors that are left to files.
 FILE_FDS = 200
 # Descriptors of listeners, of connections to other daemons and of idle ones
@@ -20,8 +22,8 @@
 # part of the room, so that other daemons, look-ups and readiness checks can
 # still connect.
 SPARE_SHARE = 0.125
-# Of a request beside its body.
-HEAD_BYTES = 256 * 1024
+# Of a request beside its body, with what is read of the next one.
+REQUEST_OVERHEAD_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,7 +61,7 @@
     @property
     def max_body_bytes(self) -> int:
         """The largest body that fits, as a body is copied once."""
-        return max(self.max_request_bytes - HEAD_BYTES, 0) // 2
+        return max(self.max_request_bytes - REQUEST_OVERHEAD_BYTES, 0) // 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/daemon/src/bergamotsail/daemon/_client_server.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_server.py
@@ -24,6 +24,8 @@
 
 # Listen backlog, large because all callers may reconnect at once.
 LISTEN_BACKLOG = 1024
+# Receive buffer of a connection that was not accepted yet.
+WAITING_BYTES = 8 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 TIMEOUTS = connections.Timeouts(head_s=10.0, idle_s=300.0)
 # Tornado's timeout covers the idle time and the head, and can't be changed
@@ -69,12 +71,14 @@
             and the connection is closed. A handler that sends an error of
             its own needs SERVER_BODY_BYTES here.
         body_s: seconds in which a whole body must arrive, if limited.
+        for_daemons: whether other daemons call here, too.
     """
 
     max_body_bytes: int = 0
     max_header_bytes: int = MAX_HEADER_BYTES
     timeouts: connections.Timeouts = TIMEOUTS
     body_s: float | None = None
+    for_daemons: bool = False
 
 
 class Listener:
@@ -107,6 +111,12 @@
         )
         for sock in sockets:
             self._stack.callback(sock.close)
+            if not limits.for_daemons:
+                # Bounds what waits to be accepted. It also bounds the scale
+                # of the window for good, which is too small for daemons.
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, WAITING_BYTES
+                )
             self._stack.callback(
                 netutil.add_accept_handler(sock, self._accept)
             )
@@ -242,7 +252,7 @@
 
     def listen_internally(self, role: PeerRole, metrics_port: str) -> None:
         """Listen for other daemons, and for readers of the metrics."""
-        limits = ListenerLimits(_process.PEER_BODY_BYTES)
+        limits = ListenerLimits(_process.PEER_BODY_BYTES, for_daemons=True)
         self.listen(role.peer_endpoint, role.peer_address, limits)
         host = role.peer_address.rpartition(":")[0]
         self.listen(
--- a/libs/daemon/src/bergamotsail/daemon/_client_stream.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_stream.py
@@ -50,7 +50,7 @@
         except wire.NoRoomError:
             self.close()
             raise
-        self._set_receive_buffer(connections.RECEIVE_BUFFER_BYTES)
+        self._set_receive_buffer(connections.ASKED_RECEIVE_BUFFER_BYTES)
 
     def trust(self) -> None:
         """Exempt the connection, which is from another daemon."""
--- a/libs/daemon/src/bergamotsail/daemon/main.py
+++ b/libs/daemon/src/bergamotsail/daemon/main.py
@@ -73,6 +73,7 @@
             _bounded_body.SERVER_BODY_BYTES,
             timeouts=connections.Timeouts(limits.head_s, limits.idle_s),
             body_s=limits.body_s,
+            for_daemons=True,
         ),
     )
 
