--- a/features/connections.feature
+++ b/features/connections.feature
@@ -1,6 +1,6 @@
 Feature: The connection table of a process
   What a process holds for its clients stays within its limits, and clients
-  without progress give way to those with it. Nothing here uses a network.
+  without progress are evicted for those with it. Nothing here uses a network.
 
   Scenario Outline: <check>
     When the check <check> of the connection table runs
--- a/features/support/connections.py
+++ b/features/support/connections.py
@@ -41,7 +41,7 @@
         self.reason: connections.Reason | None = None
         self.connection = table.open(self, lambda: TIMEOUTS)
 
-    def give_way(self, reason: connections.Reason) -> None:
+    def evict(self, reason: connections.Reason) -> None:
         self.reason = reason
 
     def begin(self) -> None:
@@ -209,7 +209,7 @@
 
 
 def check_single_bytes() -> list[str]:
-    """Who sends single bytes gives way before who sends a body quickly."""
+    """Who sends single bytes is evicted before who sends a body quickly."""
     clock = Clock()
     table = _table_with(clock)
     slow, quick = Client(table), Client(table)
@@ -221,7 +221,7 @@
         slow.send(1)
     _fill(table, clock, lambda: slow.reason is not None)
     if quick.reason is not None:
-        return ["the quick sender gave way"]
+        return ["the quick sender was evicted"]
     return [] if slow.reason is not None else ["the slow sender stayed"]
 
 
@@ -343,7 +343,7 @@
 
 
 def check_unread() -> list[str]:
-    """An unread answer gives way only when it is not read for some time."""
+    """An unread answer is evicted only when it is not read for some time."""
     clock = Clock()
     table = _table_with(clock)
     unread = Client(table)
@@ -416,7 +416,7 @@
     (
         "spare requests that are being served",
         "running",
-        (_table.Connection, "may_give_way", lambda connection, now: True),
+        (_table.Connection, "is_evictable", lambda connection, now: True),
     ),
     (
         "keep the total",
--- a/libs/connections/src/bergamotsail/connections/_limits.py
+++ b/libs/connections/src/bergamotsail/connections/_limits.py
@@ -18,7 +18,7 @@
 # A client's connection, and one to the target that serves its request.
 FDS_PER_CLIENT = 2
 MIN_CONNECTIONS = 16
-# Requests that are being served never give way. They may not take the last
+# Requests that are being served are never evicted. They may not take the last
 # part of the room, so that other daemons, look-ups and readiness checks can
 # still connect.
 SPARE_SHARE = 0.125
--- a/libs/connections/src/bergamotsail/connections/_table.py
+++ b/libs/connections/src/bergamotsail/connections/_table.py
@@ -52,7 +52,7 @@
     """What holds the bytes of a connection."""
 
     @abc.abstractmethod
-    def give_way(self, reason: Reason) -> None:
+    def evict(self, reason: Reason) -> None:
         """Free the bytes and close the connection.
 
         A request that was being received gets an answer that says it has
@@ -242,7 +242,7 @@
             self._table.release(self)
             self.closed = True
 
-    def may_give_way(self, now: float) -> bool:
+    def is_evictable(self, now: float) -> bool:
         """Whether the connection may be closed for the sake of others."""
         if self.stage is Stage.ANSWER:
             return now - self.active_at >= UNREAD_S
@@ -288,7 +288,7 @@
 class TableObserver:
     """Receives what a table decides; this one ignores it."""
 
-    def gave_way(self, connection: Connection, reason: Reason) -> None:
+    def evicted(self, connection: Connection, reason: Reason) -> None:
         """Record a connection that is about to be closed."""
 
     def refused(self) -> None:
@@ -334,10 +334,10 @@
             timeouts: returns those in force.
 
         Raises:
-            NoRoomError: there are too many, and none may give way.
+            NoRoomError: there are too many, and none is evictable.
         """
         while len(self._by_progress) >= self.limits.max_connections:
-            self._close_first(None, Reason.CONNECTIONS)
+            self._evict_first(None, Reason.CONNECTIONS)
         connection = Connection(self, owner, timeouts, self.now())
         self._by_progress[connection] = None
         try:
@@ -348,7 +348,7 @@
         return connection
 
     def close_expired(self) -> int:
-        """Close the connections whose timeout has passed; return how many."""
+        """Evict the connections whose timeout has passed; return how many."""
         now = self.now()
         expired = [
             (connection, reason)
@@ -356,7 +356,7 @@
             if (reason := connection.expired(now)) is not None
         ]
         for connection, reason in expired:
-            self._make_give_way(connection, reason)
+            self._evict(connection, reason)
         return len(expired)
 
     # Called by connections.
@@ -386,7 +386,7 @@
         added = cost - connection.charged
         max_bytes = self.limits.max_bytes if limit is None else limit
         while added > 0 and self.charged_bytes + added > max_bytes:
-            self._close_first(connection, Reason.MEMORY)
+            self._evict_first(connection, Reason.MEMORY)
         self.charge(connection, cost)
 
     def charge(self, connection: Connection, cost: int) -> None:
@@ -409,16 +409,16 @@
         self.charged_bytes -= connection.charged
         connection.charged = 0
 
-    def _close_first(self, spared: Connection | None, reason: Reason) -> None:
-        """Close the first connection that may give way.
+    def _evict_first(self, spared: Connection | None, reason: Reason) -> None:
+        """Evict the first connection that is evictable.
 
         Raises:
             NoRoomError: there is none but the one to spare.
         """
         now = self.now()
         for connection in self._by_progress:
-            if connection is not spared and connection.may_give_way(now):
-                self._make_give_way(connection, reason)
+            if connection is not spared and connection.is_evictable(now):
+                self._evict(connection, reason)
                 return
         raise self._refuse()
 
@@ -426,7 +426,7 @@
         self._observer.refused()
         return no_room_error()
 
-    def _make_give_way(self, connection: Connection, reason: Reason) -> None:
-        self._observer.gave_way(connection, reason)
+    def _evict(self, connection: Connection, reason: Reason) -> None:
+        self._observer.evicted(connection, reason)
         connection.close()
-        connection.owner.give_way(reason)
+        connection.owner.evict(reason)
--- a/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
+++ b/libs/daemon/src/bergamotsail/daemon/_bounded_body.py
@@ -79,7 +79,7 @@
             return
         self._buffer += chunk
 
-    def give_way(self, error: wire.ServingError) -> None:
+    def evict(self, error: wire.ServingError) -> None:
         """Drop the body and respond with the error at once."""
         if self._finished:
             return
--- a/libs/daemon/src/bergamotsail/daemon/_client_server.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_server.py
@@ -157,7 +157,7 @@
         self._refused = 0
         self._oldest_s = 0.0
 
-    def gave_way(
+    def evicted(
         self, connection: connections.Connection, reason: connections.Reason
     ) -> None:
         stage = connection.stage
--- a/libs/daemon/src/bergamotsail/daemon/_client_stream.py
+++ b/libs/daemon/src/bergamotsail/daemon/_client_stream.py
@@ -14,14 +14,14 @@
 # Receive buffer of a connection from another daemon, whose messages are large
 # and may come from another region. The kernel may allow less.
 TRUSTED_RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
-# How long a connection that gives way stays open for its response.
+# How long an evicted connection stays open for its response.
 REFUSAL_S = 1.0
 
 
 class RequestReceiver(typing.Protocol):
     """A handler that is receiving the body of a request."""
 
-    def give_way(self, error: wire.ServingError) -> None:
+    def evict(self, error: wire.ServingError) -> None:
         """Drop the body and respond with the error."""
 
 
@@ -65,9 +65,9 @@
         """Record the stage of the connection's request."""
         self.record.enter(stage, self._read_buffer_size)
 
-    def give_way(self, reason: connections.Reason) -> None:
+    def evict(self, reason: connections.Reason) -> None:
         if self.record.stage is Stage.BODY and self.receiver is not None:
-            self.receiver.give_way(_error_of(reason))
+            self.receiver.evict(_error_of(reason))
             # The client may not take the response.
             self.io_loop.call_later(REFUSAL_S, self.close)
         else:
