--- a/review/6/case.py
+++ b/review/6/case.py
@@ -36,7 +36,7 @@
 EVENT_PAUSE_S = 0.27
 NOTICE_S = 2.0
 DEADLINE_S = 15.0
-ROUTE_TIMEOUT_MS = 5000
+ROUTE_TIMEOUT_MS = 4000
 # Pauses before a client's further tries: doubled, at most 4 s.
 BACKOFF_S = (1.0, 2.0, 4.0, 4.0)
 RESTART_S = 0.5
