Streams: keep the versions at which they may have begun in the log

What callers saw: a stream that broke off as the engines of its software version left was taken up again some 12 s later, at the other version, if the leader and most entries had been killed meanwhile. The text is joined from two versions, and nothing in the answer shows it.

Cause: which versions a pool has had was soft state of one leader. A new one took the only version that it had seen for the version of all streams once it had led for twice the larger of the route's timeout and of what the caller still waits. Both can be shorter than the age of the stream.

Why this works: versions are committed to the log before the first target that runs them is published, so a leader knows of each, right after its election. They are forgotten once no stream that began there can be resumed, measured by one leader's own clock. How old a stream can get is a minute, or what the longest waiting callers of the pool began with, which is committed before such a stream begins; what a caller has left doesn't matter any more. Routes that led to other pools count as changed for that time.

Failed on the way: a target that left the list while its version was forgotten kept the loop of commits busy without a pause (found by a mutant, in virtual time); it now runs for listed targets only, and at most every 50 ms.

--- /dev/null
+++ b/features/origins.feature
@@ -0,0 +1,20 @@
+Feature: What is known of where streams began outlives leaders and entries
+  A stream goes on only at the software version that began it, whoever is
+  lost meanwhile.
+
+  Scenario Outline: <scenario>
+    When streams are taken up in <scenario>
+    Then no guarantee is violated
+
+    Examples: the versions that there are, and have been
+      | scenario                                         |
+      | resumed_late_after_its_version_left              |
+      | one_version_and_all_processes_lost               |
+      | version_is_forgotten                             |
+      | no_stream_begins_before_its_version_is_committed |
+      | longer_patience_than_can_be_told                 |
+      | route_leads_elsewhere                            |
+
+  Scenario: Every disabled guard of what outlives a leader is noticed
+    When each guard of stream origins is disabled
+    Then each disabled guard is detected
--- a/features/steps/software.py
+++ b/features/steps/software.py
@@ -4,6 +4,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from features.support import origins
 from features.support import software
 
 
@@ -35,3 +36,15 @@
     context.mutants = software.MUTANTS
     numbers = range(len(software.MUTANTS))
     context.found = [software.run_mutant(number) for number in numbers]
+
+
+@behave.when("streams are taken up in {name}")
+def origins_scenario(context, name: str) -> None:
+    context.faults = origins.run_scenario(name)
+
+
+@behave.when("each guard of stream origins is disabled")
+def origins_mutants(context) -> None:
+    context.mutants = origins.MUTANTS
+    numbers = range(len(origins.MUTANTS))
+    context.found = [origins.run_mutant(number) for number in numbers]
--- /dev/null
+++ b/features/support/origins.py
@@ -0,0 +1,337 @@
+"""What outlives leaders and entries of where streams began."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import unittest.mock
+
+from bergamotsail import catalogue
+from bergamotsail import control
+from bergamotsail.control import _software
+from bergamotsail import quorum
+from bergamotsail.routing import _origins
+from bergamotsail import wire
+from features.support import fatal_world
+from features.support import ledger
+from features.support import software
+
+# A caller's time for all its attempts, and the route's timeout.
+DEADLINE_S = 15.0
+SHORT_TIMEOUT_S = 4.0
+STREAMS = 12
+LEAST_SHARE = 0.5
+
+Begun = list[tuple[software.Caller, asyncio.Task]]
+
+
+async def _replace_route(world: software.World, **changes: object) -> None:
+    """Change the route of a world, and wait until that is in force."""
+    table = world.entries[0].session.view.routes.table
+    (route,) = table.routes
+    route = dataclasses.replace(route, **changes)
+    table = dataclasses.replace(
+        table, version=table.version + 1, routes=(route,)
+    )
+    await fatal_world.growth._replace_table(world, table)
+    await asyncio.sleep(1.0)
+
+
+async def _begin_streams(
+    world: software.World, entries: int, patience_s: float = DEADLINE_S
+) -> Begun:
+    """Begin streams at the first entries."""
+    beginning = (
+        world.begin(f"c{number}", number % entries, None, patience_s)
+        for number in range(STREAMS)
+    )
+    return list(await asyncio.gather(*beginning))
+
+
+async def _kill_leader_and_entries(
+    world: software.World, entries: int
+) -> None:
+    """Kill the leader and the first entries together."""
+    numbers = [entry.number for entry in world.entries[:entries]]
+    await asyncio.gather(world.lose_leader(), *map(world.kill_entry, numbers))
+
+
+async def _restart_all(world: software.World) -> None:
+    """Kill all replicas and entries, and start them a second later."""
+    numbers = [entry.number for entry in world.entries]
+    for number in numbers:
+        await world.kill_entry(number)
+    await world.stop_all()
+    await asyncio.sleep(1.0)
+    await world.start_all()
+    for number in numbers:
+        await world.start_entry(number, 2)
+    await asyncio.sleep(3.0)
+
+
+def _remove_targets(world: software.World, version: str) -> None:
+    """End the targets of a version for good."""
+    for target in world.targets:
+        if target.software == version:
+            target.up = False
+            target.disconnected.set()
+
+
+async def _resume(
+    begun: Begun, entry: software.Entry, patience_s: float = DEADLINE_S
+) -> list[str]:
+    """Resume streams at an entry; return the faults of their callers."""
+    for caller, asking in begun:
+        await asking
+        if caller.outcomes[-1] != "complete":
+            await caller.ask(entry, patience_s=patience_s)
+    return [fault for caller, _ in begun for fault in caller.faults()]
+
+
+def _went_on(begun: Begun) -> list[str]:
+    """Return a fault if too few streams are complete."""
+    outcomes = [caller.outcomes for caller, _ in begun]
+    resumed = [each[-1] for each in outcomes if len(each) > 1]
+    share = resumed.count("complete") / max(len(resumed), 1)
+    if share >= LEAST_SHARE:
+        return []
+    return [f"{share:.2f} of the resumed streams went on: {outcomes}"]
+
+
+# Which versions there are, and have been.
+
+
+async def resumed_late_after_its_version_left() -> list[str]:
+    """The last attempt of a caller comes long after the leader was lost.
+
+    Its remaining time and the route's timeout are short, the version that
+    began the stream has left, and the leader that knew of it is lost.
+    """
+    faults = []
+    for engines in (True, False):
+        softwares = ("v1", "v1", "v2", "v2")
+        async with software.World(softwares, engines, holds=True) as world:
+            await _replace_route(world, timeout_s=SHORT_TIMEOUT_S)
+            world.event_s = 0.4
+            begun = await _begin_streams(world, 2)
+            _remove_targets(world, "v1")
+            await asyncio.sleep(1.0)
+            await _kill_leader_and_entries(world, 2)
+            await asyncio.sleep(DEADLINE_S - SHORT_TIMEOUT_S)
+            faults += await _resume(begun, world.entries[0], 3.0)
+    return faults
+
+
+async def one_version_and_all_processes_lost() -> list[str]:
+    """Nobody needs to know a stream where one version has ever served."""
+    faults = []
+    for engines in (True, False):
+        async with software.World(
+            ("v1", "v1", "v1"), engines, holds=True
+        ) as world:
+            world.event_s = 0.5
+            begun = await _begin_streams(world, 2)
+            await _restart_all(world)
+            faults += await _resume(begun, world.entries[0])
+            faults += _went_on(begun)
+    return faults
+
+
+async def version_is_forgotten() -> list[str]:
+    """A version counts until no stream that began there can be resumed.
+
+    Each leader measures that time itself.
+    """
+    age_s = control.MIN_STREAM_AGE_S
+    faults = []
+    for loses_leader in (False, True):
+        async with software.World(("v1", "v1", "v1")) as world:
+            for target in world.targets:
+                target.upgrade("v2")
+            await asyncio.sleep(age_s / 2)
+            if loses_leader:
+                await world.lose_leader()
+            await asyncio.sleep(age_s / 2 - 5.0)
+            caller = software.Caller(world, "c")
+            await caller.ask(world.entries[0], "unknown", "3")
+            faults += caller.not_refused_at_once()
+            await asyncio.sleep(10.0 + loses_leader * age_s / 2)
+            caller = software.Caller(world, "d")
+            await caller.ask(world.entries[0], "unknown", "3")
+            if caller.outcomes != ["complete"]:
+                faults.append(f"after {age_s} s: {caller.outcomes}")
+    return faults
+
+
+@contextlib.contextmanager
+def _no_commits(command: str) -> collections.abc.Iterator[None]:
+    """Let commands of a kind wait for ever."""
+    propose = quorum.Node.propose
+
+    async def hold(self: quorum.Node, data: bytes) -> object:
+        proposed = wire.decode(data, catalogue.Command)
+        if getattr(proposed, command) is not None:
+            await asyncio.Event().wait()
+        return await propose(self, data)
+
+    with unittest.mock.patch.object(quorum.Node, "propose", hold):
+        yield
+
+
+async def no_stream_begins_before_its_version_is_committed() -> list[str]:
+    """A new version gets no request while its commit is not done."""
+    faults = []
+    for engines in (True, False):
+        softwares = ("v1", "v1", "v1", "v1")
+        async with software.World(softwares, engines, holds=True) as world:
+            with _no_commits("note_origins"):
+                for target in world.targets[1:]:
+                    target.upgrade("v2")
+                await asyncio.sleep(3.0)
+                callers = [
+                    software.Caller(world, f"c{n}") for n in range(STREAMS)
+                ]
+                for caller in callers:
+                    await caller.ask(world.entries[0])
+            softwares = {s for c in callers for _, s in c.events}
+            if softwares != {"v1"}:
+                faults.append(f"streams began at {sorted(softwares)}")
+    return faults
+
+
+async def longer_patience_than_can_be_told() -> list[str]:
+    """A stream that may get older than known is refused without a leader."""
+    async with software.World(("v1", "v1")) as world:
+        with _no_commits("note_origins"):
+            caller = software.Caller(world, "c")
+            await caller.ask(world.entries[0], patience_s=software.PATIENT_S)
+        faults = [f"ran at {world.began}"] * bool(world.began)
+        if not isinstance(caller.error, wire.OverloadError):
+            faults.append(f"ended as {caller.outcomes}")
+        caller = software.Caller(world, "d")
+        await caller.ask(world.entries[0], patience_s=software.PATIENT_S)
+        return faults + caller.incomplete()
+
+
+def _table(version: int, *pools: str) -> catalogue.ReplaceRoutes:
+    """Return a table with a route that leads to these pools."""
+    route = catalogue.Route(
+        "r",
+        "shop.example",
+        "/",
+        catalogue.RouteKind.STREAM,
+        tuple(map(catalogue.Split, pools)),
+        5.0,
+    )
+    names = dict.fromkeys((*pools, "a", "b"))
+    table = catalogue.RouteTable(
+        version,
+        (route,),
+        tuple(catalogue.RoutePool(name, "/health", 64) for name in names),
+    )
+    return catalogue.ReplaceRoutes(table, "")
+
+
+def _restored(machine: catalogue.CatalogueMachine, index: int):
+    """Return a machine made from the snapshot of another one."""
+    copy = catalogue.CatalogueMachine()
+    copy.restore(index, list(machine.snapshot()))
+    return copy
+
+
+async def route_leads_elsewhere() -> list[str]:
+    """A route's former pools count until they are forgotten.
+
+    This holds for the machine itself and for one restored from a snapshot.
+    """
+    command = catalogue.Command
+    origin = catalogue.StreamOrigin("a", "v1")
+    note = catalogue.NoteOrigins(
+        (origin, catalogue.StreamOrigin("b", "v1")),
+        (catalogue.StreamAge("a", 128.0),),
+    )
+    steps = (
+        (command(replace_routes=_table(1, "a")), None),
+        (command(note_origins=note), origin),
+        (command(replace_routes=_table(2, "a", "b")), None),
+        (command(replace_routes=_table(3, "a")), None),
+        (command(forget_origins=catalogue.ForgetOrigins((), 3)), None),
+        (command(forget_origins=catalogue.ForgetOrigins((), 4)), origin),
+        (command(forget_origins=catalogue.ForgetOrigins((origin,))), None),
+    )
+    machine, faults = catalogue.CatalogueMachine(), []
+    for index, (step, wanted) in enumerate(steps, 1):
+        machine.apply(index, wire.encode(step))
+        for each in (machine, _restored(machine, index)):
+            found = each.origins.sole("r")
+            if found != wanted:
+                faults.append(f"step {index}: {found}, not {wanted}")
+    if _restored(machine, 8).origins.longest_s("a") != 128.0:
+        faults.append("the age of streams is lost with a snapshot")
+    return faults
+
+
+SCENARIOS = {
+    scenario.__name__: scenario
+    for scenario in (
+        resumed_late_after_its_version_left,
+        one_version_and_all_processes_lost,
+        version_is_forgotten,
+        no_stream_begins_before_its_version_is_committed,
+        longer_patience_than_can_be_told,
+        route_leads_elsewhere,
+    )
+}
+
+
+def run_scenario(name: str) -> list[str]:
+    """Run a scenario in virtual time; return its faults."""
+    return ledger.run(SCENARIOS[name]())
+
+
+# Each mutant: name, the scenario that must fail, object, attribute and
+# replacement.
+MUTANTS: tuple[tuple[str, str, object, str, object], ...] = (
+    (
+        "publish targets before their version is committed",
+        "no_stream_begins_before_its_version_is_committed",
+        _software.SoftwareHistory,
+        "is_committed",
+        lambda *_: True,
+    ),
+    (
+        "forget versions at once",
+        "version_is_forgotten",
+        _software,
+        "MIN_STREAM_AGE_S",
+        1.0,
+    ),
+    (
+        "never forget a version",
+        "version_is_forgotten",
+        catalogue.StreamOrigins,
+        "forget",
+        lambda *_: None,
+    ),
+    (
+        "begin a stream though its age is not covered",
+        "longer_patience_than_can_be_told",
+        _origins.Origins,
+        "cover",
+        unittest.mock.AsyncMock(),
+    ),
+    (
+        "forget that a route led elsewhere",
+        "route_leads_elsewhere",
+        catalogue.StreamOrigins,
+        "replace_routes",
+        lambda self, index, table, is_first: self.restore_routes(table),
+    ),
+)
+
+
+def run_mutant(number: int) -> list[str]:
+    """Run a mutant's scenario with its guard disabled."""
+    _, scenario, owner, name, replacement = MUTANTS[number]
+    with unittest.mock.patch.object(owner, name, replacement):
+        return run_scenario(scenario)
--- a/features/support/software.py
+++ b/features/support/software.py
@@ -184,6 +184,7 @@
             placement.PLACE,
             placement.RELEASE,
             control.FIND_STREAM,
+            control.COVER_AGE,
         )
 
     def uses(self) -> tuple[control.Use, ...]:
--- a/libs/catalogue/src/bergamotsail/catalogue/__init__.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/__init__.py
@@ -9,6 +9,7 @@
 from bergamotsail.catalogue import _entries
 from bergamotsail.catalogue import _machine
 from bergamotsail.catalogue import _members
+from bergamotsail.catalogue import _origins
 from bergamotsail.catalogue import _routes
 from bergamotsail.catalogue import _view
 
@@ -52,6 +53,12 @@
 Sharer = _commands.Sharer
 VersionReply = _commands.VersionReply
 
+ForgetOrigins = _origins.ForgetOrigins
+NoteOrigins = _origins.NoteOrigins
+StreamAge = _origins.StreamAge
+StreamOrigin = _origins.StreamOrigin
+StreamOrigins = _origins.StreamOrigins
+
 AdapterVersion = _routes.AdapterVersion
 BaseModel = _routes.BaseModel
 CallerLimits = _routes.CallerLimits
--- a/libs/catalogue/src/bergamotsail/catalogue/_commands.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_commands.py
@@ -4,6 +4,7 @@
 import enum
 
 from bergamotsail.catalogue import _entries
+from bergamotsail.catalogue import _origins
 from bergamotsail.catalogue import _routes
 
 
@@ -284,3 +285,5 @@
     note_copies: NoteCopies | None = None
     take_orders: TakeOrders | None = None
     note_sharers: NoteSharers | None = None
+    note_origins: _origins.NoteOrigins | None = None
+    forget_origins: _origins.ForgetOrigins | None = None
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -8,6 +8,7 @@
 from bergamotsail.catalogue import _entries
 from bergamotsail.catalogue import _members
 from bergamotsail.catalogue import _order_holders
+from bergamotsail.catalogue import _origins
 from bergamotsail.catalogue import _routes
 from bergamotsail.catalogue import _view
 from bergamotsail import quorum
@@ -59,6 +60,7 @@
     # Written by earlier releases, which stored only the boots.
     sharers: tuple[str, ...] = ()
     share_notes: tuple[_commands.Sharer, ...] = ()
+    origins: _origins.OriginsState | None = None
 
 
 class CatalogueMachine(quorum.Machine):
@@ -75,6 +77,7 @@
         self.routes_document: str | None = None
         self.copies_by_target: dict[str, tuple[str, ...]] = {}
         self._holders = _order_holders.OrderHolders()
+        self.origins = _origins.StreamOrigins()
         # Daemons that may hold shares of limits, by boot.
         self.sharer_by_boot: dict[str, _commands.Sharer] = {}
         self.changes: collections.deque[_commands.Change] = collections.deque(
@@ -133,6 +136,10 @@
             result = self._holders.take(parsed.take_orders)
         elif parsed.note_sharers is not None:
             self._note_sharers(parsed.note_sharers)
+        elif parsed.note_origins is not None:
+            self.origins.note(parsed.note_origins)
+        elif parsed.forget_origins is not None:
+            self.origins.forget(parsed.forget_origins)
         self.view.index = index
         return result
 
@@ -320,6 +327,7 @@
         if table.version <= current:
             return _commands.VersionReply(current, False)
         self.routes_document = replace.document
+        self.origins.replace_routes(index, table, is_first=current == 0)
         self._set_versioned(
             index, _entries.Kind.ROUTES, _view.ROUTE_TABLE_ID, table
         )
@@ -402,6 +410,7 @@
                 holders_by_group=dict(self._holders.by_group),
                 fence_by_group=dict(self._holders.fence_by_group),
                 share_notes=tuple(self.sharer_by_boot.values()),
+                origins=self.origins.state(),
             ),
             dict(self.copies_by_target),
         )
@@ -410,6 +419,7 @@
         self, index: int, lines: collections.abc.Iterable[bytes]
     ) -> None:
         self.__init__()
+        origins: _origins.OriginsState | None = None
         for data in lines:
             line = wire.decode(data, _SnapshotLine)
             if line.effect is not None:
@@ -429,6 +439,7 @@
             elif line.floor_ms is not None:
                 self.floor_ms = line.floor_ms
                 self.routes_document = line.document
+                origins = line.origins
                 self._holders = _order_holders.OrderHolders(
                     line.holders_by_group,
                     line.order_holders,
@@ -439,9 +450,22 @@
                         joined=line.sharers, sharers=line.share_notes
                     )
                 )
+        self._restore_origins(index, origins)
         self.view.index = index
         self._last_dropped_index = index
 
+    def _restore_origins(
+        self, index: int, state: _origins.OriginsState | None
+    ) -> None:
+        table = self.view.routes.table
+        if state is None:
+            # A snapshot of an earlier release doesn't tell where streams
+            # began, so each route counts as changed.
+            self.origins.replace_routes(index, table, is_first=False)
+            return
+        self.origins = _origins.StreamOrigins(state)
+        self.origins.restore_routes(table)
+
 
 def _snapshot_lines(
     effects: collections.abc.Iterator[_view.Effect],
--- a/libs/control/src/bergamotsail/control/__init__.py
+++ b/libs/control/src/bergamotsail/control/__init__.py
@@ -6,6 +6,7 @@
 :class:`Coordinator` the leader's.
 """
 
+from bergamotsail import catalogue
 from bergamotsail.control import _coordinator
 from bergamotsail.control import _digest
 from bergamotsail.control import _fleet
@@ -17,6 +18,7 @@
 from bergamotsail.control import _messages
 from bergamotsail.control import _relay
 from bergamotsail.control import _session
+from bergamotsail.control import _software
 from bergamotsail.control import _streams
 from bergamotsail.control import _target_notices
 from bergamotsail.control import _target_rates
@@ -48,9 +50,12 @@
 GroupHolder = _messages.GroupHolder
 RateNotice = _messages.RateNotice
 StreamNote = _messages.StreamNote
-StreamOrigin = _messages.StreamOrigin
+StreamOrigin = catalogue.StreamOrigin
 FIND_STREAM = _messages.FIND_STREAM
 FindStream = _messages.FindStream
+COVER_AGE = _messages.COVER_AGE
+CoverAge = _messages.CoverAge
+MIN_STREAM_AGE_S = _software.MIN_STREAM_AGE_S
 FoundStream = _messages.FoundStream
 StreamNotes = _streams.StreamNotes
 StreamTable = _streams.StreamTable
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -131,7 +131,6 @@
         self.store_by_name: dict[str, _turns.StoreQueue] = {}
         self.hand_over_by_boot: dict[str, str] = {}
         self.status_by_target: dict[str, _messages.TargetStatus] = {}
-        self.softwares = _software.SoftwareHistory()
 
 
 class Coordinator:
@@ -182,12 +181,18 @@
         self._steps = steps
         self._term = self._new_term(-1, 0.0)
         self._digest = _digest.Digest()
+        self._softwares = _software.SoftwareHistory(machine, self._propose)
+        self._withheld = asyncio.Event()
         self._background = wire.BackgroundTasks()
 
     async def __aenter__(self) -> "Coordinator":
         if self._use_tracker is not None:
             self._use_tracker.on_new_start(self._record_restart)
-        self._background.start(self._poll_instances, self._run_leader_rounds)
+        self._background.start(
+            self._poll_instances,
+            self._run_leader_rounds,
+            self._run_software_commits,
+        )
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -211,6 +216,7 @@
         server.serve(_messages.TURN_END, self.on_turn_end)
         server.serve(_messages.ALONE, self.on_alone)
         server.serve(_messages.FIND_STREAM, self.on_find_stream)
+        server.serve(_messages.COVER_AGE, self.on_cover_age)
         server.serve(_messages.STATUS, self.on_status)
 
     # Calls from daemons.
@@ -424,12 +430,18 @@
         origin = self._streams.find(term.term, request.stream)
         if origin is not None:
             return _messages.FoundStream(origin, "record")
-        now = self._clock.now()
-        origin = term.softwares.sole(
-            request.route, now - request.within_s, now
-        )
+        origin = self._softwares.sole(request.route)
         return _messages.FoundStream(origin, "sole" if origin else None)
 
+    async def on_cover_age(
+        self, request: _messages.CoverAge
+    ) -> _messages.Done:
+        """Commit how old streams of a pool may get."""
+        if not self._node.holds_lease():
+            return await self._relay(_messages.COVER_AGE, request)
+        await self._softwares.cover(request.age)
+        return _messages.Done()
+
     async def on_status(
         self, request: _messages.Status
     ) -> _messages.StatusReply:
@@ -524,6 +536,7 @@
             term.undeclared.add(sharer.boot)
             term.ledger.lapse(sharer.boot, sharer.most_by_key)
             self._set_lapse_end(term, sharer.boot, sharer.runs_last_s)
+        self._softwares.begin_term(term.term, term.started_at)
         self._publish_targets(term)
 
     def _earlier_leases_expired(self, term: _Term) -> bool:
@@ -788,21 +801,51 @@
 
     def _publish_targets(self, term: _Term) -> None:
         known = set()
+        listed = list(term.fleet.listed())
+        self._softwares.note_listed(listed, self._clock.now())
+        if not all(map(self._softwares.is_committed, listed)):
+            self._withheld.set()
         for instance, leaving in term.fleet.all():
-            known.add(instance.id)
-            self._put_target(term, instance, leaving)
+            if self._softwares.is_committed(instance):
+                known.add(instance.id)
+                self._put_target(term, instance, leaving)
+            elif self._withhold(term, instance):
+                known.add(instance.id)
         for target in set(term.digest.target_by_id) - known:
             term.digest.drop_target(target)
-        infos = tuple(term.digest.target_by_id.values())
-        term.softwares.note(
-            infos, self._machine.view.routes.table, self._clock.now()
-        )
         if self._use_tracker is not None:
+            infos = tuple(term.digest.target_by_id.values())
             self._use_tracker.targets_changed(infos)
 
+    def _withhold(self, term: _Term, instance: targets.Instance) -> bool:
+        """Keep a target from new work until its version is committed.
+
+        Returns:
+            Whether it was known before, with another version.
+        """
+        info = term.digest.target_by_id.get(instance.id)
+        if info is not None:
+            self._put_target(term, info, leaving=True)
+        return info is not None
+
+    async def _run_software_commits(self) -> None:
+        while True:
+            await self._withheld.wait()
+            self._withheld.clear()
+            if self._node.holds_lease():
+                await self._run_logged(self._commit_softwares)
+            await self._clock.sleep(LEAD_POLL_S)
+
+    async def _commit_softwares(self) -> None:
+        term = self._current_term()
+        await self._softwares.commit(term.fleet.listed())
+        if self._current_term() is term:
+            self._publish_targets(term)
+
     async def _run_leader_rounds(self) -> None:
         while True:
             await self._clock.sleep(LEADER_ROUND_INTERVAL_S)
+            self._softwares.sample(self._clock.now())
             if self._node.holds_lease():
                 await self._run_logged(self._run_leader_round)
 
@@ -813,6 +856,7 @@
         await term.quarantine.maintain()
         if self._use_tracker is None:
             await self._assign_targets(term)
+        await self._softwares.forget(self._clock.now())
         await self._raise_floor()
 
     async def _raise_floor(self) -> None:
--- a/libs/control/src/bergamotsail/control/_fleet.py
+++ b/libs/control/src/bergamotsail/control/_fleet.py
@@ -144,6 +144,12 @@
             for known in self._tracked_by_name.values()
         ]
 
+    def listed(self) -> collections.abc.Iterator[targets.Instance]:
+        """Yield the targets that the instance list has."""
+        for known in self._tracked_by_name.values():
+            if known.missing_since is None:
+                yield known.instance
+
 
 def _with_start_time(
     instance: targets.Instance, name: str, start_time_ms: int
--- a/libs/control/src/bergamotsail/control/_messages.py
+++ b/libs/control/src/bergamotsail/control/_messages.py
@@ -134,22 +134,6 @@
     heard_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamOrigin:
-    """Where a stream began.
-
-    Args:
-        software: version of the target's software, None if it is not known.
-    """
-
-    pool: str
-    software: str | None
-
-    def allows(self, software: str | None) -> bool:
-        """Whether the stream may go on at a version of the software."""
-        return self.software is not None and software == self.software
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamNote:
     """Reports where a stream began.
@@ -160,7 +144,7 @@
     """
 
     stream: str
-    origin: StreamOrigin
+    origin: catalogue.StreamOrigin
     keep_s: float
 
 
@@ -447,13 +431,11 @@
 
     Args:
         route: the route that its caller resumes it on.
-        within_s: how long ago it may have begun.
         wait_s: how long a new leader may delay the reply, to hear of it.
     """
 
     stream: str
     route: str
-    within_s: float
     wait_s: float
     relayed: bool = False
 
@@ -467,10 +449,18 @@
             if all streams of the route must have begun there.
     """
 
-    origin: StreamOrigin | None
+    origin: catalogue.StreamOrigin | None
     source: str | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CoverAge:
+    """Asks that streams of a pool may get this old, before one begins."""
+
+    age: catalogue.StreamAge
+    relayed: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Done:
     """A reply without content."""
@@ -508,4 +498,5 @@
 TURN_END = wire.Call("turn_end", TurnEnd, Done)
 ALONE = wire.Call("alone", AloneRequest, AloneReply)
 FIND_STREAM = wire.Call("find_stream", FindStream, FoundStream)
+COVER_AGE = wire.Call("cover_age", CoverAge, Done)
 STATUS = wire.Call("status", Status, StatusReply)
--- a/libs/control/src/bergamotsail/control/_streams.py
+++ b/libs/control/src/bergamotsail/control/_streams.py
@@ -10,6 +10,7 @@
 import collections.abc
 import dataclasses
 
+from bergamotsail import catalogue
 from bergamotsail.control import _messages
 from bergamotsail import wire
 
@@ -46,10 +47,10 @@
         self._clock = clock
         self._max_streams = max_streams
         self._entry_by_stream: collections.OrderedDict[
-            str, tuple[_messages.StreamOrigin, float]
+            str, tuple[catalogue.StreamOrigin, float]
         ] = collections.OrderedDict()
         # Equal origins share one object.
-        self._origins: dict[_messages.StreamOrigin, _messages.StreamOrigin] = (
+        self._origins: dict[catalogue.StreamOrigin, catalogue.StreamOrigin] = (
             {}
         )
         self._term = -1
@@ -58,7 +59,7 @@
         self,
         term: int,
         stream: str,
-        origin: _messages.StreamOrigin,
+        origin: catalogue.StreamOrigin,
         keep_s: float,
     ) -> None:
         """Record where a stream began, for *keep_s*.
@@ -75,7 +76,7 @@
         if len(self._entry_by_stream) > self._max_streams:
             self._entry_by_stream.popitem(last=False)
 
-    def find(self, term: int, stream: str) -> _messages.StreamOrigin | None:
+    def find(self, term: int, stream: str) -> catalogue.StreamOrigin | None:
         """Return where a stream began, None if that is not known."""
         self._follow(term)
         origin, until = self._entry_by_stream.get(stream, (None, 0.0))
@@ -103,7 +104,7 @@
         known_to: the term of the leader that knows it.
     """
 
-    origin: _messages.StreamOrigin
+    origin: catalogue.StreamOrigin
     until: float
     known_to: int
 
@@ -120,7 +121,7 @@
     def note(
         self,
         stream: str,
-        origin: _messages.StreamOrigin,
+        origin: catalogue.StreamOrigin,
         keep_s: float,
         known_to: int,
     ) -> None:
@@ -136,7 +137,7 @@
         if len(self._noted_by_stream) > MAX_NOTES:
             self._noted_by_stream.popitem(last=False)
 
-    def find(self, stream: str) -> _messages.StreamOrigin | None:
+    def find(self, stream: str) -> catalogue.StreamOrigin | None:
         """Return where a stream of this daemon began, None if unknown."""
         noted = self._noted_by_stream.get(stream)
         if noted is None or noted.until <= self._clock.now():
--- a/libs/daemon/src/bergamotsail/daemon/_roles.py
+++ b/libs/daemon/src/bergamotsail/daemon/_roles.py
@@ -692,6 +692,7 @@
             placement.PLACE,
             placement.RELEASE,
             control.FIND_STREAM,
+            control.COVER_AGE,
         )
 
         def fetch_report(
--- a/libs/routing/src/bergamotsail/routing/_forward.py
+++ b/libs/routing/src/bergamotsail/routing/_forward.py
@@ -312,6 +312,7 @@
         )
 
     async def _serve(self, attempt: _attempt.Attempt) -> None:
+        await self._origins.cover(attempt)
         last: wire.ServingError | None = None
         while attempt.sends < MAX_SENDS:
             self._guard.check(attempt.tracked)
--- a/libs/routing/src/bergamotsail/routing/_origins.py
+++ b/libs/routing/src/bergamotsail/routing/_origins.py
@@ -16,16 +16,16 @@
 
 # How long after its patience ended a caller may still resume its stream.
 RESUME_S = 15.0
-# Upper bound of the age of a stream that is resumed, as a multiple of the
-# route's timeout or of the time that its caller still waits. A caller doesn't
-# say how long it has waited already.
-AGE_FACTOR = 2.0
+# No caller may resume a stream that is older.
+MAX_KEEP_S = 3600.0
 # A new leader may delay its reply by this, and by this share of the caller's
 # patience, until it has heard of the streams.
 MAX_WAIT_S = 1.0
 WAIT_SHARE = 0.2
 ASK_MARGIN_S = 0.3
 RETRY_AFTER_S = 0.5
+COVER_TIMEOUT_S = 1.0
+MAX_COVERED = 1_000
 
 
 def stream_name(member: str, request: _forward_types.CallerRequest) -> str:
@@ -38,7 +38,12 @@
 
 def keep_s(request: _forward_types.CallerRequest) -> float:
     """Return how long the caller of an attempt may resume its stream."""
-    return request.assumed_patience_s + RESUME_S
+    return min(request.assumed_patience_s + RESUME_S, MAX_KEEP_S)
+
+
+def is_resumable(route: catalogue.Route) -> bool:
+    """Whether callers may resume the streams of a route."""
+    return route.kind is catalogue.RouteKind.STREAM and route.repeatable
 
 
 def is_resumption(
@@ -72,6 +77,39 @@
     def __init__(self, session: control.Session, clock: wire.Clock) -> None:
         self._session = session
         self._clock = clock
+        # How old the leader lets streams get, by pool and route table.
+        self._covered_s_by_pool: dict[tuple[str, int], float] = {}
+
+    async def cover(self, attempt: _attempt.Attempt) -> None:
+        """Have the leader know how old the stream of an attempt can get.
+
+        What the caller has left when it resumes the stream doesn't tell how
+        old the stream is, so it must be known before the stream begins.
+
+        Raises:
+            OverloadError: the leader can't record it; nothing was run.
+        """
+        if attempt.origin is not None or not is_resumable(attempt.route):
+            return
+        longest_s = keep_s(attempt.request)
+        pool = (attempt.pool.name, self._session.view.routes.table.version)
+        covered_s = self._covered_s_by_pool.get(pool, control.MIN_STREAM_AGE_S)
+        if longest_s <= covered_s:
+            return
+        age = catalogue.StreamAge(attempt.pool.name, longest_s)
+        try:
+            await self._session.leader.ask(
+                control.COVER_AGE, control.CoverAge(age), COVER_TIMEOUT_S
+            )
+        except wire.ServingError as error:
+            raise wire.OverloadError(
+                "The caller waits longer than the leader knows of, and the "
+                "leader can't be told. Retry soon.",
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+        if len(self._covered_s_by_pool) >= MAX_COVERED:
+            self._covered_s_by_pool.clear()
+        self._covered_s_by_pool[pool] = longest_s
 
     def note(self, attempt: _attempt.Attempt) -> None:
         """Note where the stream of an attempt began.
@@ -147,12 +185,10 @@
         route: catalogue.Route,
         request: _forward_types.CallerRequest,
     ) -> control.FoundStream:
-        longest_s = max(route.timeout_s, request.assumed_patience_s)
-        within_s = AGE_FACTOR * longest_s
         wait_s = min(MAX_WAIT_S, request.assumed_patience_s * WAIT_SHARE)
         return await self._session.leader.ask(
             control.FIND_STREAM,
-            control.FindStream(stream, route.name, within_s, wait_s),
+            control.FindStream(stream, route.name, wait_s),
             wait_s + ASK_MARGIN_S,
         )
 
