HTTP: a reply whose status HTTP doesn't have is no reply

What callers saw: a target's answer with status 600, 999 or one of more digits, with the target's seal, as if it were an answer; with status 101 no answer until the deadline.

Cause: libcurl takes any status of three digits and the first three digits of a longer number; what it passed on was not checked. 000 and others below 100 were refused by libcurl itself (502 without seal), as were those that are no number. It waits for a switched protocol after 101, which is never asked for. A neighbour's reply was passed on with any status, and with 0 if it had none.

Change: each status line must be one of HTTP/1.0 or 1.1 with a status of 100 to 599 other than 101, from both clients, so also on kept connections, after interim replies, for reports, orders and the instance list; and what a neighbour passes on is checked again. Else the reply is lost (InvalidReplyError, 502) and its connection is closed at once.

--- a/libs/routing/src/bergamotsail/routing/_relayed.py
+++ b/libs/routing/src/bergamotsail/routing/_relayed.py
@@ -311,7 +311,7 @@
             raise wire.NotSentError(
                 f"The neighbour refused the call. {error.message}"
             ) from error
-        return wire.ReplyHead(first.status or 0, first.headers)
+        return wire.ReplyHead(wire.check_status(first.status), first.headers)
 
     async def pieces(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the body as it arrives; raise if it is incomplete."""
--- a/libs/wire/src/bergamotsail/wire/__init__.py
+++ b/libs/wire/src/bergamotsail/wire/__init__.py
@@ -15,6 +15,7 @@
 from bergamotsail.wire import _http
 from bergamotsail.wire import _lazy
 from bergamotsail.wire import _peers
+from bergamotsail.wire import _status
 from bergamotsail.wire import _steps
 from bergamotsail.wire import _streams
 from bergamotsail.wire import _tokens
@@ -88,6 +89,8 @@
 PeerLostError = _errors.PeerLostError
 PeerTimeoutError = _errors.PeerTimeoutError
 ReplyTooLargeError = _errors.ReplyTooLargeError
+InvalidReplyError = _errors.InvalidReplyError
+check_status = _status.check_status
 QuarantinedError = _errors.QuarantinedError
 OtherCopyError = _errors.OtherCopyError
 RequestTimeoutError = _errors.RequestTimeoutError
--- a/libs/wire/src/bergamotsail/wire/_curl.py
+++ b/libs/wire/src/bergamotsail/wire/_curl.py
@@ -18,6 +18,7 @@
 
 from bergamotsail.wire import _errors
 from bergamotsail.wire import _http
+from bergamotsail.wire import _status
 
 # The table of connections has room for this much of each answer.
 MAX_BUFFERED_BYTES = 32 * 1024
@@ -239,10 +240,12 @@
             )
             return HEADER_ABORT
         text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
-            parts = text.split(None, 2)
-            has_status = len(parts) > 1 and parts[1].isdecimal()
-            self._status = int(parts[1]) if has_status else 0
+        if line.startswith(_status.STATUS_LINE_START):
+            try:
+                self._status = _status.parse_status_line(line)
+            except _errors.InvalidReplyError as error:
+                self._failure = error
+                return HEADER_ABORT
             self._reply_headers = []
         elif text:
             name, _, value = text.partition(":")
--- a/libs/wire/src/bergamotsail/wire/_errors.py
+++ b/libs/wire/src/bergamotsail/wire/_errors.py
@@ -267,6 +267,12 @@
     code = "reply_too_large"
 
 
+class InvalidReplyError(PeerLostError):
+    """A reply that is none in HTTP, for example by its status."""
+
+    code = "invalid_reply"
+
+
 class PeerTimeoutError(PeerLostError):
     """The other side did not reply in time; it may still be alive."""
 
--- a/libs/wire/src/bergamotsail/wire/_http.py
+++ b/libs/wire/src/bergamotsail/wire/_http.py
@@ -19,6 +19,7 @@
 from tornado import httpclient
 
 from bergamotsail.wire import _errors
+from bergamotsail.wire import _status
 
 MAX_CLIENTS = 400
 CONNECT_TIMEOUT_S = 1.0
@@ -131,12 +132,32 @@
 
 
 class _SendState:
-    """Tracks whether a request was written or aborted."""
+    """Tracks whether a request was written or aborted.
+
+    Attributes:
+        failure: why the reply was abandoned.
+    """
 
     def __init__(self, request: HttpRequest) -> None:
         self._request = request
         self.sent = False
         self.aborted = False
+        self.failure: _errors.PeerLostError | None = None
+
+    def abandon(self, failure: _errors.PeerLostError) -> None:
+        """End the transfer because of what the reply contains."""
+        self.failure = self.failure or failure
+        self.aborted = True
+
+    def check_header(self, line: str) -> None:
+        """Abandon a reply whose head has no status of HTTP."""
+        data = line.encode("latin-1", "replace")
+        if not data.startswith(_status.STATUS_LINE_START):
+            return
+        try:
+            _status.parse_status_line(data)
+        except _errors.InvalidReplyError as error:
+            self.abandon(error)
 
     def prepare(self, handle: pycurl.Curl) -> None:
         handle.setopt(pycurl.PREREQFUNCTION, self._before_write)
@@ -187,17 +208,14 @@
         """
         send_state = _SendState(request)
         body = BoundedBody(request)
-        failure: _errors.ReplyTooLargeError | None = None
 
         def on_chunk(chunk: bytes) -> None:
-            nonlocal failure
-            if failure is not None:
+            if send_state.failure is not None:
                 return
             try:
                 body.add(chunk)
             except _errors.ReplyTooLargeError as error:
-                failure = error
-                send_state.aborted = True
+                send_state.abandon(error)
 
         try:
             reply = await self._curl.fetch(
@@ -208,11 +226,9 @@
             send_state.aborted = True
             raise
         except httpclient.HTTPError as error:
-            if failure is not None:
-                raise failure from error
             raise _transport_error(error, send_state, request) from error
-        if failure is not None:
-            raise failure
+        if send_state.failure is not None:
+            raise send_state.failure
         return HttpReply(
             reply.code, dict(reply.headers.get_all()), body.whole()
         )
@@ -254,6 +270,8 @@
         fetching = asyncio.create_task(fetch())
         try:
             while (chunk := await chunks.get()) is not None:
+                if send_state.failure is not None:
+                    raise send_state.failure
                 buffered -= len(chunk)
                 for line in lines.feed(chunk):
                     yield line
@@ -261,6 +279,8 @@
                 await fetching
             except httpclient.HTTPError as error:
                 raise _transport_error(error, send_state, request) from error
+            if send_state.failure is not None:
+                raise send_state.failure
             for line in lines.end():
                 yield line
         finally:
@@ -284,6 +304,7 @@
             allow_nonstandard_methods=True,
             decompress_response=False,
             prepare_curl_callback=send_state.prepare,
+            header_callback=send_state.check_header,
             streaming_callback=on_chunk,
         )
 
@@ -292,6 +313,8 @@
     error: httpclient.HTTPError, send_state: _SendState, request: HttpRequest
 ) -> _errors.ServingError:
     """Return the typed error; its type says whether anything was sent."""
+    if send_state.failure is not None:
+        return send_state.failure
     text = f"{request.method} {request.url}: {error}"
     if send_state.sent:
         return _errors.PeerLostError(
