Streams: copying goes on after an unforeseen error

A task that copies to a replica ended for good with any error that isn't a ServingError, without a log line; none was seen. It is logged now and begun anew. Records whose version is unknown no longer share a group with one whose version is empty.

--- a/features/support/origins.py
+++ b/features/support/origins.py
@@ -82,10 +82,11 @@
     begun: Begun, entry: software.Entry, patience_s: float = DEADLINE_S
 ) -> list[str]:
     """Resume streams at an entry; return the faults of their callers."""
-    for caller, asking in begun:
-        await asking
-        if caller.outcomes[-1] != "complete":
-            await caller.ask(entry, patience_s=patience_s)
+    await asyncio.gather(*(asking for _, asking in begun))
+    broken = [c for c, _ in begun if c.outcomes[-1] != "complete"]
+    await asyncio.gather(
+        *(caller.ask(entry, patience_s=patience_s) for caller in broken)
+    )
     return [fault for caller, _ in begun for fault in caller.faults()]
 
 
@@ -259,6 +260,27 @@
     return faults
 
 
+async def leader_is_cut_off() -> list[str]:
+    """A leader that is cut off and comes back doesn't undo what is known.
+
+    Streams begin under the next leader meanwhile, whose replica is lost with
+    their entries once the first one is back.
+    """
+    softwares = ("v1", "v2", "v1", "v2")
+    async with software.World(softwares, entries=4, holds=True) as world:
+        world.event_s = 1.5
+        old = (await world.leader()).member.address
+        world.network.isolate(old)
+        await asyncio.sleep(4.0)
+        begun = await _begin_streams(world, 3, 30.0)
+        world.network.heal()
+        await asyncio.sleep(1.0)
+        await _kill_leader_and_entries(world, 3)
+        await asyncio.sleep(4.0)
+        faults = await _resume(begun, world.entries[0], 20.0)
+        return faults + _went_on(begun)
+
+
 @contextlib.contextmanager
 def _no_copies() -> collections.abc.Iterator[None]:
     """Let leaders copy no records to the other replicas."""
@@ -454,6 +476,7 @@
         no_stream_begins_before_its_version_is_committed,
         longer_patience_than_can_be_told,
         leader_and_entries_lost_beside_two_versions,
+        leader_is_cut_off,
         granted_again_at_another_version,
         granted_again_after_a_lost_reply,
         route_leads_elsewhere,
--- a/libs/control/src/bergamotsail/control/_copies.py
+++ b/libs/control/src/bergamotsail/control/_copies.py
@@ -4,8 +4,11 @@
 import collections.abc
 import dataclasses
 import itertools
+import math
 import uuid
 
+from absl import logging
+
 from bergamotsail.control import _messages
 from bergamotsail.control import _streams
 from bergamotsail import observe
@@ -92,7 +95,9 @@
             wanted = set(self._tasks())
             await self._stop(self._running.keys() - wanted)
             for task in wanted - self._running.keys():
-                self._running[task] = asyncio.create_task(self._copy(task))
+                self._running[task] = asyncio.create_task(
+                    self._copy_always(task)
+                )
             await self._clock.sleep(LEAD_POLL_S)
 
     def _tasks(self) -> collections.abc.Iterator[_Task]:
@@ -113,6 +118,16 @@
             each.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
+    async def _copy_always(self, task: _Task) -> None:
+        """Copy, and begin anew after an unforeseen error."""
+        while True:
+            try:
+                await self._copy(task)
+                return
+            except Exception:
+                logging.exception("streams: Copies to %s failed.", task.peer)
+            await self._clock.sleep(RETRY_S)
+
     async def _copy(self, task: _Task) -> None:
         """Copy the whole record to a replica, then what is new."""
         start, was_reached = "", True
@@ -148,9 +163,9 @@
         """Return the records of streams; those that are alike share one."""
 
         def kind(record: _streams.StreamRecord) -> tuple[str, str, int, int]:
-            software = record.origin.software or ""
-            left_s = round(record.until - self._clock.now() + 0.5)
-            return record.origin.pool, software, record.term, left_s
+            origin = record.origin
+            left_s = math.ceil(record.until - self._clock.now())
+            return origin.pool, repr(origin.software), record.term, left_s
 
         records = [
             (name, record)
