Placement: follow an engine that is listed in another pool

What callers saw: an engine whose pool changes in the instance list, under the same id, got requests of its former pool, and those of its new pool ended as no_place.

Change: an engine whose pool differs gets a new record, as one that had left the list. Its copies of adapters are not forgotten.

--- a/features/engine_groups.feature
+++ b/features/engine_groups.feature
@@ -11,17 +11,18 @@
     Then no guarantee is violated
 
     Examples:
-      | scenario                   |
-      | groups_are_spread          |
-      | few_engines_form_one_group |
-      | holder_killed              |
-      | holder_stops               |
-      | holder_silent              |
-      | holder_cut_from_leader     |
-      | lost_group_is_held_again   |
-      | budget_holds_over_groups   |
-      | small_pool_is_served       |
-      | new_holder_knows_what_runs |
+      | scenario                     |
+      | groups_are_spread            |
+      | few_engines_form_one_group   |
+      | holder_killed                |
+      | holder_stops                 |
+      | holder_silent                |
+      | holder_cut_from_leader       |
+      | lost_group_is_held_again     |
+      | budget_holds_over_groups     |
+      | small_pool_is_served         |
+      | engine_moves_to_another_pool |
+      | new_holder_knows_what_runs   |
 
   Scenario: Random faults of replicas never give an engine two holders
     When replicas fail at random beside engine groups
--- a/features/support/engine_groups.py
+++ b/features/support/engine_groups.py
@@ -342,39 +342,73 @@
 async def small_pool_is_served() -> list[str]:
     """A pool with engines in one group only gets its requests placed there."""
     async with GroupFleet() as f:
-        name = next(iter(f.engine_by_name))
-        pools = tuple(
-            catalogue.RoutePool(pool, "/health", 64, f.spec)
-            for pool in (fleet.POOL, SMALL_POOL)
-        )
-        table = catalogue.RouteTable(2, (), pools)
-        await growth._replace_table(f, table)
-        f.instances._instances = tuple(
-            (
-                dataclasses.replace(each, pool=SMALL_POOL)
-                if each.id == name
-                else each
-            )
-            for each in f.instances._instances
-        )
+        await _add_small_pool(f)
+        _move_to_small_pool(f, next(iter(f.engine_by_name)))
         await f.warm_up()
-        outcomes = await asyncio.gather(
-            *(_place(f, number, SMALL_POOL) for number in range(5))
+        return await _small_pool_faults(f)
+
+
+async def engine_moves_to_another_pool() -> list[str]:
+    """An engine that is listed in another pool is placed on there only.
+
+    Guards against requests that are placed by the pool of before, after which
+    the new pool refuses all.
+    """
+    async with GroupFleet() as f:
+        await _add_small_pool(f)
+        await f.warm_up()
+        name = next(iter(f.engine_by_name))
+        _move_to_small_pool(f, name)
+        await asyncio.sleep(SETTLED_S)
+        faults = await _small_pool_faults(f)
+        placing = (_place(f, n, fleet.POOL) for n in range(4 * ADAPTERS))
+        outcomes = await asyncio.gather(*placing)
+        if name in outcomes:
+            faults.append(f"{name} gets requests of its pool of before")
+        if not set(outcomes) <= set(f.engine_by_name):
+            faults.append(f"{set(outcomes)}")
+        return faults
+
+
+async def _add_small_pool(f: GroupFleet) -> None:
+    pools = tuple(
+        catalogue.RoutePool(pool, "/health", 64, f.spec)
+        for pool in (fleet.POOL, SMALL_POOL)
+    )
+    await growth._replace_table(f, catalogue.RouteTable(2, (), pools))
+
+
+def _move_to_small_pool(f: GroupFleet, name: str) -> None:
+    f.instances._instances = tuple(
+        (
+            dataclasses.replace(each, pool=SMALL_POOL)
+            if each.id == name
+            else each
         )
-        return [] if set(outcomes) == {"placed"} else [f"{outcomes}"]
+        for each in f.instances._instances
+    )
+
+
+async def _small_pool_faults(f: GroupFleet) -> list[str]:
+    """Return a fault unless the pool's only engine gets all requests."""
+    name = next(iter(f.engine_by_name))
+    outcomes = await asyncio.gather(
+        *(_place(f, number, SMALL_POOL) for number in range(5))
+    )
+    return [] if set(outcomes) == {name} else [f"{outcomes}"]
 
 
 async def _place(f: GroupFleet, number: int, pool: str) -> str:
-    """Ask for a place; return how that ends."""
+    """Ask for a place; return the name of the engine, or why there is none."""
     entry = f.entries[number % len(f.entries)]
     request = dataclasses.replace(
-        _request(entry, f"small-{number}", number), pool=pool
+        _request(entry, f"{pool}-{number}", number), pool=pool
     )
     try:
-        await entry.placements.acquire(request)
+        reply = await entry.placements.acquire(request)
     except wire.ServingError as error:
         return error.code
-    return "placed"
+    return reply.target
 
 
 async def budget_holds_over_groups() -> list[str]:
@@ -690,6 +724,7 @@
         lost_group_is_held_again,
         budget_holds_over_groups,
         small_pool_is_served,
+        engine_moves_to_another_pool,
         new_holder_knows_what_runs,
     )
 }
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -513,18 +513,20 @@
             if pool is None or pool.engine is None:
                 continue
             seen.add(info.id)
-            if info.id not in self._orders_by_target:
-                self._add_target(info, pool.engine)
-            record = self._orders_by_target[info.id].record
+            orders = self._orders_by_target.get(info.id)
+            if orders is not None and orders.record.info.pool != info.pool:
+                self._remove_target(info.id)
+                orders = None
+            if orders is None:
+                orders = self._add_target(info, pool.engine)
+            record = orders.record
             record.leaving = info.leaving
             if record.info.software != info.software:
                 record.info = dataclasses.replace(
                     record.info, software=info.software
                 )
         for target in set(self._orders_by_target) - seen:
-            self._orders_by_target.pop(target).stop()
-            self._engines.remove(target)
-            self._with_free_slot.discard(target)
+            self._remove_target(target)
             self._removed_targets.add(target)
         self._schedule_soon()
 
@@ -537,9 +539,14 @@
         if self._new_start_callback is not None:
             self._new_start_callback(target, start_time_ms)
 
+    def _remove_target(self, target: str) -> None:
+        self._orders_by_target.pop(target).stop()
+        self._engines.remove(target)
+        self._with_free_slot.discard(target)
+
     def _add_target(
         self, info: control.TargetInfo, spec: catalogue.EngineSpec
-    ) -> None:
+    ) -> _engine_orders.EngineOrders:
         instance = targets.Instance(
             info.id,
             info.pool,
@@ -572,6 +579,7 @@
         if self._copy_registry is not None:
             orders.record.restore_copies(self._copy_registry.names(info.id))
         orders.reconcile()
+        return orders
 
     # Terms.
 
