Control: a replica that has just been elected keeps the heartbeats it holds

What was seen: a daemon that waits for a new leader was refused by the replica that had just won the election, and found the leader 0.7 to 1.0 s after its call. Callers at such a daemon wait as long.

Cause: the wait ended if there is contact with a leader and this replica isn't ready to lead. A replica between its election and its first commit has contact (it leads) and is not ready, so it took itself for a follower.

Change: the wait ends if the leader that is known is another replica; relaying uses the same check.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -6,10 +6,11 @@
     Then no guarantee is violated
 
     Examples:
-      | scenario                   |
-      | reports_in_time_small      |
-      | reports_in_time_large      |
-      | heartbeat_held_in_election |
+      | scenario                             |
+      | reports_in_time_small                |
+      | reports_in_time_large                |
+      | heartbeat_held_in_election           |
+      | heartbeat_held_until_leader_is_ready |
 
   Scenario: A waiting request costs the leader no decision for each other one
     When a large deployment runs decisions_per_request
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -412,13 +412,30 @@
 
 async def heartbeat_held_in_election() -> list[str]:
     """A heartbeat sent while there is no leader gets the next one's reply."""
+    return await _heartbeat_in_election(0.35)
+
+
+async def heartbeat_held_until_leader_is_ready() -> list[str]:
+    """A replica that has just been elected keeps the heartbeats it holds.
+
+    Guards against a refusal between its election and its first commit. It
+    looks every 20 ms, so heartbeats are sent at different times.
+    """
+    faults = []
+    for step in range(10):
+        faults += await _heartbeat_in_election(0.35 + 0.002 * step)
+    return faults
+
+
+async def _heartbeat_in_election(after_s: float) -> list[str]:
+    """Send a heartbeat some time after the leader is lost."""
     async with Fleet(SMALL) as fleet:
         await asyncio.sleep(SETTLE_S)
         old_leader = (await fleet.leader()).member.address
         late_entry = _Entry(fleet, SMALL.entries)
         await fleet.cut_power(old_leader)
         late_entry.session.leader.found(next(iter(fleet.node_by_address)))
-        await asyncio.sleep(0.35)
+        await asyncio.sleep(after_s)
         began_at = asyncio.get_running_loop().time()
         try:
             await late_entry.session._send_heartbeat()
@@ -518,6 +535,9 @@
     "reports_in_time_small": reports_in_time_small,
     "reports_in_time_large": reports_in_time_large,
     "heartbeat_held_in_election": heartbeat_held_in_election,
+    "heartbeat_held_until_leader_is_ready": (
+        heartbeat_held_until_leader_is_ready
+    ),
 }
 
 # Each mutant switches off a guard: its name, the scenario that must fail, and
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -490,14 +490,23 @@
         """
         deadline = self._clock.now() + hold_s
         while not self._node.holds_lease():
-            other_leads = (
-                self._node.has_leader_contact and not self._node.is_leader
-            )
-            if other_leads or self._clock.now() >= deadline:
+            if self._other_leads() or self._clock.now() >= deadline:
                 break
             await self._clock.sleep(HEARTBEAT_HOLD_POLL_S)
         return self._node.holds_lease()
 
+    def _other_leads(self) -> bool:
+        """Whether another replica leads, as far as this one knows.
+
+        This one may have won an election and not be ready yet.
+        """
+        leader = self._node.leader
+        return (
+            self._node.has_leader_contact
+            and leader is not None
+            and leader.address != self._address
+        )
+
     async def _relay(
         self,
         call: wire.Call,
@@ -505,17 +514,11 @@
         timeout_s: float = RELAY_TIMEOUT_S,
     ) -> object:
         """Forward a call to the leader over at most one hop."""
-        leader = self._node.leader
-        no_other_leader = leader is None or leader.address == self._address
-        if (
-            no_other_leader
-            or request.relayed
-            or not self._node.has_leader_contact
-        ):
+        if request.relayed or not self._other_leads():
             raise self._node.not_leader()
         relayed = _relayed(request)
         return await self._transport.call(
-            leader.address, call, relayed, timeout_s
+            self._node.leader.address, call, relayed, timeout_s
         )
 
     # Parts of a heartbeat.
