Streams: an entry reports those that a holder of a group placed

What callers saw: with more than 30 engines, streams that a replica placed as the holder of a group were refused when their callers took them up, after that replica and later their entry were lost.

Cause: an entry took the leader to know of every stream that was granted in its term, and didn't report it. A holder tells the leader 0.1 s later, or not at all if it is lost or cut off first.

Change: a reply says whether the leader has a record already; if not, the entry reports the stream as one that nobody granted. The holder still tells the leader, for the case that the entry is lost at once.

Evidence: holder_of_a_group_is_lost, both groups in turn: 12 of 12 streams of the lost holder end as origin_unknown on, all end complete now; a mutant.

--- a/features/origins.feature
+++ b/features/origins.feature
@@ -18,7 +18,9 @@
     Examples: records of streams
       | scenario                                    |
       | leader_and_entries_lost_beside_two_versions |
+      | lost_right_after_streams_began              |
       | leader_is_cut_off                           |
+      | holder_of_a_group_is_lost                   |
       | granted_again_at_another_version            |
       | granted_again_after_a_lost_reply            |
       | moved_streams_are_kept                      |
--- a/features/support/origins.py
+++ b/features/support/origins.py
@@ -9,6 +9,7 @@
 from bergamotsail import catalogue
 from bergamotsail import control
 from bergamotsail.control import _software
+from bergamotsail.placement import _engine_groups
 from bergamotsail import quorum
 from bergamotsail.routing import _origins
 from bergamotsail import targets
@@ -22,6 +23,13 @@
 SHORT_TIMEOUT_S = 4.0
 STREAMS = 12
 LEAST_SHARE = 0.5
+# Streams that begin, one each 0.1 s, until all replicas know of the first one:
+# its first event takes 0.1 s, a report 0.2 s and a copy 0.1 s.
+KNOWN_AFTER = 5
+# As many engines as are placed on by several replicas, and the time until they
+# are.
+GROUPED_PAIRS = 17
+GROUPS_FORMED_S = 5.0
 
 Begun = list[tuple[software.Caller, asyncio.Task]]
 
@@ -260,6 +268,43 @@
     return faults
 
 
+async def lost_right_after_streams_began() -> list[str]:
+    """The leader and most entries are lost while streams begin.
+
+    What was known for long enough goes on; the rest is refused, as not run.
+    """
+    faults = []
+    for engines in (True, False):
+        softwares = ("v1", "v2", "v1", "v2")
+        async with software.World(
+            softwares, engines, entries=4, holds=True
+        ) as world:
+            world.event_s = 1.0
+            callers = [software.Caller(world, f"c{n}") for n in range(STREAMS)]
+            asking = []
+            for number, caller in enumerate(callers):
+                entry = world.entries[number % 3]
+                asking.append(asyncio.create_task(caller.ask(entry)))
+                await asyncio.sleep(0.1)
+            known = [c for c in callers[:-KNOWN_AFTER] if c.events]
+            await _kill_leader_and_entries(world, 3)
+            await asyncio.gather(*asking)
+            await asyncio.sleep(4.0)
+            entry = world.entries[0]
+            await asyncio.gather(
+                *(c.ask(entry, patience_s=DEADLINE_S) for c in callers)
+            )
+            for caller in callers:
+                faults += caller.faults()
+                if caller in known:
+                    faults += caller.incomplete()
+                elif caller.outcomes[-1] != "complete":
+                    faults += caller.not_refused_at_once()
+            if len(known) < STREAMS - KNOWN_AFTER:
+                faults.append(f"only {len(known)} streams had begun")
+    return faults
+
+
 async def leader_is_cut_off() -> list[str]:
     """A leader that is cut off and comes back doesn't undo what is known.
 
@@ -281,6 +326,31 @@
         return faults + _went_on(begun)
 
 
+async def holder_of_a_group_is_lost() -> list[str]:
+    """Streams placed by a holder that is lost before it tells the leader.
+
+    Their entries are killed some time later; the leader stays.
+    """
+    faults = []
+    for group in range(2):
+        softwares = ("v1", "v2") * GROUPED_PAIRS
+        async with software.World(softwares, entries=4, holds=True) as world:
+            await asyncio.sleep(GROUPS_FORMED_S)
+            world.event_s = 1.5
+            leader = (await world.leader()).member.address
+            holder = world.entries[0].session.holders.address(group)
+            world.network.cut(holder, leader, both_ways=False)
+            begun = await _begin_streams(world, 3, 30.0)
+            await world.stop(holder)
+            world.network.heal()
+            await asyncio.sleep(2.5)
+            for number in range(3):
+                await world.kill_entry(number)
+            faults += await _resume(begun, world.entries[0], 15.0)
+            faults += [f for caller, _ in begun for f in caller.incomplete()]
+    return faults
+
+
 @contextlib.contextmanager
 def _no_copies() -> collections.abc.Iterator[None]:
     """Let leaders copy no records to the other replicas."""
@@ -476,7 +546,9 @@
         no_stream_begins_before_its_version_is_committed,
         longer_patience_than_can_be_told,
         leader_and_entries_lost_beside_two_versions,
+        lost_right_after_streams_began,
         leader_is_cut_off,
+        holder_of_a_group_is_lost,
         granted_again_at_another_version,
         granted_again_after_a_lost_reply,
         route_leads_elsewhere,
@@ -542,6 +614,13 @@
         "pending",
         lambda *_: (),
     ),
+    (
+        "leave it to the holder of a group to tell the leader",
+        "holder_of_a_group_is_lost",
+        _engine_groups._GroupLeadership,
+        "leads_log",
+        True,
+    ),
     (
         "trust a record of an earlier grant",
         "granted_again_at_another_version",
--- a/libs/placement/src/bergamotsail/placement/_engine_groups.py
+++ b/libs/placement/src/bergamotsail/placement/_engine_groups.py
@@ -65,6 +65,10 @@
     def log_term(self) -> int:
         return self._groups.log_term
 
+    @property
+    def leads_log(self) -> bool:
+        return self._groups.leads_log
+
     def holds(self) -> bool:
         return self._groups.holds(self._group)
 
@@ -246,6 +250,11 @@
 
     # Rights, for the placers.
 
+    @property
+    def leads_log(self) -> bool:
+        """Whether this replica is the leader of the log."""
+        return self._log.holds()
+
     @property
     def log_term(self) -> int:
         """The term of the replicated log."""
--- a/libs/placement/src/bergamotsail/placement/_leadership.py
+++ b/libs/placement/src/bergamotsail/placement/_leadership.py
@@ -21,6 +21,11 @@
         """The term of the replicated log in which *term* was given."""
         return self.term
 
+    @property
+    def leads_log(self) -> bool:
+        """Whether this process is the leader of the replicated log."""
+        return self.holds()
+
     @abc.abstractmethod
     def holds(self) -> bool:
         """Whether this process may, and no other can at this moment."""
--- a/libs/placement/src/bergamotsail/placement/_place_messages.py
+++ b/libs/placement/src/bergamotsail/placement/_place_messages.py
@@ -115,6 +115,8 @@
             ``remembered``, for a placement found by the daemon itself.
         software: version of the target's software, None if unknown.
         term: of the leader that granted it, -1 without one.
+        is_noted: whether that leader has a record of where the stream
+            begins. A holder of a group tells it later.
         only_grant: whether no reply to the same request was lost before; set
             by the daemon that asked.
     """
@@ -126,6 +128,7 @@
     reason: str
     software: str | None = None
     term: int = -1
+    is_noted: bool = False
     only_grant: bool = True
 
 
--- a/libs/placement/src/bergamotsail/placement/_placer.py
+++ b/libs/placement/src/bergamotsail/placement/_placer.py
@@ -1030,6 +1030,7 @@
                 reason,
                 record.info.software,
                 self._leadership.log_term,
+                is_noted=self._leadership.leads_log,
             )
         )
         self._waiters.discard(waiter)
--- a/libs/routing/src/bergamotsail/routing/_attempt.py
+++ b/libs/routing/src/bergamotsail/routing/_attempt.py
@@ -69,7 +69,7 @@
         software: version of the current target's software.
         origin: where its stream began, None if it may begin anywhere.
         granted: where its stream may be recorded to begin, by grants.
-        granted_term: the term of the leader that granted the current
+        noted_term: the term of the leader that has a record of the current
             placement, -1 without one.
         not_repeated: why it was not sent again, for the log.
         longest_pause_s: the longest gap between two pieces of the answer.
@@ -96,7 +96,7 @@
     software: str | None = None
     origin: control.StreamOrigin | None = None
     granted: set[control.StreamOrigin] = dataclasses.field(default_factory=set)
-    granted_term: int = -1
+    noted_term: int = -1
     aborted: bool = False
     not_repeated: str | None = None
     on_first_piece: collections.abc.Callable[[], None] | None = None
@@ -128,7 +128,7 @@
 
     def record_grant(self, place: placement.PlaceReply) -> None:
         """Record that the leader may have a record of this grant."""
-        self.granted_term = place.term
+        self.noted_term = place.term if place.is_noted else -1
         if place.term >= 0:
             origin = control.StreamOrigin(self.pool.name, place.software)
             self.granted.add(origin)
--- a/libs/routing/src/bergamotsail/routing/_origins.py
+++ b/libs/routing/src/bergamotsail/routing/_origins.py
@@ -177,12 +177,13 @@
         """Note where the stream of an attempt began.
 
         The leader that granted its placement knows, unless this daemon lists
-        another version of the target's software.
+        another version of the target's software. A holder of a group may be
+        lost before it tells the leader, so this daemon does that, too.
         """
         origin = attempt.origin
         if origin is None:
             return
-        known_to = -1 if origin.software is None else attempt.granted_term
+        known_to = -1 if origin.software is None else attempt.noted_term
         self._session.note_stream(
             stream_name(attempt.caller.name, attempt.request),
             origin,
