Streams: a stream that is reported twice is copied once

Cause: holders of groups and entries now both report a stream to the leader, which copied it to each replica for each report.

Change: an equal record of the same term isn't copied again.

--- a/libs/control/src/bergamotsail/control/_streams.py
+++ b/libs/control/src/bergamotsail/control/_streams.py
@@ -136,6 +136,11 @@
         self._record_by_stream.move_to_end(stream)
         if len(self._record_by_stream) > self._max_streams:
             self._record_by_stream.popitem(last=False)
+        if known is not None and known.until > now and known.term == term:
+            if known.origin == origin:
+                # Holders of groups and entries report the same stream; one
+                # copy is enough.
+                return
         for changes in self._subscribed:
             changes.add(stream)
 
