Streams: refuse a moved stream rather than forget another one

What callers could see: with 20,000 streams that were granted again at another version within a minute, the oldest was forgotten, and a copy of its first grant counted again: events of two versions in one stream. Found by reading; nothing has shown it.

Cause: the bound of memory dropped the oldest entry.

Change: the log refuses one more, and the entry refuses the request as not run.

Evidence: moved_streams_are_bounded, and a mutant that forgets as before; the former code's `move` returns nothing, so the scenario can't pass there.

--- a/features/origins.feature
+++ b/features/origins.feature
@@ -23,6 +23,7 @@
       | holder_of_a_group_is_lost                   |
       | granted_again_at_another_version            |
       | granted_again_after_a_lost_reply            |
+      | moved_streams_are_bounded                   |
       | moved_streams_are_kept                      |
 
   Scenario: Every disabled guard of what outlives a leader is noticed
--- a/features/support/origins.py
+++ b/features/support/origins.py
@@ -7,6 +7,7 @@
 import unittest.mock
 
 from bergamotsail import catalogue
+from bergamotsail.catalogue import _origins as catalogue_origins
 from bergamotsail import control
 from bergamotsail.control import _software
 from bergamotsail.placement import _engine_groups
@@ -514,6 +515,37 @@
     return faults
 
 
+async def moved_streams_are_bounded() -> list[str]:
+    """No moved stream is forgotten for another, as a first grant would count.
+
+    One that can't be recorded is refused, as not run.
+    """
+    full = catalogue_origins.MovedStream(
+        "s", catalogue.StreamOrigin("a", "v2"), 1
+    )
+    faults = []
+    with unittest.mock.patch.object(catalogue_origins, "MAX_MOVED", 1):
+        origins = catalogue.StreamOrigins()
+        accepted = [
+            origins.move(full),
+            origins.move(dataclasses.replace(full, stream="t")),
+            origins.move(dataclasses.replace(full, index=2)),
+        ]
+        if accepted != [True, False, True] or origins.moved("s") is None:
+            faults.append(f"{accepted}, {origins.moves()}")
+        async with software.World(("v1", "v2"), holds=True) as world:
+            address = (await world.leader()).member.address
+            world.machine_by_address[address].origins.move(full)
+            leader = world.entries[0].session.leader
+            move = control.MoveStream("u", full.origin)
+            try:
+                await leader.ask(control.MOVE_STREAM, move, 1.0)
+                faults.append("a stream too many was confirmed")
+            except wire.OverloadError:
+                pass
+    return faults
+
+
 async def moved_streams_are_kept() -> list[str]:
     """Moved streams outlive a restart, until they are forgotten."""
     command = catalogue.Command
@@ -552,6 +584,7 @@
         granted_again_at_another_version,
         granted_again_after_a_lost_reply,
         route_leads_elsewhere,
+        moved_streams_are_bounded,
         moved_streams_are_kept,
     )
 }
@@ -562,6 +595,13 @@
     return ledger.run(SCENARIOS[name]())
 
 
+def _move_and_forget(origins, moved) -> bool:
+    """Stands in for a table that forgets the first stream for the last."""
+    origins._moved_by_stream.clear()
+    origins._moved_by_stream[moved.stream] = moved
+    return True
+
+
 # Each mutant: name, the scenario that must fail, object, attribute and
 # replacement.
 MUTANTS: tuple[tuple[str, str, object, str, object], ...] = (
@@ -635,6 +675,13 @@
         "confirm",
         unittest.mock.AsyncMock(),
     ),
+    (
+        "forget a moved stream for another one",
+        "moved_streams_are_bounded",
+        catalogue.StreamOrigins,
+        "move",
+        _move_and_forget,
+    ),
     (
         "forget that a reply was lost",
         "granted_again_after_a_lost_reply",
--- a/libs/catalogue/src/bergamotsail/catalogue/_machine.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_machine.py
@@ -141,7 +141,7 @@
             self.origins.note(parsed.note_origins)
         elif parsed.move_stream is not None:
             move = parsed.move_stream
-            self.origins.move(
+            result = self.origins.move(
                 _origins.MovedStream(move.stream, move.origin, index)
             )
         elif parsed.forget_origins is not None:
--- a/libs/catalogue/src/bergamotsail/catalogue/_origins.py
+++ b/libs/catalogue/src/bergamotsail/catalogue/_origins.py
@@ -163,12 +163,19 @@
         """Return the streams that were moved, for snapshots."""
         return list(self._moved_by_stream.values())
 
-    def move(self, moved: MovedStream) -> None:
-        """Apply a command, or restore a stream that was moved."""
+    def move(self, moved: MovedStream) -> bool:
+        """Apply a command, or restore a stream that was moved.
+
+        Returns:
+            False if there are too many. None is forgotten for a new one, as
+            its record of an earlier grant would count again.
+        """
+        known = moved.stream in self._moved_by_stream
+        if not known and len(self._moved_by_stream) >= MAX_MOVED:
+            return False
         self._moved_by_stream[moved.stream] = moved
         self._moved_by_stream.move_to_end(moved.stream)
-        if len(self._moved_by_stream) > MAX_MOVED:
-            self._moved_by_stream.popitem(last=False)
+        return True
 
     def sole(self, route: str) -> StreamOrigin | None:
         """Return where each stream that a route leads to must have begun.
--- a/libs/control/src/bergamotsail/control/_coordinator.py
+++ b/libs/control/src/bergamotsail/control/_coordinator.py
@@ -446,12 +446,20 @@
         """Commit where a stream begins that was granted elsewhere before.
 
         Copies of the former grant may outlive this leader.
+
+        Raises:
+            OverloadError: the log has too many such streams.
         """
         if not self._node.holds_lease():
             return await self._relay(_messages.MOVE_STREAM, request)
         if not self._softwares.is_sole(request.origin):
             move = catalogue.MoveStream(request.stream, request.origin)
-            await self._propose(catalogue.Command(move_stream=move))
+            command = catalogue.Command(move_stream=move)
+            if not await self._propose(command):
+                raise wire.OverloadError(
+                    "Too many streams began elsewhere than granted. Retry "
+                    "later."
+                )
         return _messages.Done()
 
     async def on_cover_age(
